--- a/packages/core/include/agatebank/core/configuration.hpp
+++ b/packages/core/include/agatebank/core/configuration.hpp
@@ -31,6 +31,8 @@
     unsigned accelerators = 0;
     unsigned slots = 0; ///< tasks that may run at once
     std::vector<std::string> labels;
+
+    bool operator==(const inventory_row&) const = default;
 };
 
 /// @brief Which targets a service may use, and how its tasks are treated.
@@ -42,6 +44,8 @@
     bool never_delay = false;     ///< goes ahead of every patience class
     unsigned reserved_slots = 0;  ///< per target, held for this service
     bool restart_unknown = false; ///< may start an idempotent task again
+
+    bool operator==(const service_rule&) const = default;
 };
 
 /// @brief One line of the price list.
@@ -50,6 +54,8 @@
     patience_name name;
     duration wait{};      ///< the longest response time that is paid for
     price price_per_task; ///< charged when the answer is in time
+
+    bool operator==(const patience_rule&) const = default;
 };
 
 /// @brief How the policy weighs the two measures; both from 0 to 1.
@@ -57,6 +63,8 @@
 {
     double response = 0.5; ///< weight of response time over the ideal
     double waste = 0.5;    ///< weight of wasted messages
+
+    bool operator==(const policy_weights&) const = default;
 };
 
 /// @brief A caller, its token and its quota.
@@ -65,6 +73,8 @@
     caller_name name;
     std::string token_sha256;      ///< lower-case hexadecimal
     unsigned max_queued_tasks = 0; ///< 0: no quota
+
+    bool operator==(const caller_rule&) const = default;
 };
 
 /// @brief An operator and its token.
@@ -72,6 +82,8 @@
 {
     operator_name name;
     std::string token_sha256; ///< lower-case hexadecimal
+
+    bool operator==(const operator_rule&) const = default;
 };
 
 /// @brief The rules an operator adds on top of the inventory.
@@ -82,8 +94,25 @@
     policy_weights weights;
     std::vector<caller_rule> callers;
     std::vector<operator_rule> operators;
+
+    bool operator==(const rule_set&) const = default;
 };
 
+/// @brief One accepted change, kept in the document so that it can be found
+/// after later changes.
+struct change_record
+{
+    config_version version; ///< that the change made
+    std::string change_id;
+    std::string changed_by;
+    std::string summary;
+
+    bool operator==(const change_record&) const = default;
+};
+
+/// @brief Number of change records that a document keeps.
+constexpr std::size_t max_history_records = 64;
+
 /// @brief The one versioned document: inventory, rules, target states.
 struct configuration
 {
@@ -93,6 +122,10 @@
     std::map<target_name, target_state> target_states; ///< absent: active
     std::string change_id; ///< random id of the change that made this version
     std::string changed_by;
+    /// the latest changes, oldest first, at most max_history_records
+    std::vector<change_record> history;
+
+    bool operator==(const configuration&) const = default;
 };
 
 } // namespace agatebank
