--- /dev/null
+++ b/packages/platform/include/agatebank/platform/paced_reader.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <agatebank/loop/event_loop.hpp>
+#include <agatebank/platform/table_client.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief Reads one key of the table with a bounded rate. Requests that wait
+/// for the same read share it; a read never answers a request made after
+/// the read was sent.
+class paced_reader
+{
+  public:
+    // construction
+    /// @param min_interval between the starts of two reads
+    paced_reader(event_loop& loop, table_client& table, std::string key,
+                 duration min_interval);
+
+    // calls
+    void read(table_client::get_completion done);
+
+    // lookup
+    /// @brief Number of reads sent to the table.
+    std::size_t reads_sent() const noexcept;
+
+  private:
+    void schedule();
+    void send();
+    void finish(const result<std::optional<table_value>>& value);
+
+    event_loop& loop_;
+    table_client& table_;
+    std::string key_;
+    duration min_interval_;
+    std::optional<time_point> last_sent_;
+    std::size_t reads_sent_ = 0;
+    std::vector<table_client::get_completion> waiting_;
+    std::vector<table_client::get_completion> in_flight_;
+    http_call_handle call_;
+    watch timer_;
+};
+
+} // namespace agatebank
