--- a/packages/core/include/agatebank/core/configuration_view.hpp
+++ b/packages/core/include/agatebank/core/configuration_view.hpp
@@ -42,6 +42,8 @@
 
     // lookup
     const configuration& document() const noexcept;
+    const std::shared_ptr<const configuration>&
+    shared_document() const noexcept;
     config_version version() const noexcept;
 
     /// @return nullptr when there is no such service
--- a/packages/core/src/configuration_view.cpp
+++ b/packages/core/src/configuration_view.cpp
@@ -94,6 +94,12 @@
     return *document_;
 }
 
+const std::shared_ptr<const configuration>&
+configuration_view::shared_document() const noexcept
+{
+    return document_;
+}
+
 config_version configuration_view::version() const noexcept
 {
     return document_->version;
--- a/packages/platform/include/agatebank/platform/configuration_store.hpp
+++ b/packages/platform/include/agatebank/platform/configuration_store.hpp
@@ -38,8 +38,8 @@
     operator_name changed_by;
     /// the document the operator last saw; nothing: any will do
     std::shared_ptr<const configuration> base;
-    /// refuse whenever the version is no longer that of the base
-    bool require_base_version = false;
+    /// when given: refuse unless this version is in the table
+    std::optional<config_version> required_version;
 };
 
 /// @brief What other operators changed meanwhile.
@@ -116,11 +116,15 @@
     void begin();
     void read();
     void on_read(const result<std::optional<table_value>>& value);
+    void check_and_write(const configuration& current,
+                         std::optional<std::string> etag);
     void write(const configuration& current, std::optional<std::string> etag);
     void on_written(const result<write_result>& outcome,
                     const std::shared_ptr<const configuration>& next);
     bool find_own_change(const std::shared_ptr<const configuration>& current);
     std::optional<change_failure>
+    check_version(const configuration& current) const;
+    std::optional<change_failure>
     check_base(const configuration& current) const;
     void try_again(const failure& reason);
     duration draw_back_off();
--- a/packages/platform/src/configuration_store.cpp
+++ b/packages/platform/src/configuration_store.cpp
@@ -32,9 +32,8 @@
            c.changed_by + ", change " + c.change_id + ": " + summarise(c.items);
 }
 
-configuration_conflict make_conflict(const configuration& base,
-                                     const configuration& current,
-                                     std::vector<item_difference> items)
+change_failure make_conflict(config_version base, const configuration& current,
+                             std::vector<item_difference> items)
 {
     configuration_conflict out;
     out.version = current.version;
@@ -43,9 +42,11 @@
     out.items = std::move(items);
     std::copy_if(current.history.begin(), current.history.end(),
                  std::back_inserter(out.changes),
-                 [&](const auto& record)
-                 { return record.version > base.version; });
-    return out;
+                 [&](const auto& record) { return record.version > base; });
+    auto text = describe(out);
+    return {{make_error_code(errc::configuration_conflict), step_change,
+             current.changed_by, std::move(text)},
+            std::move(out)};
 }
 
 } // namespace
@@ -128,7 +129,7 @@
     }
     if (!*value)
     {
-        write(configuration{}, std::nullopt);
+        check_and_write(configuration{}, std::nullopt);
         return;
     }
     const auto current = parse_value(**value, options_.key);
@@ -141,12 +142,23 @@
     {
         return;
     }
-    if (auto refusal = check_base(**current))
+    check_and_write(**current, (*value)->etag);
+}
+
+void configuration_store::check_and_write(const configuration& current,
+                                          std::optional<std::string> etag)
+{
+    auto refusal = check_version(current);
+    if (!refusal)
+    {
+        refusal = check_base(current);
+    }
+    if (refusal)
     {
         give_up(std::move(*refusal));
         return;
     }
-    write(**current, (*value)->etag);
+    write(current, std::move(etag));
 }
 
 // Looks for a write of this change whose reply was lost, be it ours or that
@@ -178,6 +190,21 @@
     return forgotten;
 }
 
+std::optional<change_failure>
+configuration_store::check_version(const configuration& current) const
+{
+    const auto& request = changes_.front().request;
+    const auto required = request.required_version;
+    if (!required || *required == current.version)
+    {
+        return std::nullopt;
+    }
+    const bool base_known = request.base && request.base->version == *required;
+    return make_conflict(*required, current,
+                         base_known ? difference(*request.base, current)
+                                    : std::vector<item_difference>());
+}
+
 std::optional<change_failure>
 configuration_store::check_base(const configuration& current) const
 {
@@ -196,20 +223,13 @@
                  std::to_string(request.base->version.value()) + " in force"},
             std::nullopt};
     }
-    auto items = difference(*request.base, current);
-    if (!request.require_base_version)
+    auto items =
+        select_part(difference(*request.base, current), request.edit.part);
+    if (items.empty())
     {
-        items = select_part(items, request.edit.part);
-        if (items.empty())
-        {
-            return std::nullopt;
-        }
+        return std::nullopt;
     }
-    auto conflict = make_conflict(*request.base, current, std::move(items));
-    auto text = describe(conflict);
-    return change_failure{{make_error_code(errc::configuration_conflict),
-                           step_change, conflict.changed_by, std::move(text)},
-                          std::move(conflict)};
+    return make_conflict(request.base->version, current, std::move(items));
 }
 
 void configuration_store::write(const configuration& current,
