Carry price and patience with each start; add timer queue and link hub

Cause: an entry that gathers a lost entry's answers must give the price that was promised, and only the agents still hold anything of the job. Ruled out: a record in the platform's table per submission (a write per job). Conclusion: gathered answers can carry their price.

--- a/packages/core/include/agatebank/core/json_reader.hpp
+++ b/packages/core/include/agatebank/core/json_reader.hpp
@@ -98,6 +98,8 @@
     // optional fields: the value is kept when the field is absent
     void optional_text(const char* name, std::string& out);
     void optional_flag(const char* name, bool& out);
+    /// @brief Allows a field of any type; the caller reads it.
+    void optional_any(const char* name);
     template <class Integer>
     void optional_number(const char* name, Integer& out, number_range range)
     {
--- a/packages/core/src/json_reader.cpp
+++ b/packages/core/src/json_reader.cpp
@@ -213,6 +213,11 @@
     out = value->get<bool>();
 }
 
+void json_fields::optional_any(const char* name)
+{
+    find(name, false);
+}
+
 void json_fields::milliseconds(const char* name, duration& out,
                                number_range range)
 {
--- /dev/null
+++ b/packages/loop/include/agatebank/loop/timer_queue.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <agatebank/core/strong_id.hpp>
+#include <agatebank/loop/event_loop.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace agatebank
+{
+
+/// @brief Number of a timer in its queue; 0 is no timer.
+using timer_id = strong_id<struct timer_id_tag, uint64_t>;
+
+/// @brief Many timers on one GLib source: GLib walks all its sources on each
+/// turn of the loop, so thousands of them would make every turn dear.
+/// Insertion and removal are logarithmic in the number of timers.
+class timer_queue
+{
+  public:
+    using callback = std::function<void()>;
+
+    // construction
+    explicit timer_queue(event_loop& loop);
+
+    // modifiers
+    /// @brief Calls @p fn once after @p delay, to the millisecond.
+    timer_id schedule(duration delay, callback fn);
+    /// @brief Drops a timer; does nothing when it has run or is unknown.
+    void cancel(timer_id id);
+
+    // capacity
+    std::size_t size() const noexcept;
+
+  private:
+    using schedule_map = std::multimap<time_point, timer_id>;
+    struct entry
+    {
+        schedule_map::iterator at;
+        callback fn;
+    };
+
+    void arm();
+    void run_due();
+
+    event_loop& loop_;
+    schedule_map schedule_;
+    std::unordered_map<timer_id, entry> entries_;
+    uint64_t last_id_ = 0;
+    watch watch_;
+    time_point armed_for_ = time_point::max();
+};
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/loop/src/timer_queue.cpp
@@ -0,0 +1,60 @@
+#include <agatebank/loop/timer_queue.hpp>
+
+#include <utility>
+
+namespace agatebank
+{
+
+timer_queue::timer_queue(event_loop& loop) : loop_(loop) {}
+
+timer_id timer_queue::schedule(duration delay, callback fn)
+{
+    const timer_id id(++last_id_);
+    const auto at = schedule_.emplace(loop_.now() + delay, id);
+    entries_.emplace(id, entry{at, std::move(fn)});
+    arm();
+    return id;
+}
+
+void timer_queue::cancel(timer_id id)
+{
+    const auto it = entries_.find(id);
+    if (it == entries_.end())
+    {
+        return;
+    }
+    schedule_.erase(it->second.at);
+    entries_.erase(it);
+}
+
+std::size_t timer_queue::size() const noexcept
+{
+    return entries_.size();
+}
+
+void timer_queue::arm()
+{
+    if (schedule_.empty() || schedule_.begin()->first >= armed_for_)
+    {
+        return;
+    }
+    armed_for_ = schedule_.begin()->first;
+    watch_ = loop_.after(armed_for_ - loop_.now(), [this] { run_due(); });
+}
+
+void timer_queue::run_due()
+{
+    armed_for_ = time_point::max();
+    const auto now = loop_.now();
+    while (!schedule_.empty() && schedule_.begin()->first <= now)
+    {
+        const auto it = entries_.find(schedule_.begin()->second);
+        const auto fn = std::move(it->second.fn);
+        schedule_.erase(schedule_.begin());
+        entries_.erase(it);
+        fn();
+    }
+    arm();
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/wire/include/agatebank/wire/link_hub.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <agatebank/core/strong_id.hpp>
+#include <agatebank/wire/tcp_connector.hpp>
+#include <agatebank/wire/tcp_link.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace agatebank
+{
+
+/// @brief Number of a link in its hub; never used twice.
+using link_id = strong_id<struct link_id_tag, uint64_t>;
+
+/// @brief What a hub tells its owner.
+struct hub_handlers
+{
+    std::function<void(link_id, message&&)> on_message;
+    std::function<void(link_id, const heartbeat&)> on_heartbeat;
+    std::function<void(link_id, const failure&)> on_closed;
+};
+
+/// @brief Owns the links of a process and addresses them by id.
+class link_hub
+{
+  public:
+    // construction
+    link_hub(link_context context, hub_handlers handlers);
+
+    // modifiers
+    /// @brief Takes over a connection as a new link.
+    link_id add(object_ptr<GSocketConnection> connection);
+    /// @brief Sends on a link; does nothing when the link is gone.
+    void send(link_id id, const message& m);
+    /// @brief Closes a link without telling the owner.
+    void close(link_id id);
+
+    // lookup
+    /// @brief The link, or null when it is gone.
+    const tcp_link* find(link_id id) const;
+    std::size_t size() const noexcept;
+    /// @brief Sum over all links, those gone included.
+    link_traffic total_traffic() const;
+
+  private:
+    void count_closed(link_id id);
+
+    link_context context_;
+    hub_handlers handlers_;
+    std::unordered_map<link_id, std::unique_ptr<tcp_link>> links_;
+    link_traffic closed_traffic_;
+    uint64_t last_id_ = 0;
+};
+
+} // namespace agatebank
--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -130,12 +130,14 @@
 {
     task_index task;
     uint32_t job_tasks = 0; ///< number of tasks of the job
+    patience_name patience;
+    price job_price; ///< promised for the whole job
     start_report report;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(task, job_tasks, report);
+        ar(task, job_tasks, patience, job_price, report);
     }
 };
 
@@ -192,6 +194,8 @@
     submission_id submission;
     task_index task;
     uint32_t job_tasks = 0;  ///< number of tasks of the job
+    patience_name patience;  ///< kept for an entry that gathers
+    price job_price;         ///< kept for an entry that gathers
     int64_t deadline_us = 0; ///< on the agent's process clock
     service_name service;
     bool idempotent = false;
@@ -200,8 +204,8 @@
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(sequence, agent, submission, task, job_tasks, deadline_us, service,
-           idempotent, payload);
+        ar(sequence, agent, submission, task, job_tasks, patience, job_price,
+           deadline_us, service, idempotent, payload);
     }
 };
 
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -91,7 +91,7 @@
     std::size_t out_at = 0;
     bool open = true;
     bool flush_pending = false;
-    time_point last_sent;
+    time_point last_beat;
     time_point last_received;
     int64_t remote_clock_us = 0;
     time_point remote_clock_at;
@@ -126,8 +126,7 @@
         peer = peer_address(connection.get());
         g_socket_set_option(g_socket_connection_get_socket(connection.get()),
                             IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-        last_sent = context.loop.now();
-        last_received = last_sent;
+        last_received = context.loop.now();
         out = local_nonce;
         read_source.reset(
             g_pollable_input_stream_create_source(input(), nullptr));
@@ -202,7 +201,6 @@
         out += encode_length(tag.size() + payload.size());
         out += tag;
         out += payload;
-        last_sent = context.loop.now();
         schedule_flush();
     }
 
@@ -439,8 +437,6 @@
             send_heartbeat();
         }
     }
-
-    time_point last_beat;
 };
 
 tcp_link::tcp_link(const link_context& context,
