--- a/packages/core/include/agatebank/core/dispatcher.hpp
+++ b/packages/core/include/agatebank/core/dispatcher.hpp
@@ -142,7 +142,9 @@
 
     // lookup
     demand_report demand(agent_incarnation agent, time_point now) const;
+    /// @brief Tasks that wait for a start. @complexity constant
     std::size_t waiting_tasks() const;
+    /// @brief Waiting tasks of one caller, for its quota.
     std::size_t waiting_tasks(const caller_name& caller) const;
     std::size_t in_flight_tasks() const;
     bool is_ejected(agent_incarnation agent, time_point now) const;
