agent: settings, start ledger, target gate, task runner and the process

Cause: the path needs a judge of starts beside each target. Ruled out: a judge per connection; a start sent again over a new connection must meet the record of the first. Change: package agent with pure modules (start_ledger, start_board, target_gate) and adapters (task_runner, entry_dialer, agent_process); credits by core's credit_allocator. Before/after: none measured; it compiles and is not yet tested. Conclusion: good enough to join the thin path; tests follow.

--- /dev/null
+++ b/packages/agent/include/agatebank/agent/agent_process.hpp
@@ -0,0 +1,163 @@
+#pragma once
+
+#include <agatebank/agent/agent_settings.hpp>
+#include <agatebank/agent/entry_dialer.hpp>
+#include <agatebank/agent/start_board.hpp>
+#include <agatebank/agent/target_gate.hpp>
+#include <agatebank/agent/task_runner.hpp>
+#include <agatebank/core/credit_allocator.hpp>
+#include <agatebank/core/event.hpp>
+#include <agatebank/core/hybrid_clock.hpp>
+#include <agatebank/core/log.hpp>
+#include <agatebank/http/http_client.hpp>
+#include <agatebank/http/http_server.hpp>
+#include <agatebank/loop/event_loop.hpp>
+#include <agatebank/loop/timer_queue.hpp>
+#include <agatebank/wire/link_hub.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief Counters and levels of an agent.
+struct agent_statistics
+{
+    uint64_t orders = 0;   ///< start orders received, repeats included
+    uint64_t accepted = 0; ///< starts taken
+    uint64_t refused = 0;  ///< starts fenced
+    uint64_t repeated = 0; ///< orders that were known already
+    uint64_t stale = 0;    ///< orders below the acknowledged floor
+    uint64_t answered = 0; ///< runs with a whole answer
+    uint64_t failed = 0;   ///< runs that failed
+    uint64_t timed_out = 0;
+    uint64_t unreachable = 0; ///< runs that never reached the target
+    uint64_t reports_sent = 0;
+    std::size_t running = 0;
+    std::size_t queued = 0;
+    std::size_t tracked = 0; ///< starts that are remembered
+    std::size_t unacknowledged = 0;
+    std::size_t entries_connected = 0;
+    uint32_t slots = 0;
+    bool accepts_work = false;
+    config_version version;
+    link_traffic traffic;
+};
+
+/// @brief The agent beside a target: takes its announcements, owns its
+/// slots, judges the starts that entries ask for, runs them by HTTP and
+/// reports them until they are acknowledged.
+class agent_process
+{
+  public:
+    // construction
+    agent_process(event_loop& loop, hybrid_clock& clock,
+                  const authenticator& auth, event_ring& events, log_sink log,
+                  agent_settings settings, random_source random);
+    agent_process(const agent_process&) = delete;
+    agent_process& operator=(const agent_process&) = delete;
+
+    // life time
+    /// @brief Binds the HTTP listener and begins to dial the entries.
+    /// @return errc::address_in_use, or errc::key_required without a key
+    /// when an entry is beyond loopback
+    result<void> start();
+    /// @brief Stops gracefully: tells the entries, takes nothing new,
+    /// finishes what runs, and delivers its reports until they are
+    /// acknowledged or a bound of time has passed.
+    void begin_stop(std::function<void()> done);
+
+    // lookup
+    http_server& http() noexcept;
+    /// @brief The port the HTTP listener is bound to.
+    uint16_t http_port() const noexcept;
+    agent_incarnation incarnation() const noexcept;
+    /// @brief Whether the target can take work and an entry is connected.
+    bool ready() const;
+    agent_statistics statistics() const;
+
+  private:
+    struct entry_session
+    {
+        link_id link;
+        std::optional<entry_incarnation> entry;
+        std::string name;
+        bool introduced = false; ///< the entry's hello came on this link
+        timer_id loss_timer;
+    };
+
+    // links
+    void on_connected(std::size_t at, object_ptr<GSocketConnection> c);
+    void on_closed(link_id link, const failure& why);
+    void on_message(link_id link, message&& m);
+    void on_entry_hello(std::size_t at, const entry_hello& m);
+    void lose_entry(std::size_t at);
+    std::optional<std::size_t> session_of(link_id link) const;
+    std::optional<std::size_t> session_of(entry_incarnation entry) const;
+
+    // messages of entries
+    void on_entry_message(std::size_t at, message&& m);
+    void on_orders(std::size_t at, start_orders&& m);
+    void on_demand(entry_incarnation entry, const demand_update& m);
+    void on_configuration(std::size_t at, const agent_configuration& m);
+    void on_gather(std::size_t at, const gather_query& m);
+
+    // target
+    void add_routes();
+    void on_announcement(const http_request& rq, const http_responder& respond);
+    void on_goodbye(const http_request& rq, const http_responder& respond);
+    void watch_announcements();
+    void on_target_changed();
+    void begin_runs();
+    void on_run_ended(const start_key& key, run_result result);
+
+    // deliveries
+    void schedule_flush();
+    void flush();
+    void send_reports(const entry_session& s);
+    void update_credits();
+    void schedule_expiry();
+    void finish_stop();
+    void end_stop();
+
+    // records
+    void record(event_kind kind, const std::string& peer,
+                const std::string& detail = {});
+    void record_start(event_kind kind, const submission_id& submission,
+                      task_index task, const std::string& peer,
+                      const std::string& detail = {});
+    void count(start_verdict verdict);
+
+    event_loop& loop_;
+    const authenticator& auth_;
+    event_ring& events_;
+    log_sink log_;
+    agent_settings settings_;
+    agent_incarnation self_;
+    timer_queue timers_;
+    http_server http_;
+    http_client client_;
+    target_gate gate_;
+    start_board board_;
+    credit_allocator credits_;
+    task_runner runner_;
+    link_hub hub_;
+    entry_dialer dialer_;
+    std::vector<entry_session> sessions_;
+    std::map<start_key, runnable_start> in_run_;
+    agent_statistics counters_;
+    time_point last_announcement_;
+    timer_id announcement_timer_;
+    timer_id expiry_timer_;
+    timer_id stop_timer_;
+    std::function<void()> stopped_;
+    uint16_t http_port_ = 0;
+    bool flush_pending_ = false;
+    bool target_changed_ = false;
+    bool stopping_ = false;
+};
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/agent/include/agatebank/agent/task_runner.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <agatebank/agent/start_board.hpp>
+#include <agatebank/http/http_client.hpp>
+#include <agatebank/loop/event_loop.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace agatebank
+{
+
+/// @brief Runs tasks on the target by HTTP: one request on a new connection
+/// each, never sent again.
+class task_runner
+{
+  public:
+    using on_ended = std::function<void(const start_key&, run_result)>;
+
+    // construction
+    /// @param client must allow a connection for each slot
+    /// @param max_answer_bytes longest answer that is taken
+    task_runner(event_loop& loop, http_client& client,
+                std::size_t max_answer_bytes, on_ended ended);
+
+    // modifiers
+    /// @brief Sends a task to the target.
+    /// @param url base of the target's HTTP interface
+    /// @param timeout from now to the task's deadline
+    void run(const runnable_start& start, const std::string& url,
+             duration timeout);
+
+    // lookup
+    std::size_t running() const noexcept;
+
+  private:
+    void end(const start_key& key, time_point begun,
+             const tl::expected<http_response, http_failure>& outcome);
+    run_result judge(const tl::expected<http_response, http_failure>& outcome);
+
+    event_loop& loop_;
+    http_client& client_;
+    std::size_t max_answer_bytes_;
+    on_ended ended_;
+    std::map<start_key, http_call_handle> calls_;
+};
+
+/// @brief The name of a submission: issuer and sequence in hexadecimal.
+std::string submission_word(const submission_id& id);
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/agent/src/agent_process.cpp
@@ -0,0 +1,654 @@
+#include <agatebank/agent/agent_process.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+constexpr const char* step_start = "agent.start";
+constexpr const char* step_announce = "target.announce";
+constexpr std::size_t report_batch_bytes = 1U << 20U;
+constexpr int max_target_connections = 600;
+constexpr duration target_read_timeout = std::chrono::seconds(5);
+constexpr std::size_t max_announcement_bytes = 64U << 10U;
+
+constexpr start_refusal target_withdrawn{errc::start_refused,
+                                         "agent.target_withdrawn"};
+
+http_server_options server_options(const agent_settings& settings)
+{
+    http_server_options out;
+    out.address = settings.http.address;
+    out.port = settings.http.port;
+    out.max_body_bytes = max_announcement_bytes;
+    out.read_timeout = target_read_timeout;
+    return out;
+}
+
+const char* to_text(const run_result& r)
+{
+    switch (r.kind)
+    {
+    case report_kind::answered:
+        return "answered";
+    case report_kind::failed:
+        return "failed";
+    case report_kind::timed_out:
+        return "timed out";
+    case report_kind::not_run:
+        return "not run";
+    }
+    return "";
+}
+
+} // namespace
+
+agent_process::agent_process(event_loop& loop, hybrid_clock& clock,
+                             const authenticator& auth, event_ring& events,
+                             log_sink log, agent_settings settings,
+                             random_source random)
+    : loop_(loop)
+    , auth_(auth)
+    , events_(events)
+    , log_(std::move(log))
+    , settings_(std::move(settings))
+    , self_(random())
+    , timers_(loop)
+    , http_(loop, server_options(settings_))
+    , client_(loop, {}, max_target_connections)
+    , gate_(settings_.target)
+    , board_(self_, settings_.limits)
+    , credits_(0, 0)
+    , runner_(loop, client_, settings_.limits.max_answer_bytes,
+              [this](const start_key& key, run_result r)
+              { on_run_ended(key, std::move(r)); })
+    , hub_({loop, clock, auth, settings_.limits.links,
+            [this]
+            {
+                return gate_.version();
+            }},
+           {[this](link_id id, message&& m) { on_message(id, std::move(m)); },
+            {},
+            [this](link_id id, const failure& why)
+            {
+                on_closed(id, why);
+            }})
+    , dialer_(timers_, settings_.entries, std::move(random), log_,
+              [this](std::size_t at, object_ptr<GSocketConnection> c)
+              { on_connected(at, std::move(c)); })
+    , sessions_(settings_.entries.size())
+{
+    add_routes();
+}
+
+// ----- life time -----
+
+result<void> agent_process::start()
+{
+    for (const auto& it : settings_.entries)
+    {
+        if (!auth_.enabled() && !is_loopback(it.address))
+        {
+            return fail(errc::key_required, step_start, it.to_string());
+        }
+    }
+    const auto port = http_.listen();
+    if (!port)
+    {
+        return tl::unexpected(port.error());
+    }
+    http_port_ = *port;
+    record(event_kind::process_started, {});
+    for (std::size_t at = 0; at < sessions_.size(); ++at)
+    {
+        dialer_.dial(at);
+    }
+    return {};
+}
+
+void agent_process::begin_stop(std::function<void()> done)
+{
+    if (stopping_)
+    {
+        return;
+    }
+    stopping_ = true;
+    stopped_ = std::move(done);
+    record(event_kind::process_leaving, {});
+    gate_.leave();
+    on_target_changed();
+}
+
+// ----- links -----
+
+void agent_process::on_connected(std::size_t at,
+                                 object_ptr<GSocketConnection> c)
+{
+    auto& s = sessions_[at];
+    s.link = hub_.add(std::move(c));
+    s.introduced = false;
+    agent_hello hello;
+    hello.self.incarnation = self_.value();
+    hello.self.name = settings_.name;
+    hello.self.failure_domain = settings_.failure_domain;
+    hello.target = gate_.report();
+    hello.clock_us = loop_.now().time_since_epoch().count();
+    hub_.send(s.link, hello);
+}
+
+void agent_process::on_closed(link_id link, const failure& why)
+{
+    const auto at = session_of(link);
+    if (!at)
+    {
+        return;
+    }
+    auto& s = sessions_[*at];
+    s.link = link_id();
+    if (std::exchange(s.introduced, false))
+    {
+        log_(to_record(log_level::info, why));
+        credits_.remove_entry(*s.entry);
+        s.loss_timer =
+            timers_.schedule(settings_.limits.entry_timeout,
+                             [this, index = *at] { lose_entry(index); });
+        update_credits();
+    }
+    dialer_.dial_later(*at);
+}
+
+void agent_process::on_message(link_id link, message&& m)
+{
+    const auto at = session_of(link);
+    if (!at)
+    {
+        return;
+    }
+    if (const auto* hello = std::get_if<entry_hello>(&m))
+    {
+        on_entry_hello(*at, *hello);
+        return;
+    }
+    if (sessions_[*at].introduced)
+    {
+        on_entry_message(*at, std::move(m));
+    }
+}
+
+void agent_process::on_entry_hello(std::size_t at, const entry_hello& m)
+{
+    auto& s = sessions_[at];
+    const entry_incarnation entry(m.self.incarnation);
+    if (s.entry && *s.entry != entry)
+    {
+        lose_entry(at);
+    }
+    timers_.cancel(std::exchange(s.loss_timer, timer_id()));
+    s.entry = entry;
+    s.name = m.self.name;
+    s.introduced = true;
+    dialer_.reset(at);
+    record(event_kind::entry_connected, s.name);
+    board_.on_entry_connected(entry);
+    board_.send_again(entry);
+    credits_.add_entry(entry);
+    credits_.set_running(entry,
+                         static_cast<uint32_t>(board_.unfinished(entry)));
+    update_credits();
+    schedule_flush();
+}
+
+// Another incarnation at the entry's address, or too long without one.
+void agent_process::lose_entry(std::size_t at)
+{
+    auto& s = sessions_[at];
+    if (!s.entry)
+    {
+        return;
+    }
+    const auto entry = *s.entry;
+    timers_.cancel(std::exchange(s.loss_timer, timer_id()));
+    s.entry.reset();
+    record(event_kind::entry_lost, s.name);
+    board_.on_entry_lost(entry, loop_.now().time_since_epoch().count());
+    schedule_expiry();
+    update_credits();
+}
+
+std::optional<std::size_t> agent_process::session_of(link_id link) const
+{
+    const auto it = std::find_if(sessions_.begin(), sessions_.end(),
+                                 [&](const auto& s) { return s.link == link; });
+    if (it == sessions_.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(it - sessions_.begin());
+}
+
+std::optional<std::size_t>
+agent_process::session_of(entry_incarnation entry) const
+{
+    const auto it = std::find_if(sessions_.begin(), sessions_.end(),
+                                 [&](const auto& s)
+                                 { return s.introduced && s.entry == entry; });
+    if (it == sessions_.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(it - sessions_.begin());
+}
+
+// ----- messages of entries -----
+
+void agent_process::on_entry_message(std::size_t at, message&& m)
+{
+    const auto entry = *sessions_[at].entry;
+    if (auto* orders = std::get_if<start_orders>(&m))
+    {
+        on_orders(at, std::move(*orders));
+    }
+    else if (const auto* ack = std::get_if<acknowledgement>(&m))
+    {
+        board_.on_acknowledgement(entry, *ack);
+        finish_stop();
+    }
+    else if (const auto* cancels = std::get_if<cancel_starts>(&m))
+    {
+        board_.on_cancel(entry, *cancels);
+        schedule_flush();
+    }
+    else if (const auto* demand = std::get_if<demand_update>(&m))
+    {
+        on_demand(entry, *demand);
+    }
+    else if (const auto* c = std::get_if<agent_configuration>(&m))
+    {
+        on_configuration(at, *c);
+    }
+    else if (const auto* gather = std::get_if<gather_query>(&m))
+    {
+        on_gather(at, *gather);
+    }
+    else if (const auto* query = std::get_if<event_query>(&m))
+    {
+        hub_.send(sessions_[at].link,
+                  event_reply{query->number, events_.select(query->filter)});
+    }
+}
+
+void agent_process::on_orders(std::size_t at, start_orders&& m)
+{
+    const auto& s = sessions_[at];
+    const auto now_us = loop_.now().time_since_epoch().count();
+    const start_gate gate = [this](const start_order& order)
+    {
+        return gate_.refusal(order);
+    };
+    for (auto& order : m.orders)
+    {
+        const auto submission = order.submission;
+        const auto task = order.task;
+        const auto verdict =
+            board_.on_order(*s.entry, std::move(order), now_us, gate);
+        count(verdict);
+        if (verdict == start_verdict::accepted)
+        {
+            record_start(event_kind::start_accepted, submission, task, s.name);
+        }
+        else if (verdict != start_verdict::known)
+        {
+            record_start(event_kind::start_refused, submission, task, s.name);
+        }
+    }
+    begin_runs();
+    schedule_flush();
+}
+
+void agent_process::on_demand(entry_incarnation entry, const demand_update& m)
+{
+    credits_.set_demand(entry,
+                        {m.queued, m.in_flight, duration(m.least_slack_us)});
+    credits_.confirm(entry, m.grant_version, m.in_flight);
+    update_credits();
+}
+
+void agent_process::on_configuration(std::size_t at,
+                                     const agent_configuration& m)
+{
+    if (!gate_.configure(m))
+    {
+        return;
+    }
+    record(event_kind::configuration_in_force, sessions_[at].name,
+           std::to_string(m.version.value()));
+    on_target_changed();
+}
+
+void agent_process::on_gather(std::size_t at, const gather_query& m)
+{
+    const auto now_us = loop_.now().time_since_epoch().count();
+    auto held = board_.gather(m.submission, now_us);
+    if (!held)
+    {
+        return;
+    }
+    record_start(event_kind::gather_began, m.submission, task_index(),
+                 sessions_[at].name);
+    schedule_expiry();
+    schedule_flush();
+    hub_.send(sessions_[at].link,
+              gather_reply{m.number, std::move(held->reported), held->running});
+}
+
+// ----- target -----
+
+void agent_process::add_routes()
+{
+    http_.route("POST", "/v1/announcement",
+                [this](const http_request& rq, const http_responder& respond)
+                { on_announcement(rq, respond); });
+    http_.route("DELETE", "/v1/announcement",
+                [this](const http_request& rq, const http_responder& respond)
+                { on_goodbye(rq, respond); });
+}
+
+void agent_process::on_announcement(const http_request& rq,
+                                    const http_responder& respond)
+{
+    auto a = parse_announcement(rq.body, rq.peer);
+    if (!a)
+    {
+        respond(problem_response(400, a.error(), run_fate::not_run));
+        return;
+    }
+    last_announcement_ = loop_.now();
+    const bool fresh = !gate_.announced();
+    if (gate_.announce(std::move(*a)))
+    {
+        record(event_kind::target_announced, rq.peer);
+        on_target_changed();
+    }
+    if (fresh)
+    {
+        watch_announcements();
+    }
+    respond(http_response{204, {}, {}, {}});
+}
+
+void agent_process::on_goodbye(const http_request& rq,
+                               const http_responder& respond)
+{
+    if (gate_.withdraw())
+    {
+        record(event_kind::target_withdrawn, rq.peer, "goodbye");
+        on_target_changed();
+    }
+    respond(http_response{204, {}, {}, {}});
+}
+
+void agent_process::watch_announcements()
+{
+    const auto silent = loop_.now() - last_announcement_;
+    const auto left = settings_.limits.announcement_timeout - silent;
+    timers_.cancel(announcement_timer_);
+    if (left > duration::zero())
+    {
+        announcement_timer_ =
+            timers_.schedule(left, [this] { watch_announcements(); });
+        return;
+    }
+    if (gate_.withdraw())
+    {
+        record(event_kind::target_withdrawn, {}, "silent");
+        on_target_changed();
+    }
+}
+
+// Tells the entries at once, and stops what has not begun when the target
+// may not take work any more.
+void agent_process::on_target_changed()
+{
+    const auto report = gate_.report();
+    const auto slots = report.accepts_work ? report.slots : 0;
+    const auto allowance = report.accepts_work ? gate_.queue_allowance() : 0;
+    board_.set_capacity(slots, allowance);
+    credits_.set_slots(slots);
+    credits_.set_queue_allowance(allowance);
+    if (!report.accepts_work)
+    {
+        const auto* why = gate_.refusal();
+        board_.refuse_all_queued(why == nullptr ? target_withdrawn : *why);
+    }
+    target_changed_ = true;
+    update_credits();
+    begin_runs();
+    schedule_flush();
+}
+
+void agent_process::begin_runs()
+{
+    const auto now = loop_.now();
+    for (auto& it : board_.take_runnable(now.time_since_epoch().count()))
+    {
+        const duration left =
+            it.deadline_us == 0
+                ? settings_.limits.longest_run
+                : std::min(settings_.limits.longest_run,
+                           time_point(duration(it.deadline_us)) - now);
+        record_start(event_kind::run_began, it.submission, it.task, {});
+        runner_.run(it, gate_.url(), left);
+        it.payload = {};
+        in_run_.emplace(it.key, std::move(it));
+    }
+}
+
+void agent_process::on_run_ended(const start_key& key, run_result r)
+{
+    const auto it = in_run_.find(key);
+    record_start(event_kind::run_ended, it->second.submission, it->second.task,
+                 {}, to_text(r));
+    in_run_.erase(it);
+    counters_.answered += r.kind == report_kind::answered ? 1 : 0;
+    counters_.failed += r.kind == report_kind::failed ? 1 : 0;
+    counters_.timed_out += r.kind == report_kind::timed_out ? 1 : 0;
+    counters_.unreachable += r.kind == report_kind::not_run ? 1 : 0;
+    board_.on_run_ended(key, std::move(r));
+    begin_runs();
+    if (const auto at = session_of(key.entry))
+    {
+        credits_.set_running(
+            key.entry, static_cast<uint32_t>(board_.unfinished(key.entry)));
+    }
+    update_credits();
+    schedule_flush();
+}
+
+// ----- deliveries -----
+
+void agent_process::schedule_flush()
+{
+    if (!std::exchange(flush_pending_, true))
+    {
+        loop_.defer([this] { flush(); });
+    }
+}
+
+void agent_process::flush()
+{
+    flush_pending_ = false;
+    const auto report = gate_.report();
+    const bool changed = std::exchange(target_changed_, false);
+    for (const auto& s : sessions_)
+    {
+        if (!s.introduced)
+        {
+            continue;
+        }
+        if (changed)
+        {
+            hub_.send(s.link, report);
+        }
+        send_reports(s);
+    }
+    finish_stop();
+}
+
+void agent_process::send_reports(const entry_session& s)
+{
+    while (board_.has_reports(*s.entry))
+    {
+        start_reports m{board_.take_reports(*s.entry, report_batch_bytes)};
+        if (m.reports.empty())
+        {
+            return;
+        }
+        counters_.reports_sent += m.reports.size();
+        hub_.send(s.link, m);
+    }
+}
+
+void agent_process::update_credits()
+{
+    std::size_t connected = 0;
+    for (const auto& s : sessions_)
+    {
+        connected += s.introduced ? board_.unfinished(*s.entry) : 0;
+    }
+    const auto unfinished = board_.running() + board_.queued();
+    credits_.set_orphans(static_cast<uint32_t>(unfinished - connected));
+    for (const auto& grant : credits_.rebalance(loop_.now()))
+    {
+        if (const auto at = session_of(grant.entry))
+        {
+            hub_.send(sessions_[*at].link, grant);
+        }
+    }
+}
+
+void agent_process::schedule_expiry()
+{
+    const auto now_us = loop_.now().time_since_epoch().count();
+    const auto next_us = board_.expire(now_us);
+    timers_.cancel(expiry_timer_);
+    if (next_us != 0)
+    {
+        expiry_timer_ = timers_.schedule(duration(next_us - now_us),
+                                         [this] { schedule_expiry(); });
+    }
+}
+
+// Called whenever something ended; the stop is over when all is delivered.
+void agent_process::finish_stop()
+{
+    if (!stopped_ || board_.running() != 0)
+    {
+        return;
+    }
+    if (board_.unacknowledged() == 0)
+    {
+        end_stop();
+        return;
+    }
+    if (stop_timer_ == timer_id())
+    {
+        stop_timer_ = timers_.schedule(settings_.limits.stop_delivery,
+                                       [this] { end_stop(); });
+    }
+}
+
+void agent_process::end_stop()
+{
+    timers_.cancel(stop_timer_);
+    dialer_.stop();
+    http_.stop_accepting();
+    if (const auto done = std::exchange(stopped_, nullptr))
+    {
+        done();
+    }
+}
+
+// ----- records -----
+
+void agent_process::record(event_kind kind, const std::string& peer,
+                           const std::string& detail)
+{
+    event e;
+    e.kind = kind;
+    e.target = settings_.target.value();
+    e.peer = peer;
+    e.detail = detail;
+    events_.record(std::move(e));
+}
+
+void agent_process::record_start(event_kind kind,
+                                 const submission_id& submission,
+                                 task_index task, const std::string& peer,
+                                 const std::string& detail)
+{
+    event e;
+    e.kind = kind;
+    e.submission = submission_word(submission);
+    e.task = static_cast<int32_t>(task.value());
+    e.target = settings_.target.value();
+    e.peer = peer;
+    e.detail = detail;
+    events_.record(std::move(e));
+}
+
+void agent_process::count(start_verdict verdict)
+{
+    ++counters_.orders;
+    counters_.accepted += verdict == start_verdict::accepted ? 1 : 0;
+    counters_.refused += verdict == start_verdict::refused ? 1 : 0;
+    counters_.repeated += verdict == start_verdict::known ? 1 : 0;
+    counters_.stale += verdict == start_verdict::stale ? 1 : 0;
+}
+
+// ----- lookup -----
+
+http_server& agent_process::http() noexcept
+{
+    return http_;
+}
+
+uint16_t agent_process::http_port() const noexcept
+{
+    return http_port_;
+}
+
+agent_incarnation agent_process::incarnation() const noexcept
+{
+    return self_;
+}
+
+bool agent_process::ready() const
+{
+    const bool connected =
+        std::any_of(sessions_.begin(), sessions_.end(),
+                    [](const auto& s) { return s.introduced; });
+    return connected && gate_.report().accepts_work;
+}
+
+agent_statistics agent_process::statistics() const
+{
+    auto out = counters_;
+    out.running = board_.running();
+    out.queued = board_.queued();
+    out.tracked = board_.tracked();
+    out.unacknowledged = board_.unacknowledged();
+    out.entries_connected = static_cast<std::size_t>(
+        std::count_if(sessions_.begin(), sessions_.end(),
+                      [](const auto& s) { return s.introduced; }));
+    out.slots = board_.slots();
+    out.accepts_work = gate_.report().accepts_work;
+    out.version = gate_.version();
+    out.traffic = hub_.total_traffic();
+    return out;
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/agent/src/entry_dialer.cpp
@@ -0,0 +1,95 @@
+#include <agatebank/agent/entry_dialer.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+constexpr duration first_delay = std::chrono::milliseconds(100);
+constexpr duration longest_delay = std::chrono::seconds(2);
+constexpr duration connect_timeout = std::chrono::seconds(1);
+constexpr unsigned max_doublings = 5;
+
+} // namespace
+
+duration dial_delay(unsigned failures, uint64_t random)
+{
+    const auto doubled =
+        first_delay * (int64_t{1} << std::min(failures, max_doublings));
+    const auto delay = std::min(doubled, longest_delay);
+    const auto half = static_cast<uint64_t>(delay.count() / 2);
+    return delay / 2 + duration(static_cast<int64_t>(random % (half + 1)));
+}
+
+entry_dialer::entry_dialer(timer_queue& timers, std::vector<endpoint> entries,
+                           random_source random, log_sink log,
+                           on_connected connected)
+    : timers_(timers)
+    , entries_(std::move(entries))
+    , random_(std::move(random))
+    , log_(std::move(log))
+    , connected_(std::move(connected))
+    , connector_(connect_timeout)
+    , attempts_(entries_.size())
+{
+}
+
+void entry_dialer::dial(std::size_t entry)
+{
+    if (stopped_)
+    {
+        return;
+    }
+    attempts_[entry].connecting = connector_.connect(
+        entries_[entry],
+        [this, entry](result<object_ptr<GSocketConnection>> c)
+        {
+            if (c)
+            {
+                connected_(entry, std::move(*c));
+                return;
+            }
+            log_(to_record(log_level::debug, c.error()));
+            dial_later(entry);
+        });
+}
+
+void entry_dialer::dial_later(std::size_t entry)
+{
+    if (stopped_)
+    {
+        return;
+    }
+    auto& a = attempts_[entry];
+    timers_.cancel(a.timer);
+    a.timer = timers_.schedule(dial_delay(a.failures, random_()),
+                               [this, entry] { dial(entry); });
+    ++a.failures;
+}
+
+void entry_dialer::reset(std::size_t entry)
+{
+    attempts_[entry].failures = 0;
+}
+
+void entry_dialer::stop()
+{
+    stopped_ = true;
+    for (auto& a : attempts_)
+    {
+        timers_.cancel(a.timer);
+        a.connecting.reset();
+    }
+}
+
+const std::vector<endpoint>& entry_dialer::entries() const noexcept
+{
+    return entries_;
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/agent/src/start_board.cpp
@@ -0,0 +1,284 @@
+#include <agatebank/agent/start_board.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+constexpr start_refusal no_slot{errc::start_refused, "agent.slots"};
+constexpr start_refusal foreign_submission{errc::submission_refused,
+                                           "agent.judge"};
+constexpr start_refusal deadline_in_queue{errc::start_past_deadline,
+                                          "agent.queue"};
+constexpr start_refusal entry_gone{errc::entry_lost, "agent.queue"};
+
+} // namespace
+
+start_board::start_board(agent_incarnation self, const agent_limits& limits)
+    : self_(self), limits_(limits)
+{
+}
+
+void start_board::set_capacity(uint32_t slots, uint32_t queue_allowance)
+{
+    slots_ = slots;
+    queue_allowance_ = queue_allowance;
+}
+
+// ----- starts -----
+
+start_verdict start_board::on_order(entry_incarnation entry, start_order order,
+                                    int64_t now_us, const start_gate& gate)
+{
+    const start_refusal* refusal = gate(order);
+    if (order.submission.issuer != entry)
+    {
+        refusal = &foreign_submission;
+    }
+    else if (refusal == nullptr &&
+             running() + queue_.size() >= slots_ + queue_allowance_)
+    {
+        refusal = &no_slot;
+    }
+    const auto verdict = starts_of(entry).ledger.judge(order, now_us, refusal);
+    if (verdict == start_verdict::accepted)
+    {
+        queue_.push_back({{entry, order.sequence},
+                          order.submission,
+                          order.task,
+                          order.deadline_us,
+                          std::move(order.service),
+                          std::move(order.payload)});
+    }
+    return verdict;
+}
+
+void start_board::on_cancel(entry_incarnation entry, const cancel_starts& m)
+{
+    auto& ledger = starts_of(entry).ledger;
+    for (const auto sequence : m.sequences)
+    {
+        ledger.cancel(sequence);
+    }
+    drop_settled_queue();
+}
+
+void start_board::on_acknowledgement(entry_incarnation entry,
+                                     const acknowledgement& m)
+{
+    starts_of(entry).ledger.acknowledge(m.below);
+    drop_settled_queue();
+}
+
+std::vector<runnable_start> start_board::take_runnable(int64_t now_us)
+{
+    std::vector<runnable_start> out;
+    while (!queue_.empty() && running() < slots_)
+    {
+        auto next = std::move(queue_.front());
+        queue_.pop_front();
+        auto& ledger = starts_of(next.key.entry).ledger;
+        if (next.deadline_us != 0 && next.deadline_us <= now_us)
+        {
+            ledger.refuse_queued(next.key.sequence, deadline_in_queue);
+        }
+        else if (ledger.begin(next.key.sequence))
+        {
+            ++running_;
+            out.push_back(std::move(next));
+        }
+    }
+    return out;
+}
+
+void start_board::on_run_ended(const start_key& key, run_result result)
+{
+    --running_;
+    starts_of(key.entry).ledger.finish(key.sequence, std::move(result));
+}
+
+void start_board::refuse_all_queued(const start_refusal& why)
+{
+    for (const auto& it : std::exchange(queue_, {}))
+    {
+        starts_of(it.key.entry).ledger.refuse_queued(it.key.sequence, why);
+    }
+}
+
+// A cancelled or settled start leaves the queue, so that it takes no place.
+void start_board::drop_settled_queue()
+{
+    const auto settled = [this](const runnable_start& it)
+    {
+        return !starts_of(it.key.entry).ledger.is_queued(it.key.sequence);
+    };
+    queue_.erase(std::remove_if(queue_.begin(), queue_.end(), settled),
+                 queue_.end());
+}
+
+// ----- entries -----
+
+start_board::entry_starts& start_board::starts_of(entry_incarnation entry)
+{
+    const auto it = entries_.find(entry);
+    if (it != entries_.end())
+    {
+        return it->second;
+    }
+    return entries_
+        .emplace(entry, entry_starts{start_ledger(self_, limits_.max_records)})
+        .first->second;
+}
+
+const start_board::entry_starts*
+start_board::find(entry_incarnation entry) const
+{
+    const auto it = entries_.find(entry);
+    return it == entries_.end() ? nullptr : &it->second;
+}
+
+void start_board::on_entry_connected(entry_incarnation entry)
+{
+    starts_of(entry).lost = false;
+}
+
+void start_board::on_entry_lost(entry_incarnation entry, int64_t now_us)
+{
+    auto& starts = starts_of(entry);
+    if (starts.lost)
+    {
+        return;
+    }
+    starts.lost = true;
+    starts.drop_at_us = now_us + limits_.held_answers.count();
+    for (const auto sequence : starts.ledger.queued_starts())
+    {
+        starts.ledger.refuse_queued(sequence, entry_gone);
+    }
+    drop_settled_queue();
+}
+
+std::optional<held_starts> start_board::gather(const submission_id& submission,
+                                               int64_t now_us)
+{
+    const bool known = fenced_until_us_.count(submission) != 0;
+    if (!known && fenced_until_us_.size() >= limits_.max_gather_fences)
+    {
+        return std::nullopt;
+    }
+    fenced_until_us_[submission] = now_us + limits_.gather_fence.count();
+    auto held = starts_of(submission.issuer).ledger.gather(submission);
+    drop_settled_queue();
+    return held;
+}
+
+int64_t start_board::expire(int64_t now_us)
+{
+    int64_t next = 0;
+    const auto consider = [&next](int64_t at)
+    {
+        next = next == 0 ? at : std::min(next, at);
+    };
+    for (auto& [entry, starts] : entries_)
+    {
+        if (!starts.lost || starts.ledger.size() == 0)
+        {
+            continue;
+        }
+        if (starts.drop_at_us <= now_us)
+        {
+            // The floor stays, so that a returning entry's starts are
+            // refused and not taken for new ones.
+            starts.ledger.acknowledge(starts.ledger.ceiling());
+            continue;
+        }
+        consider(starts.drop_at_us);
+    }
+    for (auto it = fenced_until_us_.begin(); it != fenced_until_us_.end();)
+    {
+        if (it->second <= now_us)
+        {
+            starts_of(it->first.issuer).ledger.release_gathered(it->first);
+            it = fenced_until_us_.erase(it);
+            continue;
+        }
+        consider(it->second);
+        ++it;
+    }
+    return next;
+}
+
+// ----- reports -----
+
+std::vector<start_report> start_board::take_reports(entry_incarnation entry,
+                                                    std::size_t max_bytes)
+{
+    return starts_of(entry).ledger.take_reports(max_bytes);
+}
+
+void start_board::send_again(entry_incarnation entry)
+{
+    starts_of(entry).ledger.send_again();
+}
+
+// ----- lookup -----
+
+uint32_t start_board::slots() const noexcept
+{
+    return slots_;
+}
+
+uint32_t start_board::queue_allowance() const noexcept
+{
+    return queue_allowance_;
+}
+
+std::size_t start_board::running() const noexcept
+{
+    return running_;
+}
+
+std::size_t start_board::queued() const noexcept
+{
+    return queue_.size();
+}
+
+std::size_t start_board::tracked() const noexcept
+{
+    std::size_t n = 0;
+    for (const auto& it : entries_)
+    {
+        n += it.second.ledger.size();
+    }
+    return n;
+}
+
+std::size_t start_board::unacknowledged() const noexcept
+{
+    std::size_t n = 0;
+    for (const auto& it : entries_)
+    {
+        n += it.second.ledger.unacknowledged();
+    }
+    return n;
+}
+
+std::size_t start_board::unfinished(entry_incarnation entry) const
+{
+    const auto* starts = find(entry);
+    return starts == nullptr
+               ? 0
+               : starts->ledger.running() + starts->ledger.queued();
+}
+
+bool start_board::has_reports(entry_incarnation entry) const
+{
+    const auto* starts = find(entry);
+    return starts != nullptr && starts->ledger.has_reports();
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/agent/src/task_runner.cpp
@@ -0,0 +1,116 @@
+#include <agatebank/agent/task_runner.hpp>
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+constexpr const char* step_run = "target.run";
+constexpr const char* step_connect = "target.connect";
+constexpr const char* step_answer = "target.answer";
+constexpr unsigned status_ok = 200;
+
+http_call make_call(const runnable_start& start, const std::string& url,
+                    duration timeout)
+{
+    const auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+    http_call call;
+    call.method = "POST";
+    call.url = url + "/v1/tasks";
+    call.headers = {{"Agatebank-Submission", submission_word(start.submission)},
+                    {"Agatebank-Task", std::to_string(start.task.value())},
+                    {"Agatebank-Service", start.service.value()},
+                    {"Agatebank-Deadline-Ms", std::to_string(ms.count())}};
+    call.content_type = "application/octet-stream";
+    call.body = start.payload;
+    call.timeout = timeout;
+    call.may_resend = false;
+    return call;
+}
+
+run_result failed_run(const http_failure& f)
+{
+    if (!f.may_have_been_received)
+    {
+        return {report_kind::not_run, errc::target_unreachable, step_connect};
+    }
+    if (f.reason.code == make_error_code(errc::target_timeout))
+    {
+        return {report_kind::timed_out, errc::target_timeout, step_run};
+    }
+    return {report_kind::failed, errc::target_answer_partial, step_answer};
+}
+
+} // namespace
+
+std::string submission_word(const submission_id& id)
+{
+    std::array<char, 40> buf{};
+    const int n =
+        std::snprintf(buf.data(), buf.size(), "%llx-%llx",
+                      static_cast<unsigned long long>(id.issuer.value()),
+                      static_cast<unsigned long long>(id.sequence.value()));
+    return {buf.data(), static_cast<std::size_t>(n)};
+}
+
+task_runner::task_runner(event_loop& loop, http_client& client,
+                         std::size_t max_answer_bytes, on_ended ended)
+    : loop_(loop)
+    , client_(client)
+    , max_answer_bytes_(max_answer_bytes)
+    , ended_(std::move(ended))
+{
+}
+
+void task_runner::run(const runnable_start& start, const std::string& url,
+                      duration timeout)
+{
+    const auto key = start.key;
+    const auto begun = loop_.now();
+    calls_[key] = client_.send(make_call(start, url, timeout),
+                               [this, key, begun](const auto& outcome)
+                               { end(key, begun, outcome); });
+}
+
+void task_runner::end(const start_key& key, time_point begun,
+                      const tl::expected<http_response, http_failure>& outcome)
+{
+    auto result = judge(outcome);
+    result.run_time = loop_.now() - begun;
+    calls_.erase(key);
+    ended_(key, std::move(result));
+}
+
+run_result
+task_runner::judge(const tl::expected<http_response, http_failure>& outcome)
+{
+    if (!outcome)
+    {
+        return failed_run(outcome.error());
+    }
+    if (outcome->status != status_ok)
+    {
+        return {report_kind::failed, errc::target_failed, step_answer};
+    }
+    if (outcome->body.size() > max_answer_bytes_)
+    {
+        return {report_kind::failed, errc::message_too_large, step_answer};
+    }
+    run_result result;
+    result.kind = report_kind::answered;
+    result.body = outcome->body;
+    return result;
+}
+
+std::size_t task_runner::running() const noexcept
+{
+    return calls_.size();
+}
+
+} // namespace agatebank
