Add the entry: submissions, jobs, agents, peers, gathering, callers' HTTP

Cause: the thin path needs a process that admits jobs, starts tasks through agents and assembles whole answers. Ruled out: a store write on the path of a job; a GLib source per timer.

--- /dev/null
+++ b/packages/entry/include/agatebank/entry/agent_directory.hpp
@@ -0,0 +1,157 @@
+#pragma once
+
+#include <agatebank/core/dispatcher.hpp>
+#include <agatebank/core/event.hpp>
+#include <agatebank/core/ids.hpp>
+#include <agatebank/loop/timer_queue.hpp>
+#include <agatebank/wire/link_hub.hpp>
+#include <agatebank/wire/messages.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief An agent as this entry sees it.
+struct agent_record
+{
+    process_identity self;
+    target_report target;
+    link_id link; ///< 0 while not connected
+    config_version version;
+    slot_grant grant;
+    bool lost = false; ///< its unanswered starts were given up
+
+    bool connected() const noexcept
+    {
+        return link != link_id();
+    }
+};
+
+/// @brief What the directory tells its owner.
+struct agent_events
+{
+    /// a connection is up, or the target's state has changed
+    std::function<void(agent_incarnation)> on_target;
+    /// the connection is gone; the agent may come back
+    std::function<void(agent_incarnation)> on_disconnected;
+    /// the agent is given up: a new incarnation took its place, or it
+    /// stayed away too long; the outcome of its starts is unknown
+    std::function<void(agent_incarnation)> on_lost;
+    std::function<void(agent_incarnation, uint32_t credits)> on_grant;
+    /// first report of a start
+    std::function<void(agent_incarnation, task_ref, const start_report&)>
+        on_report;
+    std::function<void(agent_incarnation, const gather_reply&)> on_gathered;
+    std::function<void(agent_incarnation, const event_reply&)> on_events;
+};
+
+/// @brief The start of a task at an agent, for @ref agent_directory::release.
+struct start_ref
+{
+    agent_incarnation agent;
+    start_sequence sequence;
+};
+
+/// @brief The agents of this entry and the starts sent to each.
+///
+/// Starts to one agent incarnation form a sequence. An unreported start is
+/// sent again on each new connection with the same incarnation; the agent
+/// starts it once. A reported start is kept until it is released; the lowest
+/// start kept is the floor that is acknowledged to the agent.
+class agent_directory
+{
+  public:
+    // construction
+    agent_directory(
+        event_loop& loop, timer_queue& timers, link_hub& hub,
+        event_ring& events, process_identity self, duration loss_timeout);
+
+    void set_events(agent_events events);
+
+    // links
+    /// @brief A link introduced itself as an agent's.
+    void on_hello(link_id link, const agent_hello& hello);
+    /// @brief A message came on an agent's link.
+    void on_message(link_id link, const message& m);
+    void on_heartbeat(link_id link, const heartbeat& beat);
+    /// @return whether the link was an agent's
+    bool on_closed(link_id link);
+    bool is_agent(link_id link) const;
+
+    // starts
+    /// @brief Queues a start; its sequence, agent and deadline are filled in.
+    start_ref start(const assignment& a, start_order order);
+    /// @brief Sends the starts that are queued.
+    void flush();
+    /// @brief Tells the agents that nobody waits for these starts.
+    void cancel(const std::vector<start_ref>& starts);
+    /// @brief A settled start need not be kept any longer than until its
+    /// report: its credit is in use until then.
+    void release(const start_ref& start);
+
+    // modifiers
+    void send(agent_incarnation agent, const message& m);
+    void send_all(const message& m);
+
+    // lookup
+    const agent_record* find(agent_incarnation agent) const;
+    std::vector<agent_incarnation> connected() const;
+    /// @brief All agents that are not lost.
+    std::vector<agent_incarnation> known() const;
+    duration one_way_delay(agent_incarnation agent) const;
+    std::size_t kept_starts() const;
+
+  private:
+    struct kept_start
+    {
+        task_ref task;
+        start_order order; ///< payload dropped once reported
+        bool reported = false;
+        bool released = false; ///< to be dropped once reported
+    };
+    struct agent_state : agent_record
+    {
+        uint64_t last_sequence = 0;
+        std::map<start_sequence, kept_start> starts;
+        std::vector<start_order> outbox;
+        start_sequence acknowledged;
+        bool acknowledge_due = false;
+        timer_id loss_timer;
+    };
+
+    agent_state* by_link(link_id link);
+    void replace_earlier(const agent_hello& hello);
+    void lose(agent_incarnation agent);
+    void take_reports(agent_state& agent, const start_reports& m);
+    void take_grant(agent_state& agent, const slot_grant& grant);
+    void send_again(agent_state& agent);
+    void schedule_acknowledgement(agent_state& agent);
+    void acknowledge(agent_incarnation agent);
+    int64_t
+    agent_deadline_us(const agent_state& agent, time_point deadline) const;
+    void record(
+        event_kind kind, const agent_state& agent,
+        const start_order* order = nullptr, const std::string& detail = {});
+
+    event_loop& loop_;
+    timer_queue& timers_;
+    link_hub& hub_;
+    event_ring& events_;
+    process_identity self_;
+    duration loss_timeout_;
+    agent_events handlers_;
+    std::map<agent_incarnation, agent_state> agents_;
+    std::unordered_map<link_id, agent_incarnation> links_;
+    std::vector<agent_incarnation> with_outbox_;
+};
+
+/// @brief The name of a submission in events: issuer and sequence.
+std::string event_name(const submission_id& id);
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/entry/include/agatebank/entry/entry_process.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <agatebank/core/log.hpp>
+#include <agatebank/entry/agent_directory.hpp>
+#include <agatebank/entry/caller_api.hpp>
+#include <agatebank/entry/configuration_holder.hpp>
+#include <agatebank/entry/entry_directory.hpp>
+#include <agatebank/entry/entry_settings.hpp>
+#include <agatebank/entry/event_collector.hpp>
+#include <agatebank/entry/forwarder.hpp>
+#include <agatebank/entry/gatherer.hpp>
+#include <agatebank/entry/job_service.hpp>
+#include <agatebank/entry/peer_links.hpp>
+#include <agatebank/entry/submission_service.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace agatebank
+{
+
+/// @brief What an entry takes from its surroundings.
+struct entry_dependencies
+{
+    event_loop& loop;
+    hybrid_clock& clock;
+    const authenticator& auth;
+    event_ring& events;
+    log_sink log;
+    configuration_loader load_configuration;
+    entry_incarnation incarnation; ///< random
+    dispatch_options policy;
+};
+
+/// @brief An entry: HTTP for callers, decisions, links to agents and to other
+/// entries.
+class entry_process
+{
+  public:
+    // construction
+    entry_process(entry_dependencies dependencies, entry_settings settings);
+    ~entry_process();
+    entry_process(const entry_process&) = delete;
+    entry_process& operator=(const entry_process&) = delete;
+
+    // life time
+    /// @brief Binds all sockets, then begins to serve.
+    result<void> start();
+    /// @brief Stops gracefully: not ready, no new jobs, those admitted are
+    /// finished and answered, then @p done.
+    void begin_stop(std::function<void()> done);
+    /// @brief Why the process is not ready; nothing when it is.
+    std::optional<failure> not_ready() const;
+
+    // parts
+    http_server& http() noexcept;
+    configuration_holder& configuration() noexcept;
+    const agent_directory& agents() const noexcept;
+    const entry_directory& entries() const noexcept;
+    const job_service& jobs() const noexcept;
+    const submission_service& submissions() const noexcept;
+    const link_hub& links() const noexcept;
+    const dispatcher& policy() const noexcept;
+    event_collector& events() noexcept;
+    const process_identity& identity() const noexcept;
+    bool leaving() const noexcept;
+
+  private:
+    // wiring
+    agent_events make_agent_events();
+    hub_handlers make_hub_handlers();
+
+    // links
+    void take_message(link_id link, message&& m);
+    void take_forwarded(link_id link, const forward_request& request);
+    void send_configuration(link_id link);
+    void query_newer(const peer_record& peer);
+
+    // agents
+    void offer_target(agent_incarnation agent);
+    void send_agent_configuration(agent_incarnation agent);
+    void apply_configuration();
+
+    // callers
+    result<job_terms>
+    find_terms(const caller_name& caller, const job_document& job) const;
+
+    // stopping
+    void stop_when_idle();
+    bool idle() const;
+    std::optional<failure> not_ready_for_calls() const;
+
+    entry_dependencies dependencies_;
+    entry_settings settings_;
+    process_identity identity_;
+    submission_id_codec codec_;
+    timer_queue timers_;
+    tcp_connector connector_;
+    dispatcher policy_;
+    configuration_holder configuration_;
+    link_hub hub_;
+    tcp_listener listener_;
+    entry_directory entries_;
+    agent_directory agents_;
+    peer_links peers_;
+    gatherer gatherer_;
+    forwarder forwarder_;
+    event_collector collector_;
+    submission_service submissions_;
+    job_service jobs_;
+    http_server http_;
+    std::unique_ptr<caller_api> callers_;
+    bool started_ = false;
+    bool leaving_ = false;
+    time_point stop_deadline_;
+    std::function<void()> stopped_;
+};
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/entry/include/agatebank/entry/event_collector.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <agatebank/entry/agent_directory.hpp>
+#include <agatebank/entry/peer_links.hpp>
+
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief Collects the events of all processes that this entry can reach,
+/// for the time line. What is not there in time is left out.
+class event_collector
+{
+  public:
+    using completion = std::function<void(std::vector<event>)>;
+
+    // construction
+    event_collector(
+        timer_queue& timers, event_ring& own, agent_directory& agents,
+        entry_directory& entries, peer_links& links);
+
+    // modifiers
+    void collect(const event_filter& filter, completion done);
+    void on_reply(const event_reply& reply);
+    /// @brief A link to a peer is up: asks it what is still outstanding.
+    void on_up(entry_incarnation peer);
+
+  private:
+    struct query
+    {
+        event_filter filter;
+        completion done;
+        std::vector<event> events;
+        std::size_t awaited = 0;
+        timer_id timeout;
+    };
+
+    void finish(uint64_t number);
+
+    timer_queue& timers_;
+    event_ring& own_;
+    agent_directory& agents_;
+    entry_directory& entries_;
+    peer_links& links_;
+    uint64_t last_number_ = 0;
+    std::unordered_map<uint64_t, query> queries_;
+};
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/entry/include/agatebank/entry/job_document.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <agatebank/core/ids.hpp>
+#include <agatebank/core/result.hpp>
+#include <agatebank/core/units.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief One task as a caller sent it.
+struct task_document
+{
+    std::string payload; ///< bytes for the target
+    std::optional<duration> declared_run_time;
+};
+
+/// @brief A job as a caller sent it.
+struct job_document
+{
+    service_name service;
+    patience_name patience;
+    bool idempotent = false;
+    std::vector<task_document> tasks;
+};
+
+/// @brief Bounds of a job.
+struct job_limits
+{
+    std::size_t max_tasks = 1000;
+    duration max_declared_run_time = std::chrono::minutes(10);
+};
+
+/// @brief Reads a job from JSON text.
+///
+/// A task's payload that is a JSON text is sent to the target as its bytes;
+/// any other JSON value is sent as JSON.
+/// @return errc::request_malformed with the path of the first error, or
+/// errc::too_many_tasks
+/// @complexity linear in the text
+result<job_document>
+parse_job(std::string_view text, const job_limits& limits);
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/entry/src/gatherer.cpp
@@ -0,0 +1,171 @@
+#include <agatebank/entry/gatherer.hpp>
+
+#include <agatebank/entry/job_settlement.hpp>
+
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+constexpr const char* step_gather = "submission.gather";
+/// Time in which every agent must have replied.
+constexpr duration round_timeout = std::chrono::seconds(1);
+/// Pause before agents that still run tasks are asked again.
+constexpr duration round_pause = std::chrono::milliseconds(100);
+/// Time for which a verdict is kept.
+constexpr duration verdict_retention = std::chrono::minutes(10);
+
+http_response to_response(const std::string& text)
+{
+    http_response r;
+    r.content_type = "application/json";
+    r.body = text;
+    return r;
+}
+
+} // namespace
+
+gatherer::gatherer(
+    event_loop& loop, timer_queue& timers, agent_directory& agents,
+    event_ring& events)
+    : loop_(loop), timers_(timers), agents_(agents), events_(events)
+{
+}
+
+void gatherer::gather(
+    const submission_id& id, const std::string& id_text, duration wait,
+    http_responder respond)
+{
+    const auto known = verdicts_.find(id);
+    if (known != verdicts_.end())
+    {
+        respond(to_response(known->second));
+        return;
+    }
+    event e;
+    e.kind = event_kind::gather_began;
+    e.submission = event_name(id);
+    events_.record(std::move(e));
+    const auto number = ++last_number_;
+    auto& q = inquiries_[number];
+    q.submission = id;
+    q.id_text = id_text;
+    q.give_up = loop_.now() + wait;
+    q.respond = std::move(respond);
+    begin_round(number);
+}
+
+void gatherer::begin_round(uint64_t number)
+{
+    auto& q = inquiries_.at(number);
+    q.running = 0;
+    const auto agents = agents_.connected();
+    q.awaited = {agents.begin(), agents.end()};
+    for (const auto agent : agents)
+    {
+        agents_.send(agent, gather_query{number, q.submission});
+    }
+    q.round_end = timers_.schedule(
+        q.awaited.empty() ? duration::zero() : round_timeout,
+        [this, number] { end_round(number); });
+}
+
+void gatherer::on_reply(agent_incarnation agent, const gather_reply& reply)
+{
+    const auto it = inquiries_.find(reply.number);
+    if (it == inquiries_.end() || it->second.awaited.erase(agent) == 0)
+    {
+        return;
+    }
+    auto& q = it->second;
+    q.running += reply.running;
+    for (const auto& held : reply.held)
+    {
+        // An answer goes before a report that the task did not run here.
+        auto& kept = q.held[held.task];
+        if (kept.report.kind != report_kind::answered || kept.job_tasks == 0)
+        {
+            kept = held;
+        }
+    }
+    if (q.awaited.empty())
+    {
+        timers_.cancel(q.round_end);
+        end_round(reply.number);
+    }
+}
+
+void gatherer::end_round(uint64_t number)
+{
+    auto& q = inquiries_.at(number);
+    if (q.running == 0)
+    {
+        conclude(number);
+        return;
+    }
+    if (loop_.now() >= q.give_up)
+    {
+        q.respond(json_response(
+            202, {{"submission", q.id_text}, {"state", "running"}}));
+        inquiries_.erase(number);
+        return;
+    }
+    q.round_end = timers_.schedule(
+        round_pause, [this, number] { begin_round(number); });
+}
+
+void gatherer::conclude(uint64_t number)
+{
+    auto node = inquiries_.extract(number);
+    auto& q = node.mapped();
+    const auto added = verdicts_.emplace(q.submission, verdict_of(q));
+    if (added.second)
+    {
+        timers_.schedule(verdict_retention, [this, id = q.submission] {
+            verdicts_.erase(id);
+        });
+    }
+    event e;
+    e.kind = event_kind::gather_ended;
+    e.submission = event_name(q.submission);
+    events_.record(std::move(e));
+    q.respond(to_response(added.first->second));
+}
+
+std::string gatherer::verdict_of(const inquiry& q) const
+{
+    job_settlement s;
+    uint32_t answered = 0;
+    uint32_t tasks = 0;
+    for (const auto& [task, held] : q.held)
+    {
+        tasks = held.job_tasks;
+        s.patience = held.patience;
+        s.charged = held.job_price;
+        if (held.report.kind == report_kind::answered)
+        {
+            ++answered;
+            s.answers.push_back(held.report.body);
+        }
+    }
+    s.messages = static_cast<unsigned>(2 * q.held.size());
+    s.complete = tasks > 0 && answered == tasks;
+    s.fate = s.complete ? run_fate::ran : run_fate::may_have_run;
+    if (!s.complete)
+    {
+        s.answers.clear();
+        s.charged = price();
+        s.reason = {errc::entry_lost, step_gather, {}, {}};
+    }
+    return to_json(s, q.id_text).dump();
+}
+
+std::size_t gatherer::pending() const noexcept
+{
+    return inquiries_.size();
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/entry/src/job_service.cpp
@@ -0,0 +1,424 @@
+#include <agatebank/entry/job_service.hpp>
+
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+constexpr const char* step_wait = "job.wait";
+constexpr const char* step_run = "task.run";
+constexpr const char* step_cancel = "job.cancel";
+/// Time for which agents hold the answers of a settled job whose caller has
+/// not fetched them.
+constexpr duration answer_hold = std::chrono::seconds(30);
+/// Time for which agents hold the answers after a caller was sent them; the
+/// caller may not have received them.
+constexpr duration delivered_hold = std::chrono::seconds(5);
+/// Period of decisions while tasks wait.
+constexpr duration dispatch_period = std::chrono::milliseconds(20);
+
+job_request to_request(const job_order& order, job_key key)
+{
+    job_request rq;
+    rq.key = key;
+    rq.service = order.service.name;
+    rq.caller = order.caller;
+    rq.wait = order.patience.wait;
+    rq.never_delay = order.service.never_delay;
+    rq.idempotent = order.document.idempotent;
+    for (const auto& it : order.document.tasks)
+    {
+        rq.tasks.push_back({it.declared_run_time});
+    }
+    return rq;
+}
+
+price promised_price(const job_order& order)
+{
+    return price(
+        order.patience.price_per_task.value() *
+        static_cast<int64_t>(order.document.tasks.size()));
+}
+
+errc to_error(const start_report& report)
+{
+    if (report.error != 0)
+    {
+        return static_cast<errc>(report.error);
+    }
+    return report.kind == report_kind::timed_out ? errc::target_timeout
+                                                 : errc::target_failed;
+}
+
+task_outcome to_outcome(report_kind kind)
+{
+    switch (kind)
+    {
+    case report_kind::answered:
+        return task_outcome::answered;
+    case report_kind::timed_out:
+        return task_outcome::timed_out;
+    default:
+        return task_outcome::failed;
+    }
+}
+
+} // namespace
+
+job_service::job_service(
+    event_loop& loop, timer_queue& timers, dispatcher& policy,
+    agent_directory& agents, event_ring& events, job_settled settled)
+    : loop_(loop)
+    , timers_(timers)
+    , policy_(policy)
+    , agents_(agents)
+    , events_(events)
+    , settled_(std::move(settled))
+{
+}
+
+// ----- jobs -----
+
+admission job_service::submit(job_order order)
+{
+    const auto now = loop_.now();
+    const job_key key(++last_key_);
+    const auto verdict = policy_.admit(to_request(order, key), now);
+    if (verdict.refusal)
+    {
+        ++counts_.refused;
+        record(
+            event_kind::job_refused, order.submission,
+            verdict.refusal.message());
+        return verdict;
+    }
+    ++counts_.admitted;
+    record(
+        event_kind::job_admitted, order.submission,
+        order.patience.name.value());
+    const auto id = order.submission;
+    job j;
+    j.admitted = now;
+    j.answers.resize(order.document.tasks.size());
+    j.order = std::move(order);
+    j.deadline = timers_.schedule(verdict.deadline - now, [this, key] {
+        fail_job(key, {errc::wait_exceeded, step_wait, {}, {}});
+    });
+    jobs_.emplace(key, std::move(j));
+    keys_[id] = key;
+    schedule_dispatch();
+    return verdict;
+}
+
+void job_service::cancel(const submission_id& id)
+{
+    const auto it = keys_.find(id);
+    if (it == keys_.end())
+    {
+        return;
+    }
+    ++counts_.cancelled;
+    record(event_kind::job_cancelled, id, {});
+    fail_job(it->second, {errc::cancelled, step_cancel, {}, {}});
+}
+
+void job_service::delivered(const submission_id& id)
+{
+    const auto it = held_.find(id);
+    if (it == held_.end() || it->second.delivered)
+    {
+        return;
+    }
+    it->second.delivered = true;
+    timers_.cancel(it->second.release);
+    it->second.release =
+        timers_.schedule(delivered_hold, [this, id] { release(id); });
+}
+
+// ----- agents -----
+
+void job_service::offer(const target_offer& offer)
+{
+    policy_.put_target(offer, loop_.now());
+    schedule_dispatch();
+}
+
+void job_service::withdraw(agent_incarnation agent)
+{
+    policy_.set_grant(agent, 0);
+}
+
+void job_service::on_grant(agent_incarnation agent, uint32_t credits)
+{
+    policy_.set_grant(agent, credits);
+    schedule_dispatch();
+}
+
+void job_service::on_report(
+    agent_incarnation agent, task_ref task, const start_report& report)
+{
+    const auto now = loop_.now();
+    const auto it = jobs_.find(task.job);
+    if (it != jobs_.end())
+    {
+        ++it->second.messages;
+        it->second.in_flight.erase(task);
+    }
+    if (report.kind == report_kind::not_run)
+    {
+        ++counts_.not_run_reports;
+        if (it != jobs_.end())
+        {
+            ++it->second.not_run;
+        }
+        policy_.on_not_run(task, agent, now);
+    }
+    else
+    {
+        policy_.on_outcome(
+            task, agent, to_outcome(report.kind),
+            duration(report.run_time_us), now);
+        if (it != jobs_.end())
+        {
+            take_answer(task.job, task, report);
+        }
+    }
+    schedule_dispatch();
+}
+
+void job_service::take_answer(
+    job_key key, task_ref task, const start_report& report)
+{
+    auto& j = jobs_.at(key);
+    if (report.kind != report_kind::answered)
+    {
+        fail_job(
+            key, {to_error(report),
+                  report.step.empty() ? step_run : report.step,
+                  {},
+                  "task " + std::to_string(task.task.value())});
+        return;
+    }
+    auto& slot = j.answers.at(task.task.value());
+    if (!slot)
+    {
+        slot = report.body;
+        ++j.answered;
+    }
+    if (j.answered == j.answers.size())
+    {
+        complete_job(key);
+    }
+}
+
+void job_service::on_lost(agent_incarnation agent)
+{
+    const auto* record = agents_.find(agent);
+    const std::string peer = record == nullptr ? "" : record->self.name;
+    demands_.erase(agent);
+    for (const auto& task : policy_.remove_target(agent))
+    {
+        if (jobs_.count(task.job) != 0)
+        {
+            fail_job(
+                task.job, {errc::agent_lost, step_run, peer,
+                           "task " + std::to_string(task.task.value())});
+        }
+    }
+    schedule_dispatch();
+}
+
+// ----- decisions -----
+
+void job_service::schedule_dispatch()
+{
+    if (dispatch_pending_)
+    {
+        return;
+    }
+    dispatch_pending_ = true;
+    loop_.defer([this] {
+        dispatch_pending_ = false;
+        dispatch();
+    });
+}
+
+void job_service::dispatch()
+{
+    for (const auto& it : policy_.assign(loop_.now()))
+    {
+        start(it);
+    }
+    agents_.flush();
+    send_demands();
+    if (policy_.waiting_tasks() > 0 && !tick_pending_)
+    {
+        tick_pending_ = true;
+        timers_.schedule(dispatch_period, [this] {
+            tick_pending_ = false;
+            dispatch();
+        });
+    }
+}
+
+void job_service::start(const assignment& a)
+{
+    auto& j = jobs_.at(a.task.job);
+    start_order order;
+    order.submission = j.order.submission;
+    order.task = a.task.task;
+    order.job_tasks = static_cast<uint32_t>(j.answers.size());
+    order.patience = j.order.patience.name;
+    order.job_price = promised_price(j.order);
+    order.service = j.order.service.name;
+    order.idempotent = j.order.document.idempotent;
+    order.payload = j.order.document.tasks.at(a.task.task.value()).payload;
+    const auto ref = agents_.start(a, std::move(order));
+    j.sent.push_back(ref);
+    j.in_flight.insert_or_assign(a.task, ref);
+    ++j.starts;
+    ++j.messages;
+    ++counts_.starts;
+}
+
+// Tells an agent this entry's demand when it begins, ends or doubles, and
+// when the grant it acts on has changed.
+void job_service::send_demands()
+{
+    const auto now = loop_.now();
+    for (const auto agent : agents_.connected())
+    {
+        const auto demand = policy_.demand(agent, now);
+        demand_update update;
+        update.queued = demand.queued;
+        update.in_flight = demand.in_flight;
+        update.least_slack_us = demand.least_slack.count();
+        update.grant_version = agents_.find(agent)->grant.version;
+        auto& last = demands_[agent];
+        const bool more = update.queued > 2 * last.queued;
+        const bool less = 2 * update.queued < last.queued;
+        const bool idle = (update.queued + update.in_flight == 0) !=
+                          (last.queued + last.in_flight == 0);
+        if (more || less || idle || update.grant_version != last.grant_version)
+        {
+            last = update;
+            agents_.send(agent, update);
+        }
+    }
+}
+
+// ----- settlement -----
+
+run_fate job_service::fate_of(const job& j) const
+{
+    return j.starts == j.not_run ? run_fate::not_run : run_fate::may_have_run;
+}
+
+void job_service::fail_job(job_key key, failure reason)
+{
+    const auto it = jobs_.find(key);
+    if (it == jobs_.end())
+    {
+        return;
+    }
+    ++counts_.failed;
+    auto& j = it->second;
+    policy_.remove_job(key);
+    std::vector<start_ref> unanswered;
+    for (const auto& in_flight : j.in_flight)
+    {
+        unanswered.push_back(in_flight.second);
+    }
+    agents_.cancel(unanswered);
+    job_settlement s;
+    s.fate = fate_of(j);
+    s.reason = std::move(reason);
+    finish(key, std::move(s));
+}
+
+void job_service::complete_job(job_key key)
+{
+    ++counts_.complete;
+    auto& j = jobs_.at(key);
+    policy_.remove_job(key);
+    job_settlement s;
+    s.complete = true;
+    s.fate = run_fate::ran;
+    s.charged = promised_price(j.order);
+    for (auto& it : j.answers)
+    {
+        s.answers.push_back(std::move(*it));
+    }
+    finish(key, std::move(s));
+}
+
+void job_service::finish(job_key key, job_settlement settlement)
+{
+    auto node = jobs_.extract(key);
+    auto& j = node.mapped();
+    const auto id = j.order.submission;
+    timers_.cancel(j.deadline);
+    keys_.erase(id);
+    settlement.patience = j.order.patience.name;
+    settlement.response_time = loop_.now() - j.admitted;
+    settlement.messages = j.messages;
+    record(
+        event_kind::job_settled, id,
+        settlement.complete ? "complete" : settlement.reason.to_string());
+    held_[id] = {
+        std::move(j.sent),
+        timers_.schedule(answer_hold, [this, id] { release(id); })};
+    settled_(id, std::move(settlement));
+    schedule_dispatch();
+}
+
+void job_service::release(const submission_id& id)
+{
+    auto node = held_.extract(id);
+    if (node.empty())
+    {
+        return;
+    }
+    timers_.cancel(node.mapped().release);
+    for (const auto& it : node.mapped().starts)
+    {
+        agents_.release(it);
+    }
+}
+
+// ----- lookup -----
+
+bool job_service::is_running(const submission_id& id) const
+{
+    return keys_.count(id) != 0;
+}
+
+std::size_t job_service::running_jobs() const noexcept
+{
+    return jobs_.size();
+}
+
+const job_counts& job_service::counts() const noexcept
+{
+    return counts_;
+}
+
+std::size_t job_service::waiting_tasks(const caller_name& caller) const
+{
+    return policy_.waiting_tasks(caller);
+}
+
+void job_service::record(
+    event_kind kind, const submission_id& id, const std::string& detail)
+{
+    event e;
+    e.kind = kind;
+    e.submission = event_name(id);
+    e.detail = detail;
+    events_.record(std::move(e));
+}
+
+} // namespace agatebank
