Add the daemon binary with the entry and agent roles

Cause: the packages need processes: settings, log, signals, metrics. Ruled out: one settings file for both roles; nothing is shared but the log. Change: agatebankd entry|agent, exit codes, graceful stop on SIGTERM, at once on the second, log re-opened on SIGHUP. Conclusion: ready to be joined with agent and observe.

--- /dev/null
+++ b/packages/daemon/src/entry_role.cpp
@@ -0,0 +1,98 @@
+#include <agatebank/daemon/entry_metrics.hpp>
+#include <agatebank/daemon/process_runtime.hpp>
+#include <agatebank/daemon/roles.hpp>
+#include <agatebank/entry/entry_process.hpp>
+#include <agatebank/observe/metrics_api.hpp>
+#include <agatebank/platform/configuration_store.hpp>
+
+#include <iostream>
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+constexpr duration platform_timeout = std::chrono::seconds(3);
+
+// An absent document is no failure: nothing was configured yet.
+configuration_loader make_loader(configuration_store& store)
+{
+    return [&store](configuration_loaded done) {
+        store.load(
+            [done = std::move(done)](
+                const result<std::shared_ptr<const configuration>>& c) {
+                if (!c && c.error().code == errc::configuration_unknown)
+                {
+                    done(std::shared_ptr<const configuration>());
+                    return;
+                }
+                done(c);
+            });
+    };
+}
+
+runtime_settings to_runtime(const entry_settings& s)
+{
+    return {
+        s.name, s.failure_domain.value(), s.shared_key_file, s.log.file,
+        s.log.level};
+}
+
+} // namespace
+
+result<exit_code> run_entry(
+    const nlohmann::json& document, const std::string& file, bool check_only)
+{
+    auto settings = parse_entry_settings(document, file);
+    if (!settings)
+    {
+        return tl::unexpected(settings.error());
+    }
+    if (check_only)
+    {
+        std::cout << file << ": valid\n";
+        return exit_code::success;
+    }
+    auto runtime = process_runtime::open(to_runtime(*settings));
+    if (!runtime)
+    {
+        return tl::unexpected(runtime.error());
+    }
+    auto& rt = **runtime;
+    http_client client(rt.loop, settings->platform_ca_file);
+    table_client table(client, settings->platform_url, platform_timeout);
+    configuration_store_options store_options;
+    store_options.seed = process_runtime::random_number();
+    configuration_store store(rt.loop, table, store_options, rt.log());
+
+    dispatch_options policy;
+    policy.seed = process_runtime::random_number();
+    entry_process entry(
+        {rt.loop, rt.clock, rt.auth, rt.events, rt.log(), make_loader(store),
+         entry_incarnation(process_runtime::random_number()), policy},
+        *settings);
+    add_entry_metrics(rt.metrics, entry);
+    add_metrics_routes(
+        entry.http(), rt.metrics, [&entry]() -> result<void> {
+            if (auto why = entry.not_ready())
+            {
+                return tl::unexpected(std::move(*why));
+            }
+            return {};
+        });
+    auto started = entry.start();
+    if (!started)
+    {
+        return tl::unexpected(started.error());
+    }
+    rt.log()({log_level::info, "entry started"});
+    const auto code = rt.run([&entry](std::function<void()> done) {
+        entry.begin_stop(std::move(done));
+    });
+    rt.log()({log_level::info, "entry stopped"});
+    return code;
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,73 @@
+#include <agatebank/core/json_reader.hpp>
+#include <agatebank/daemon/command_line.hpp>
+#include <agatebank/daemon/process_runtime.hpp>
+#include <agatebank/daemon/roles.hpp>
+
+#include <iostream>
+
+namespace
+{
+
+using namespace agatebank;
+
+constexpr const char* step_settings = "settings.read";
+
+// Settings errors have the first hundred numbers after 100.
+exit_code to_exit_code(const failure& f)
+{
+    const bool settings = f.code == errc::settings_invalid ||
+                          f.code == errc::settings_unreadable ||
+                          f.code == errc::request_malformed;
+    return settings ? exit_code::settings_invalid : exit_code::start_failed;
+}
+
+result<exit_code> run(const daemon_command& command)
+{
+    const auto text = read_file(command.config_file);
+    if (!text)
+    {
+        return tl::unexpected(text.error());
+    }
+    const auto document =
+        parse_json(*text, step_settings, command.config_file);
+    if (!document)
+    {
+        return tl::unexpected(document.error());
+    }
+    const auto run_role =
+        command.role == daemon_role::entry ? run_entry : run_agent;
+    return run_role(*document, command.config_file, command.check_only);
+}
+
+int report(const failure& f, exit_code code)
+{
+    std::cerr << "agatebankd: " << f.to_string() << "\n";
+    return static_cast<int>(code);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto command = parse_command(argc, argv);
+    if (!command)
+    {
+        return report(command.error(), exit_code::usage);
+    }
+    if (command->print_help)
+    {
+        std::cout << usage_text();
+        return 0;
+    }
+    if (command->print_version)
+    {
+        std::cout << "agatebankd " AGATEBANK_VERSION "\n";
+        return 0;
+    }
+    const auto code = run(*command);
+    if (!code)
+    {
+        return report(code.error(), to_exit_code(code.error()));
+    }
+    return static_cast<int>(*code);
+}
--- /dev/null
+++ b/packages/daemon/src/process_runtime.cpp
@@ -0,0 +1,128 @@
+#include <agatebank/daemon/process_runtime.hpp>
+
+#include <glib.h>
+
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+constexpr const char* step_read = "file.read";
+constexpr std::size_t event_capacity = 20000;
+
+uint64_t wall_clock_us()
+{
+    return static_cast<uint64_t>(g_get_real_time());
+}
+
+std::string without_line_end(std::string text)
+{
+    while (!text.empty() && (text.back() == '\n' || text.back() == '\r'))
+    {
+        text.pop_back();
+    }
+    return text;
+}
+
+} // namespace
+
+result<std::string> read_file(const std::string& path)
+{
+    char* data = nullptr;
+    gsize n = 0;
+    GError* raw = nullptr;
+    if (g_file_get_contents(path.c_str(), &data, &n, &raw) == FALSE)
+    {
+        const error_ptr error(raw);
+        return fail(
+            errc::settings_unreadable, step_read, path, error->message);
+    }
+    std::string out(data, n);
+    g_free(data);
+    return out;
+}
+
+result<std::unique_ptr<process_runtime>>
+process_runtime::open(const runtime_settings& settings)
+{
+    std::string key;
+    if (!settings.shared_key_file.empty())
+    {
+        auto text = read_file(settings.shared_key_file);
+        if (!text)
+        {
+            return tl::unexpected(text.error());
+        }
+        key = without_line_end(std::move(*text));
+    }
+    const auto level = parse_log_level(settings.log_level);
+    if (!level)
+    {
+        return tl::unexpected(level.error());
+    }
+    auto log = json_log::open(
+        {settings.log_file, *level, settings.name, settings.failure_domain},
+        wall_clock_us);
+    if (!log)
+    {
+        return tl::unexpected(log.error());
+    }
+    return std::unique_ptr<process_runtime>(new process_runtime(
+        settings, std::move(key), std::move(*log)));
+}
+
+process_runtime::process_runtime(
+    const runtime_settings& settings, std::string key,
+    std::unique_ptr<json_log> log)
+    : clock(wall_clock_us)
+    , auth(std::move(key))
+    , events(clock, settings.name, event_capacity)
+    , log_(std::move(log))
+{
+}
+
+exit_code process_runtime::run(const stopper& begin_stop)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto stop = [this, &begin_stop] { on_stop_signal(begin_stop); };
+    const auto on_term = loop.on_signal(SIGTERM, stop);
+    const auto on_int = loop.on_signal(SIGINT, stop);
+    const auto on_hup = loop.on_signal(SIGHUP, [this] {
+        const auto reopened = log_->reopen();
+        if (!reopened)
+        {
+            log_->sink()(to_record(log_level::error, reopened.error()));
+        }
+    });
+    loop.run();
+    return exit_;
+}
+
+void process_runtime::on_stop_signal(const stopper& begin_stop)
+{
+    if (std::exchange(stopping_, true))
+    {
+        exit_ = exit_code::stopped_at_once;
+        loop.quit();
+        return;
+    }
+    begin_stop([this] { loop.quit(); });
+}
+
+log_sink process_runtime::log()
+{
+    return log_->sink();
+}
+
+uint64_t process_runtime::random_number()
+{
+    std::random_device device;
+    return (static_cast<uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace agatebank
