core: split the dispatcher into queue, estimator, backlog, health and pacing

Cause: the first dispatcher knew neither run times nor speeds, admitted everything and gave work to targets that fail. New pure modules, each with its own tests: job_queue (per service, by latest start), run_time_estimator (log-linear model of hint, service and target speed with clipped residuals), work_backlog and offered_load (admission look-ahead; capacity that shorter waits need is kept from longer ones), target_health (ejection by ratio against peers, silence, probes, a share never passed), retry_pacer (back-off with jitter and a budget). target_offer gains reserved slots, dispatch_options the number of entries and the ejected share. Ruled out: a treap for the look-ahead, since rounded places keep the scan to a few dozen nodes.

--- a/packages/core/include/agatebank/core/dispatcher.hpp
+++ b/packages/core/include/agatebank/core/dispatcher.hpp
@@ -32,6 +32,13 @@
     std::vector<task_request> tasks;
 };
 
+/// @brief Slots of a target that only one service may use.
+struct slot_reservation
+{
+    service_name service;
+    unsigned slots = 0; ///< of all slots of the target
+};
+
 /// @brief A target that can take work, as announced by its agent.
 struct target_offer
 {
@@ -42,6 +49,7 @@
     unsigned slots = 0;
     duration one_way_delay{}; ///< between this entry and the agent
     bool accepts_work = true; ///< false while leaving or draining
+    std::vector<slot_reservation> reserved;
 };
 
 /// @brief A task of a job.
@@ -90,7 +98,9 @@
     bool admission_control = true;
     bool ejection = true;
     bool learned_run_times = true;
-    uint64_t seed = 1; ///< of the jitter
+    uint64_t seed = 1;    ///< of the jitter
+    unsigned entries = 3; ///< that share the targets
+    double max_ejected_share = 0.34;
 };
 
 /// @brief The decisions of one entry: admission, order, choice of target and
@@ -148,6 +158,8 @@
     std::size_t waiting_tasks(const caller_name& caller) const;
     std::size_t in_flight_tasks() const;
     bool is_ejected(agent_incarnation agent, time_point now) const;
+    /// @brief Learned speed of a target relative to speed 1.
+    double speed(agent_incarnation agent) const;
 
   private:
     struct state;
--- /dev/null
+++ b/packages/core/include/agatebank/core/job_queue.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <agatebank/core/dispatcher.hpp>
+#include <agatebank/core/ids.hpp>
+#include <agatebank/core/units.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief Place of a job in the order of start: lower goes first.
+struct queue_position
+{
+    bool delayable = true; ///< false: ahead of all that may be delayed
+    time_point latest_start;
+    job_key job;
+
+    auto operator<=>(const queue_position&) const = default;
+};
+
+/// @brief The waiting tasks of one entry, by service, in the order of their
+/// jobs: a job's tasks go together.
+///
+/// @code
+/// job_queue queue;
+/// queue.add(service, position, {0, 1, 2});
+/// const auto first = queue.first(service); // position of the most urgent
+/// const auto task = queue.take(first->job);
+/// @endcode
+class job_queue
+{
+  public:
+    // modifiers
+    /// @brief Queues the tasks of a job; the first in @p tasks goes first.
+    /// @complexity O(log n + tasks)
+    void add(const service_name& service, const queue_position& position,
+             std::vector<uint32_t> tasks);
+    /// @brief Takes the next waiting task of a job. @complexity O(log n)
+    std::optional<uint32_t> take(job_key job);
+    /// @brief Puts a taken task back, to be the job's next one; nothing
+    /// happens when the job was removed. @return whether it waits
+    /// @complexity O(log n)
+    bool put_back(job_key job, uint32_t task);
+    /// @brief Removes a job. @return its waiting tasks @complexity O(log n)
+    std::vector<uint32_t> remove(job_key job);
+
+    // lookup
+    /// @brief The most urgent job of a service with a waiting task.
+    /// @complexity O(log s) for s services
+    std::optional<queue_position> first(const service_name& service) const;
+    /// @brief The next one after a position. @complexity O(log n)
+    std::optional<queue_position> after(const service_name& service,
+                                        const queue_position& position) const;
+    /// @brief The task that @ref take would give. @complexity O(1)
+    std::optional<uint32_t> peek(job_key job) const;
+    /// @brief Services that have waiting tasks.
+    std::vector<service_name> services() const;
+    std::size_t size() const noexcept
+    {
+        return size_;
+    }
+    std::size_t size(const service_name& service) const;
+
+  private:
+    struct waiting_job
+    {
+        service_name service;
+        queue_position position;
+        std::vector<uint32_t> tasks; ///< next one last
+    };
+    struct service_queue
+    {
+        std::set<queue_position> order;
+        std::size_t size = 0;
+    };
+
+    void change_size(service_queue& queue, std::ptrdiff_t n);
+
+    std::unordered_map<job_key, waiting_job> jobs_;
+    std::map<service_name, service_queue> services_;
+    std::size_t size_ = 0;
+};
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/core/include/agatebank/core/random_jitter.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <agatebank/core/units.hpp>
+
+#include <cstdint>
+#include <random>
+
+namespace agatebank
+{
+
+/// @brief Spreads pauses by a seeded random factor, so that processes that
+/// paused together do not try again together.
+class random_jitter
+{
+  public:
+    // construction
+    explicit random_jitter(uint64_t seed) : engine_(seed) {}
+
+    // modifiers
+    /// @brief A pause from half to one and a half of the one given.
+    duration spread(duration pause)
+    {
+        constexpr double unit = 1.0 / 9007199254740992.0; // 2^-53
+        const double r = static_cast<double>(engine_() >> 11U) * unit;
+        return duration(static_cast<int64_t>(
+            static_cast<double>(pause.count()) * (0.5 + r)));
+    }
+
+  private:
+    std::mt19937_64 engine_;
+};
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/core/include/agatebank/core/run_time_estimator.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <agatebank/core/ids.hpp>
+#include <agatebank/core/units.hpp>
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <optional>
+
+namespace agatebank
+{
+
+/// @brief What is expected of a task's run time on a target of speed 1.
+struct run_time_prediction
+{
+    duration mean{}; ///< expected value
+    duration high{}; ///< exceeded by about one task in a thousand
+};
+
+/// @brief Decaying histogram of the logarithm of observed over expected run
+/// time. Gives the mean ratio and a high quantile; both are cached.
+class ratio_histogram
+{
+  public:
+    // construction
+    ratio_histogram();
+
+    // modifiers
+    void add(double log_ratio);
+
+    // lookup
+    double mean_ratio() const noexcept
+    {
+        return mean_ratio_;
+    }
+    double high_ratio() const noexcept
+    {
+        return high_ratio_;
+    }
+
+  private:
+    static constexpr std::size_t bucket_count = 64;
+
+    void refresh();
+
+    std::array<double, bucket_count> counts_{};
+    double total_ = 0;
+    unsigned added_ = 0;
+    double mean_ratio_ = 1;
+    double high_ratio_ = 1;
+};
+
+/// @brief Learns run times from observation: one model for each service and
+/// one speed for each agent's target.
+///
+/// log(run time) = m(service) + w(service) * (log(declared) - d(service))
+///                 - log(speed(target)) + residual
+///
+/// All terms are exponentially weighted averages; w is the regression slope
+/// of the observed on the declared time, so a declared time counts as much
+/// as it has proved to say. Residuals are clipped before they move an
+/// average, so a tail of long runs shifts neither the model nor the speeds;
+/// the tail itself is kept in a histogram of the residuals.
+///
+/// @code
+/// run_time_estimator times(true);
+/// times.observe(service, agent, declared, measured);
+/// const auto expected = times.predict(service, declared);
+/// const auto there = expected.mean / times.speed(agent);
+/// @endcode
+class run_time_estimator
+{
+  public:
+    // construction
+    /// @param learns false: predictions are the declared times
+    explicit run_time_estimator(bool learns);
+
+    // modifiers
+    /// @brief Takes in one measured run. @complexity O(log n)
+    void observe(const service_name& service, agent_incarnation agent,
+                 std::optional<duration> declared, duration run_time);
+    void forget(agent_incarnation agent);
+
+    // lookup
+    run_time_prediction predict(const service_name& service,
+                                std::optional<duration> declared) const;
+    /// @brief Speed of a target relative to speed 1; 1 when unknown.
+    double speed(agent_incarnation agent) const;
+
+  private:
+    struct service_model
+    {
+        double count = 0;
+        double log_mean = 0;
+        double declared_mean = 0;
+        double declared_variance = 0;
+        double covariance = 0;
+        ratio_histogram residuals;
+
+        double hint_weight() const;
+        double expected_log(std::optional<duration> declared) const;
+    };
+    struct target_speed
+    {
+        double count = 0;
+        double log_speed = 0;
+    };
+
+    bool learns_;
+    std::map<service_name, service_model> services_;
+    std::map<agent_incarnation, target_speed> speeds_;
+};
+
+} // namespace agatebank
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -1,12 +1,18 @@
 #include <agatebank/core/dispatcher.hpp>
 #include <agatebank/core/error.hpp>
+#include <agatebank/core/job_queue.hpp>
+#include <agatebank/core/offered_load.hpp>
+#include <agatebank/core/retry_pacer.hpp>
+#include <agatebank/core/run_time_estimator.hpp>
+#include <agatebank/core/target_health.hpp>
+#include <agatebank/core/work_backlog.hpp>
 
 #include <algorithm>
-#include <deque>
-#include <limits>
+#include <cmath>
 #include <map>
+#include <numeric>
 #include <set>
-#include <tuple>
+#include <unordered_map>
 #include <utility>
 
 namespace agatebank
@@ -17,36 +23,29 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration default_run_time = 200ms;
-constexpr duration refusal_pause = 500ms;
+constexpr duration shortest_retry_after = 100ms;
+constexpr duration longest_retry_after = 10s;
+constexpr duration no_target_retry_after = 500ms;
+constexpr double least_speed_share = 0.05; // for the longest waits
+constexpr double speed_steps = 8;          // steps of speed in a factor of e
+constexpr unsigned max_held_jobs = 32;     // looked past in one round
 
-// Order of waiting jobs: never-delay first, then earliest deadline.
-struct urgency
+// A start that has not been reported.
+struct start_record
 {
-    bool delayable = true;
-    time_point deadline;
-    job_key job;
-    auto operator<=>(const urgency&) const = default;
-};
-
-struct job_record
-{
-    job_request request;
-    time_point deadline;
-    std::deque<uint32_t> waiting;
-    std::set<uint32_t> unsettled;
-
-    urgency order() const
-    {
-        return {!request.never_delay, deadline, request.key};
-    }
+    service_name service;
+    std::optional<duration> declared;
+    work expected{};
 };
 
 struct target_record
 {
     target_offer offer;
     unsigned grant = 0;
-    std::set<task_ref> in_flight;
+    int speed_step = 0; // logarithmic
+    double speed = 1;
+    std::map<task_ref, start_record> in_flight;
+    std::map<service_name, unsigned> in_flight_of;
 
     bool serves(const service_name& service) const
     {
@@ -54,53 +53,463 @@
                std::find(offer.services.begin(), offer.services.end(),
                          service) != offer.services.end();
     }
-    bool has_credit() const
+
+    // Credits of this entry that only a service may use: its share of the
+    // reserved slots, rounded up.
+    unsigned reserved_credits(const slot_reservation& r) const
+    {
+        const auto slots = std::max(offer.slots, 1U);
+        return std::min(grant, (grant * r.slots + slots - 1) / slots);
+    }
+
+    unsigned running(const service_name& service) const
+    {
+        const auto it = in_flight_of.find(service);
+        return it == in_flight_of.end() ? 0 : it->second;
+    }
+
+    // Free credits that are not kept for another service.
+    bool has_room(const service_name& service) const
     {
-        return in_flight.size() < grant;
+        auto used = static_cast<unsigned>(in_flight.size());
+        for (const auto& r : offer.reserved)
+        {
+            const auto kept = reserved_credits(r);
+            const auto busy = running(r.service);
+            used += r.service != service && kept > busy ? kept - busy : 0;
+        }
+        return used < grant;
     }
 };
 
+struct job_record
+{
+    job_request request;
+    time_point deadline;
+    work_place place;
+    std::vector<run_time_prediction> expected; // by task
+    std::size_t unsettled = 0;
+    std::map<uint32_t, agent_incarnation> in_flight;
+};
+
+// What is known of the work of one service.
+struct service_record
+{
+    work_backlog waiting;
+    offered_load offered;
+};
+
+// Order of the targets with free credits: slowest first.
+using ready_key = std::pair<int, agent_incarnation>;
+
+work sum_of(const std::vector<run_time_prediction>& tasks)
+{
+    work sum{};
+    for (const auto& it : tasks)
+    {
+        sum += it.mean;
+    }
+    return sum;
+}
+
+// Tasks of a job, the longest first, so that the job's end is not delayed by
+// a long task that began last.
+std::vector<uint32_t> longest_first(const std::vector<run_time_prediction>& all)
+{
+    std::vector<uint32_t> out(all.size());
+    std::iota(out.begin(), out.end(), 0U);
+    std::stable_sort(out.begin(), out.end(),
+                     [&](uint32_t a, uint32_t b)
+                     { return all[a].mean > all[b].mean; });
+    return out;
+}
+
 } // namespace
 
 struct dispatcher::state
 {
+    explicit state(dispatch_options o)
+        : options(o)
+        , times(o.learned_run_times)
+        , health({.max_ejected_share = o.max_ejected_share, .seed = o.seed})
+        , pacer(o.seed + 1)
+        , jitter(o.seed + 2)
+    {
+    }
+
     dispatch_options options;
+    run_time_estimator times;
+    health_monitor health;
+    retry_pacer pacer;
+    random_jitter jitter;
     std::map<agent_incarnation, target_record> targets;
-    std::map<job_key, job_record> jobs;
-    std::set<urgency> order;
+    std::set<ready_key> ready; // targets with a free credit
+    std::unordered_map<job_key, job_record> jobs;
+    std::set<std::pair<time_point, job_key>> deadlines; // of unsettled jobs
+    std::map<caller_name, std::size_t> waiting_of;
+    std::map<service_name, service_record> services;
+    job_queue queue;
+    work in_flight_work{};
+    std::size_t in_flight = 0;
+
+    // targets
+    void update_ready(target_record& t);
+    bool may_start(const target_record& t, const service_name& service,
+                   time_point now) const;
+    double total_speed(const service_name& service, time_point now) const;
+    double mean_speed(const service_name& service) const;
+    bool share_targets(const service_name& a, const service_name& b) const;
+
+    // admission
+    duration run_bound(const job_record& job) const;
+    std::optional<duration> excess_wait(const job_record& job, double speed,
+                                        time_point now) const;
+    bool keeps_promises(const job_record& job, double speed,
+                        time_point now) const;
+    void enqueue(job_record&& job);
+
+    // starts
+    target_record* choose(const job_record& job, uint32_t task, unsigned held,
+                          time_point now);
+    target_record* fastest(const job_record& job, time_point now);
+    target_record* slowest_in_time(const job_record& job, uint32_t task,
+                                   time_point now);
+    bool better_to_wait(const job_record& job, uint32_t task,
+                        const target_record& best, unsigned held,
+                        time_point now) const;
+    bool is_dearest(const job_record& job, time_point now) const;
+    assignment start(job_record& job, target_record& t, time_point now);
+    void assign_service(const service_name& service, time_point now,
+                        std::vector<assignment>& out);
+    bool end_start(task_ref task, target_record& t, start_record& ended);
+    void settle(task_ref task);
+};
+
+// ----- targets -----
+
+void dispatcher::state::update_ready(target_record& t)
+{
+    const auto agent = t.offer.agent;
+    ready.erase({t.speed_step, agent});
+    t.speed = times.speed(agent);
+    t.speed_step =
+        static_cast<int>(std::lround(std::log(t.speed) * speed_steps));
+    if (t.offer.accepts_work && t.in_flight.size() < t.grant)
+    {
+        ready.insert({t.speed_step, agent});
+    }
+}
+
+bool dispatcher::state::may_start(const target_record& t,
+                                  const service_name& service,
+                                  time_point now) const
+{
+    return t.serves(service) && t.has_room(service) &&
+           pacer.may_start(t.offer.agent, now) &&
+           (!options.ejection || health.may_start(t.offer.agent, now));
+}
 
-    target_record* choose(const service_name& service)
+// Speed of the slots that this entry may count on: those it has, or its even
+// share of the target.
+double dispatcher::state::total_speed(const service_name& service,
+                                      time_point now) const
+{
+    double sum = 0;
+    for (const auto& [agent, t] : targets)
     {
-        target_record* best = nullptr;
-        std::size_t best_free = 0;
-        for (auto& [agent, target] : targets)
+        if (!t.serves(service) ||
+            (options.ejection &&
+             health.state(agent, now) != health_state::healthy))
         {
-            if (!target.serves(service) || !target.has_credit())
-            {
-                continue;
-            }
-            const auto free = target.grant - target.in_flight.size();
-            if (free > best_free)
-            {
-                best = &target;
-                best_free = free;
-            }
+            continue;
         }
-        return best;
+        const double even =
+            static_cast<double>(t.offer.slots) / std::max(options.entries, 1U);
+        sum += std::max(even, static_cast<double>(t.grant)) * t.speed;
     }
-};
+    return sum;
+}
+
+double dispatcher::state::mean_speed(const service_name& service) const
+{
+    double sum = 0;
+    double slots = 0;
+    for (const auto& [agent, t] : targets)
+    {
+        if (t.serves(service))
+        {
+            sum += t.offer.slots * t.speed;
+            slots += t.offer.slots;
+        }
+    }
+    return slots > 0 ? sum / slots : 1;
+}
+
+bool dispatcher::state::share_targets(const service_name& a,
+                                      const service_name& b) const
+{
+    return a == b ||
+           std::any_of(targets.begin(), targets.end(),
+                       [&](const auto& it)
+                       { return it.second.serves(a) && it.second.serves(b); });
+}
+
+// ----- admission -----
+
+// Run time that a job's longest task is allowed for: the high quantile, but
+// not more than half of the wait as long as the expected time fits.
+duration dispatcher::state::run_bound(const job_record& job) const
+{
+    duration mean{};
+    duration high{};
+    for (const auto& it : job.expected)
+    {
+        mean = std::max(mean, it.mean);
+        high = std::max(high, it.high);
+    }
+    const double speed = mean_speed(job.request.service);
+    return std::min(time_for(high, speed),
+                    std::max(time_for(mean, speed), job.request.wait / 2));
+}
+
+// How much too late the last task of a job would begin; nothing when in time.
+// Capacity that shorter waits are expected to take is left out.
+std::optional<duration> dispatcher::state::excess_wait(const job_record& job,
+                                                       double speed,
+                                                       time_point now) const
+{
+    work ahead = in_flight_work + sum_of(job.expected);
+    double taken = 0;
+    for (const auto& [service, record] : services)
+    {
+        if (share_targets(service, job.request.service))
+        {
+            ahead += record.waiting.ahead_of(job.place);
+            taken += job.request.never_delay
+                         ? 0
+                         : record.offered.rate_below(job.request.wait, now);
+        }
+    }
+    const double left = std::max(speed - taken, least_speed_share * speed);
+    const auto begins = now + time_for(ahead, left);
+    if (begins <= job.place.latest_start)
+    {
+        return std::nullopt;
+    }
+    return begins - job.place.latest_start;
+}
+
+bool dispatcher::state::keeps_promises(const job_record& job, double speed,
+                                       time_point now) const
+{
+    const auto extra = sum_of(job.expected);
+    for (const auto& [service, record] : services)
+    {
+        if (share_targets(service, job.request.service) &&
+            !record.waiting.fits(job.place, extra, in_flight_work, speed, now))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void dispatcher::state::enqueue(job_record&& job)
+{
+    const auto key = job.request.key;
+    const auto& service = job.request.service;
+    services[service].waiting.add(job.place, sum_of(job.expected));
+    waiting_of[job.request.caller] += job.expected.size();
+    queue.add(service, {job.place.delayable, job.place.latest_start, key},
+              longest_first(job.expected));
+    deadlines.insert({job.deadline, key});
+    jobs.emplace(key, std::move(job));
+}
+
+// ----- starts -----
+
+bool dispatcher::state::is_dearest(const job_record& job, time_point now) const
+{
+    if (job.request.never_delay)
+    {
+        return true;
+    }
+    const auto it = services.find(job.request.service);
+    return it == services.end() ||
+           it->second.offered.is_shortest(job.request.wait, now);
+}
+
+target_record* dispatcher::state::fastest(const job_record& job, time_point now)
+{
+    for (auto it = ready.rbegin(); it != ready.rend(); ++it)
+    {
+        auto& t = targets.at(it->second);
+        if (may_start(t, job.request.service, now))
+        {
+            return &t;
+        }
+    }
+    return nullptr;
+}
+
+// The slowest target on which nearly every such task ends in time; leaves
+// the fast ones to those who pay for them.
+target_record* dispatcher::state::slowest_in_time(const job_record& job,
+                                                  uint32_t task, time_point now)
+{
+    target_record* last = nullptr;
+    for (const auto& [step, agent] : ready)
+    {
+        auto& t = targets.at(agent);
+        if (!may_start(t, job.request.service, now))
+        {
+            continue;
+        }
+        last = &t;
+        const auto run = time_for(job.expected[task].high, t.speed);
+        if (now + run + 2 * t.offer.one_way_delay <= job.deadline)
+        {
+            return last;
+        }
+    }
+    return last;
+}
+
+// Whether a faster target, busy now, is expected to end the task sooner than
+// the best free one. held tasks wait for the same already.
+bool dispatcher::state::better_to_wait(const job_record& job, uint32_t task,
+                                       const target_record& best, unsigned held,
+                                       time_point now) const
+{
+    const auto mean = job.expected[task].mean;
+    std::map<int, std::pair<unsigned, double>, std::greater<>> busy;
+    for (const auto& [agent, t] : targets)
+    {
+        if (t.speed_step > best.speed_step && t.serves(job.request.service) &&
+            health.state(agent, now) == health_state::healthy)
+        {
+            auto& group = busy[t.speed_step];
+            group.first += static_cast<unsigned>(t.in_flight.size());
+            group.second = t.speed;
+        }
+    }
+    const auto here = time_for(mean, best.speed);
+    return std::any_of(busy.begin(), busy.end(),
+                       [&](const auto& it)
+                       {
+                           const auto& [count, speed] = it.second;
+                           const auto there = time_for(mean, speed);
+                           return count > 0 &&
+                                  there + there * (held + 1) / count < here;
+                       });
+}
+
+target_record* dispatcher::state::choose(const job_record& job, uint32_t task,
+                                         unsigned held, time_point now)
+{
+    if (!is_dearest(job, now))
+    {
+        return slowest_in_time(job, task, now);
+    }
+    auto* best = fastest(job, now);
+    if (best != nullptr && better_to_wait(job, task, *best, held, now))
+    {
+        return nullptr;
+    }
+    return best;
+}
+
+assignment dispatcher::state::start(job_record& job, target_record& t,
+                                    time_point now)
+{
+    const auto key = job.request.key;
+    const auto i = *queue.take(key);
+    const task_ref task{key, task_index(i)};
+    const auto& expected = job.expected[i];
+    services[job.request.service].waiting.remove(job.place, expected.mean);
+    --waiting_of[job.request.caller];
+    ++in_flight;
+    in_flight_work += expected.mean;
+    job.in_flight[i] = t.offer.agent;
+    t.in_flight[task] = {job.request.service,
+                         job.request.tasks[i].declared_run_time, expected.mean};
+    ++t.in_flight_of[job.request.service];
+    health.on_start(t.offer.agent, time_for(expected.high, t.speed), now);
+    pacer.on_start();
+    update_ready(t);
+    return {task, t.offer.agent, job.deadline};
+}
+
+void dispatcher::state::assign_service(const service_name& service,
+                                       time_point now,
+                                       std::vector<assignment>& out)
+{
+    unsigned held = 0;
+    auto next = queue.first(service);
+    while (next && held < max_held_jobs && !ready.empty())
+    {
+        auto& job = jobs.at(next->job);
+        const auto task = queue.peek(next->job);
+        auto* target = task ? choose(job, *task, held, now) : nullptr;
+        if (target == nullptr)
+        {
+            ++held;
+            next = queue.after(service, *next);
+            continue;
+        }
+        out.push_back(start(job, *target, now));
+        if (!queue.peek(next->job))
+        {
+            next = queue.after(service, *next);
+        }
+    }
+}
+
+bool dispatcher::state::end_start(task_ref task, target_record& t,
+                                  start_record& ended)
+{
+    const auto it = t.in_flight.find(task);
+    if (it == t.in_flight.end())
+    {
+        return false;
+    }
+    ended = std::move(it->second);
+    t.in_flight.erase(it);
+    --t.in_flight_of[ended.service];
+    --in_flight;
+    in_flight_work -= ended.expected;
+    const auto job = jobs.find(task.job);
+    if (job != jobs.end())
+    {
+        job->second.in_flight.erase(task.task.value());
+    }
+    return true;
+}
+
+void dispatcher::state::settle(task_ref task)
+{
+    const auto job = jobs.find(task.job);
+    if (job != jobs.end() && --job->second.unsettled == 0)
+    {
+        deadlines.erase({job->second.deadline, task.job});
+    }
+}
+
+// ----- dispatcher -----
 
 dispatcher::dispatcher(dispatch_options options)
-    : state_(std::make_unique<state>())
+    : state_(std::make_unique<state>(options))
 {
-    state_->options = options;
 }
 
 dispatcher::~dispatcher() = default;
 
 void dispatcher::put_target(const target_offer& offer, time_point)
 {
-    state_->targets[offer.agent].offer = offer;
+    auto& t = state_->targets[offer.agent];
+    t.offer = offer;
+    state_->health.add(offer.agent);
+    state_->update_ready(t);
 }
 
 void dispatcher::set_grant(agent_incarnation agent, unsigned grant)
@@ -109,6 +518,7 @@
     if (it != state_->targets.end())
     {
         it->second.grant = grant;
+        state_->update_ready(it->second);
     }
 }
 
@@ -120,37 +530,64 @@
     {
         return out;
     }
-    out.assign(it->second.in_flight.begin(), it->second.in_flight.end());
+    auto& t = it->second;
+    while (!t.in_flight.empty())
+    {
+        start_record ended;
+        out.push_back(t.in_flight.begin()->first);
+        state_->end_start(out.back(), t, ended);
+        state_->settle(out.back());
+    }
+    state_->ready.erase({t.speed_step, agent});
     state_->targets.erase(it);
+    state_->health.remove(agent);
+    state_->pacer.forget(agent);
+    state_->times.forget(agent);
     return out;
 }
 
 admission dispatcher::admit(const job_request& job, time_point now)
 {
     admission out;
-    if (state_->jobs.count(job.key) != 0)
+    if (job.tasks.empty() || state_->jobs.count(job.key) != 0)
     {
         out.refusal = errc::request_malformed;
         return out;
     }
-    const bool served = std::any_of(
-        state_->targets.begin(), state_->targets.end(),
-        [&](const auto& t) { return t.second.serves(job.service); });
-    if (!served)
+    const double speed = state_->total_speed(job.service, now);
+    if (speed <= 0)
     {
         out.refusal = errc::wait_unattainable;
-        out.retry_after = refusal_pause;
+        out.retry_after = state_->jitter.spread(no_target_retry_after);
         return out;
     }
-    job_record record{job, now + job.wait, {}, {}};
-    for (uint32_t i = 0; i < job.tasks.size(); ++i)
+    job_record record;
+    record.request = job;
+    record.deadline = now + job.wait;
+    record.unsettled = job.tasks.size();
+    for (const auto& it : job.tasks)
+    {
+        record.expected.push_back(
+            state_->times.predict(job.service, it.declared_run_time));
+    }
+    record.place = work_backlog::place_of(
+        !job.never_delay, record.deadline - state_->run_bound(record),
+        job.wait);
+    const auto excess = state_->excess_wait(record, speed, now);
+    state_->services[job.service].offered.add(job.never_delay ? duration::zero()
+                                                              : job.wait,
+                                              sum_of(record.expected), now);
+    if (state_->options.admission_control &&
+        (excess || !state_->keeps_promises(record, speed, now)))
     {
-        record.waiting.push_back(i);
-        record.unsettled.insert(i);
+        out.refusal = errc::wait_unattainable;
+        out.retry_after = state_->jitter.spread(
+            std::clamp(excess.value_or(shortest_retry_after),
+                       shortest_retry_after, longest_retry_after));
+        return out;
     }
     out.deadline = record.deadline;
-    state_->order.insert(record.order());
-    state_->jobs.emplace(job.key, std::move(record));
+    state_->enqueue(std::move(record));
     return out;
 }
 
@@ -162,70 +599,93 @@
     {
         return out;
     }
-    for (const auto& [agent, target] : state_->targets)
+    auto& record = it->second;
+    for (const auto& [i, agent] : record.in_flight)
     {
-        for (const auto& task : target.in_flight)
-        {
-            if (task.job == job)
-            {
-                out.push_back({task, agent, it->second.deadline});
-            }
-        }
+        out.push_back({{job, task_index(i)}, agent, record.deadline});
+    }
+    auto& service = state_->services[record.request.service];
+    const auto waiting = state_->queue.remove(job);
+    for (const auto i : waiting)
+    {
+        service.waiting.remove(record.place, record.expected[i].mean);
+    }
+    auto& count = state_->waiting_of[record.request.caller];
+    count -= waiting.size();
+    if (count == 0)
+    {
+        state_->waiting_of.erase(record.request.caller);
     }
-    state_->order.erase(it->second.order());
+    state_->deadlines.erase({record.deadline, job});
     state_->jobs.erase(it);
     return out;
 }
 
 void dispatcher::on_outcome(task_ref task, agent_incarnation agent,
-                            task_outcome, duration, time_point)
+                            task_outcome outcome, duration run_time,
+                            time_point now)
 {
-    const auto target = state_->targets.find(agent);
-    if (target == state_->targets.end() ||
-        target->second.in_flight.erase(task) == 0)
+    const auto it = state_->targets.find(agent);
+    start_record ended;
+    if (it == state_->targets.end() ||
+        !state_->end_start(task, it->second, ended))
     {
         return;
     }
-    const auto job = state_->jobs.find(task.job);
-    if (job != state_->jobs.end())
+    state_->pacer.on_run(agent);
+    if (outcome == task_outcome::answered)
+    {
+        state_->health.on_answer(agent, now);
+        state_->times.observe(ended.service, agent, ended.declared, run_time);
+    }
+    else
     {
-        job->second.unsettled.erase(task.task.value());
+        state_->health.on_failure(agent, task.job, now);
     }
+    state_->update_ready(it->second);
+    state_->settle(task);
 }
 
-void dispatcher::on_not_run(task_ref task, agent_incarnation agent, time_point)
+void dispatcher::on_not_run(task_ref task, agent_incarnation agent,
+                            time_point now)
 {
-    const auto target = state_->targets.find(agent);
-    if (target == state_->targets.end() ||
-        target->second.in_flight.erase(task) == 0)
+    const auto it = state_->targets.find(agent);
+    start_record ended;
+    if (it == state_->targets.end() ||
+        !state_->end_start(task, it->second, ended))
     {
         return;
     }
+    state_->health.on_not_run(agent);
+    state_->pacer.on_refusal(agent, now);
+    state_->update_ready(it->second);
     const auto job = state_->jobs.find(task.job);
-    if (job != state_->jobs.end())
+    if (job == state_->jobs.end())
     {
-        job->second.waiting.push_front(task.task.value());
-        state_->order.insert(job->second.order());
+        return;
     }
+    state_->queue.put_back(task.job, task.task.value());
+    state_->services[ended.service].waiting.add(job->second.place,
+                                                ended.expected);
+    ++state_->waiting_of[job->second.request.caller];
 }
 
-std::vector<assignment> dispatcher::assign(time_point)
+std::vector<assignment> dispatcher::assign(time_point now)
 {
     std::vector<assignment> out;
-    for (auto it = state_->order.begin(); it != state_->order.end();)
+    if (state_->queue.size() == 0 || state_->ready.empty())
     {
-        auto& job = state_->jobs.at(it->job);
-        auto* target = state_->choose(job.request.service);
-        while (target != nullptr && !job.waiting.empty())
-        {
-            const task_ref task{job.request.key,
-                                task_index(job.waiting.front())};
-            job.waiting.pop_front();
-            target->in_flight.insert(task);
-            out.push_back({task, target->offer.agent, job.deadline});
-            target = state_->choose(job.request.service);
-        }
-        it = job.waiting.empty() ? state_->order.erase(it) : std::next(it);
+        return out;
+    }
+    std::vector<std::pair<queue_position, service_name>> heads;
+    for (const auto& service : state_->queue.services())
+    {
+        heads.emplace_back(*state_->queue.first(service), service);
+    }
+    std::sort(heads.begin(), heads.end());
+    for (const auto& [position, service] : heads)
+    {
+        state_->assign_service(service, now, out);
     }
     return out;
 }
@@ -233,12 +693,13 @@
 std::vector<job_key> dispatcher::overdue(time_point now) const
 {
     std::vector<job_key> out;
-    for (const auto& [key, job] : state_->jobs)
+    for (const auto& [deadline, job] : state_->deadlines)
     {
-        if (job.deadline <= now && !job.unsettled.empty())
+        if (deadline > now)
         {
-            out.push_back(key);
+            break;
         }
+        out.push_back(job);
     }
     return out;
 }
@@ -247,20 +708,23 @@
 {
     demand_report out;
     out.least_slack = duration::max();
-    const auto target = state_->targets.find(agent);
-    if (target == state_->targets.end())
+    const auto it = state_->targets.find(agent);
+    if (it == state_->targets.end())
     {
         return out;
     }
-    out.in_flight = static_cast<uint32_t>(target->second.in_flight.size());
-    for (const auto& it : state_->order)
+    out.in_flight = static_cast<uint32_t>(it->second.in_flight.size());
+    if (!it->second.offer.accepts_work || is_ejected(agent, now))
     {
-        const auto& job = state_->jobs.at(it.job);
-        if (target->second.serves(job.request.service))
+        return out;
+    }
+    for (const auto& service : it->second.offer.services)
+    {
+        out.queued += static_cast<uint32_t>(state_->queue.size(service));
+        if (const auto first = state_->queue.first(service))
         {
-            out.queued += static_cast<uint32_t>(job.waiting.size());
-            out.least_slack = std::min(out.least_slack,
-                                       job.deadline - now - default_run_time);
+            out.least_slack =
+                std::min(out.least_slack, first->latest_start - now);
         }
     }
     return out;
@@ -268,37 +732,29 @@
 
 std::size_t dispatcher::waiting_tasks() const
 {
-    std::size_t n = 0;
-    for (const auto& [key, job] : state_->jobs)
-    {
-        n += job.waiting.size();
-    }
-    return n;
+    return state_->queue.size();
 }
 
 std::size_t dispatcher::waiting_tasks(const caller_name& caller) const
 {
-    std::size_t n = 0;
-    for (const auto& [key, job] : state_->jobs)
-    {
-        n += job.request.caller == caller ? job.waiting.size() : 0;
-    }
-    return n;
+    const auto it = state_->waiting_of.find(caller);
+    return it == state_->waiting_of.end() ? 0 : it->second;
 }
 
 std::size_t dispatcher::in_flight_tasks() const
 {
-    std::size_t n = 0;
-    for (const auto& [agent, target] : state_->targets)
-    {
-        n += target.in_flight.size();
-    }
-    return n;
+    return state_->in_flight;
+}
+
+bool dispatcher::is_ejected(agent_incarnation agent, time_point now) const
+{
+    return state_->options.ejection &&
+           state_->health.state(agent, now) == health_state::ejected;
 }
 
-bool dispatcher::is_ejected(agent_incarnation, time_point) const
+double dispatcher::speed(agent_incarnation agent) const
 {
-    return false;
+    return state_->times.speed(agent);
 }
 
 } // namespace agatebank
--- /dev/null
+++ b/packages/core/tests/unit-job_queue.cpp
@@ -0,0 +1,113 @@
+#include <agatebank/core/job_queue.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <vector>
+
+using namespace agatebank;
+
+namespace
+{
+
+// The naive version: a vector kept sorted by position.
+struct sorted_jobs
+{
+    struct row
+    {
+        queue_position position;
+        std::vector<uint32_t> tasks;
+    };
+    std::vector<row> rows;
+
+    row* find(job_key job)
+    {
+        const auto it =
+            std::find_if(rows.begin(), rows.end(),
+                         [&](const row& r) { return r.position.job == job; });
+        return it == rows.end() ? nullptr : &*it;
+    }
+    void add(const queue_position& position, std::vector<uint32_t> tasks)
+    {
+        rows.push_back({position, std::move(tasks)});
+        std::sort(rows.begin(), rows.end(),
+                  [](const row& a, const row& b)
+                  { return a.position < b.position; });
+    }
+    std::optional<queue_position> first() const
+    {
+        for (const auto& r : rows)
+        {
+            if (!r.tasks.empty())
+            {
+                return r.position;
+            }
+        }
+        return std::nullopt;
+    }
+    std::size_t size() const
+    {
+        std::size_t n = 0;
+        for (const auto& r : rows)
+        {
+            n += r.tasks.size();
+        }
+        return n;
+    }
+};
+
+} // namespace
+
+TEST_CASE("job_queue: gives the same tasks as a sorted vector")
+{
+    rc::prop(
+        "same order",
+        []
+        {
+            const service_name service("pall-booking");
+            job_queue fast;
+            sorted_jobs slow;
+            uint64_t next_job = 0;
+            const auto steps = *rc::gen::container<std::vector<int>>(
+                rc::gen::inRange(0, 1000));
+            for (const int step : steps)
+            {
+                const job_key some(next_job == 0 ? 0 : step % next_job);
+                auto* row = slow.find(some);
+                if (step % 4 == 0)
+                {
+                    const queue_position p{step % 3 != 0,
+                                           time_point(duration(step / 7 % 20)),
+                                           job_key(next_job++)};
+                    fast.add(service, p, {0, 1, 2});
+                    slow.add(p, {0, 1, 2});
+                }
+                else if (step % 4 == 1)
+                {
+                    const auto first = slow.first();
+                    RC_ASSERT(fast.first(service) == first);
+                    if (first)
+                    {
+                        auto& tasks = slow.find(first->job)->tasks;
+                        RC_ASSERT(fast.take(first->job) == tasks.front());
+                        tasks.erase(tasks.begin());
+                    }
+                }
+                else if (step % 4 == 2 && row != nullptr)
+                {
+                    RC_ASSERT(fast.put_back(some, 9));
+                    row->tasks.insert(row->tasks.begin(), 9);
+                }
+                else if (row != nullptr)
+                {
+                    RC_ASSERT(fast.remove(some).size() == row->tasks.size());
+                    slow.rows.erase(slow.rows.begin() +
+                                    (row - slow.rows.data()));
+                    RC_ASSERT(!fast.put_back(some, 9));
+                }
+                RC_ASSERT(fast.size() == slow.size());
+                RC_ASSERT(fast.size(service) == slow.size());
+            }
+        });
+}
--- /dev/null
+++ b/packages/core/tests/unit-work_backlog.cpp
@@ -0,0 +1,109 @@
+#include <agatebank/core/offered_load.hpp>
+#include <agatebank/core/retry_pacer.hpp>
+#include <agatebank/core/work_backlog.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point start{};
+
+} // namespace
+
+TEST_CASE("work_backlog: a place is early by at most a sixteenth of the wait")
+{
+    for (const duration wait : {duration(0), duration(1), duration(700ms),
+                                duration(6s), duration(1h)})
+    {
+        const auto at = start + 12345678us;
+        const auto place = work_backlog::place_of(true, at, wait);
+        CHECK(place.latest_start <= at);
+        CHECK(place.latest_start >= at - std::max<duration>(1us, wait / 16));
+    }
+}
+
+TEST_CASE("work_backlog: work ahead and promises behind")
+{
+    work_backlog backlog;
+    const work_place urgent{false, start + 50s};
+    const work_place early{true, start + 2s};
+    const work_place late{true, start + 4s};
+    backlog.add(early, 3s);
+    backlog.add(late, 4s);
+    CHECK(backlog.ahead_of(urgent) == 0s);
+    CHECK(backlog.ahead_of(early) == 3s);
+    CHECK(backlog.ahead_of(late) == 7s);
+
+    struct row
+    {
+        const char* name;
+        work_place place;
+        work extra;
+        bool fits;
+    };
+    const row rows[] = {
+        {"behind all", {true, start + 9s}, 100s, true},
+        {"ahead, room for it", early, 1s, true},
+        {"ahead, late one misses", early, 2s, false},
+        {"never delayed, early one misses", urgent, 1100ms, false},
+    };
+    for (const auto& r : rows)
+    {
+        SECTION(r.name)
+        {
+            CHECK(backlog.fits(r.place, r.extra, 0s, 2, start) == r.fits);
+        }
+    }
+    backlog.remove(early, 3s);
+    backlog.remove(late, 4s);
+    CHECK(backlog.total() == 0s);
+}
+
+TEST_CASE("offered_load: counts only what shorter waits offer, and forgets")
+{
+    offered_load load;
+    auto now = start;
+    for (int i = 0; i < 300; ++i, now += 100ms)
+    {
+        load.add(2s, 300ms, now); // 3 s of work a second
+    }
+    CHECK(load.rate_below(2s, now) == 0);
+    CHECK(load.rate_below(3s, now) == Approx(3).epsilon(0.05));
+    CHECK(load.is_shortest(2s, now));
+    CHECK_FALSE(load.is_shortest(3s, now));
+    CHECK(load.is_shortest(3s, now + 60s));
+}
+
+TEST_CASE("retry_pacer: pauses grow, are bounded, and end with a run")
+{
+    retry_pacer pacer(1);
+    const agent_incarnation agent(1);
+    CHECK(pacer.may_start(agent, start));
+    pacer.on_refusal(agent, start);
+    CHECK_FALSE(pacer.may_start(agent, start + 2ms));
+    CHECK(pacer.may_start(agent, start + 8ms));
+    for (int i = 0; i < 10; ++i)
+    {
+        pacer.on_refusal(agent, start);
+    }
+    CHECK_FALSE(pacer.may_start(agent, start + 300ms));
+    CHECK(pacer.may_start(agent, start + 1s));
+    pacer.on_run(agent);
+    CHECK(pacer.may_start(agent, start));
+}
+
+TEST_CASE("retry_pacer: refusals beyond the budget pause for longest at once")
+{
+    retry_pacer pacer(1);
+    for (uint64_t i = 0; i < 20; ++i)
+    {
+        pacer.on_refusal(agent_incarnation(i), start);
+    }
+    CHECK(pacer.may_start(agent_incarnation(19), start + 8ms));
+    pacer.on_refusal(agent_incarnation(20), start);
+    CHECK_FALSE(pacer.may_start(agent_incarnation(20), start + 300ms));
+}
