--- /dev/null
+++ b/tools/harness/src/tcp_relay.cpp
@@ -0,0 +1,202 @@
+#include <agatebank/harness/tcp_relay.hpp>
+
+#include <stdexcept>
+
+namespace agatebank
+{
+
+namespace
+{
+
+constexpr gsize read_bytes = 64U << 10U;
+constexpr const char* loopback = "127.0.0.1";
+
+} // namespace
+
+// Both directions of one connection. Pending operations hold a reference.
+struct tcp_relay::passage
+{
+    object_ptr<GSocketConnection> near;
+    object_ptr<GSocketConnection> far;
+    object_ptr<GCancellable> cancellable{g_cancellable_new()};
+
+    struct pump
+    {
+        std::shared_ptr<passage> owner;
+        GInputStream* from = nullptr;
+        GOutputStream* to = nullptr;
+        bytes_ptr chunk;
+    };
+
+    static void start(const std::shared_ptr<passage>& p)
+    {
+        run(p, p->near.get(), p->far.get());
+        run(p, p->far.get(), p->near.get());
+    }
+
+    static void run(const std::shared_ptr<passage>& p, GSocketConnection* from,
+                    GSocketConnection* to)
+    {
+        auto one = std::make_unique<pump>();
+        one->owner = p;
+        one->from = g_io_stream_get_input_stream(G_IO_STREAM(from));
+        one->to = g_io_stream_get_output_stream(G_IO_STREAM(to));
+        read(std::move(one));
+    }
+
+    static void read(std::unique_ptr<pump> one)
+    {
+        auto* raw = one.release();
+        g_input_stream_read_bytes_async(
+            raw->from, read_bytes, G_PRIORITY_DEFAULT,
+            raw->owner->cancellable.get(), on_read, raw);
+    }
+
+    static void on_read(GObject* source, GAsyncResult* res, gpointer data)
+    {
+        std::unique_ptr<pump> one(static_cast<pump*>(data));
+        one->chunk.reset(g_input_stream_read_bytes_finish(
+            G_INPUT_STREAM(source), res, nullptr));
+        if (one->owner->stopped())
+        {
+            return;
+        }
+        if (!one->chunk || g_bytes_get_size(one->chunk.get()) == 0)
+        {
+            one->owner->close();
+            return;
+        }
+        auto* raw = one.release();
+        gsize n = 0;
+        const void* bytes = g_bytes_get_data(raw->chunk.get(), &n);
+        g_output_stream_write_all_async(raw->to, bytes, n, G_PRIORITY_DEFAULT,
+                                        raw->owner->cancellable.get(),
+                                        on_written, raw);
+    }
+
+    static void on_written(GObject* source, GAsyncResult* res, gpointer data)
+    {
+        std::unique_ptr<pump> one(static_cast<pump*>(data));
+        const bool ok =
+            g_output_stream_write_all_finish(G_OUTPUT_STREAM(source), res,
+                                             nullptr, nullptr) == TRUE;
+        if (one->owner->stopped())
+        {
+            return;
+        }
+        if (!ok)
+        {
+            one->owner->close();
+            return;
+        }
+        read(std::move(one));
+    }
+
+    bool stopped() const
+    {
+        return g_cancellable_is_cancelled(cancellable.get()) == TRUE;
+    }
+
+    // Stops passing bytes on; the connections stay open.
+    void forget() const
+    {
+        g_cancellable_cancel(cancellable.get());
+    }
+
+    void close() const
+    {
+        forget();
+        for (const auto* c : {&near, &far})
+        {
+            if (*c)
+            {
+                g_io_stream_close(G_IO_STREAM(c->get()), nullptr, nullptr);
+            }
+        }
+    }
+};
+
+tcp_relay::tcp_relay(uint16_t port, uint16_t upstream_port)
+    : service_(g_socket_service_new()), upstream_port_(upstream_port)
+{
+    const object_ptr<GSocketAddress> wanted(
+        g_inet_socket_address_new_from_string(loopback, port));
+    GSocketAddress* bound = nullptr;
+    if (g_socket_listener_add_address(G_SOCKET_LISTENER(service_.get()),
+                                      wanted.get(), G_SOCKET_TYPE_STREAM,
+                                      G_SOCKET_PROTOCOL_TCP, nullptr, &bound,
+                                      nullptr) == FALSE)
+    {
+        throw std::runtime_error("relay cannot listen");
+    }
+    const object_ptr<GSocketAddress> owner(bound);
+    port_ = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
+    g_signal_connect(service_.get(), "incoming", G_CALLBACK(on_incoming), this);
+    g_socket_service_start(service_.get());
+}
+
+tcp_relay::~tcp_relay()
+{
+    g_signal_handlers_disconnect_by_data(service_.get(), this);
+    g_socket_service_stop(service_.get());
+    g_socket_listener_close(G_SOCKET_LISTENER(service_.get()));
+    cut();
+}
+
+gboolean tcp_relay::on_incoming(GSocketService*, GSocketConnection* connection,
+                                GObject*, gpointer data)
+{
+    auto* self = static_cast<tcp_relay*>(data);
+    auto p = std::make_shared<passage>();
+    p->near = share_object(connection);
+    self->passages_[++self->next_id_] = p;
+    if (self->blocked_)
+    {
+        return TRUE;
+    }
+    const object_ptr<GSocketClient> client(g_socket_client_new());
+    g_socket_client_set_enable_proxy(client.get(), FALSE);
+    p->far.reset(g_socket_client_connect_to_host(
+        client.get(), loopback, self->upstream_port_, nullptr, nullptr));
+    if (!p->far)
+    {
+        p->close();
+        return TRUE;
+    }
+    passage::start(p);
+    return TRUE;
+}
+
+void tcp_relay::cut()
+{
+    for (const auto& it : passages_)
+    {
+        it.second->close();
+    }
+    passages_.clear();
+}
+
+void tcp_relay::forget()
+{
+    for (const auto& it : passages_)
+    {
+        it.second->forget();
+    }
+}
+
+void tcp_relay::block(bool blocked)
+{
+    blocked_ = blocked;
+}
+
+uint16_t tcp_relay::port() const noexcept
+{
+    return port_;
+}
+
+std::size_t tcp_relay::connections() const noexcept
+{
+    return passages_.size();
+}
+
+} // namespace agatebank
