--- /dev/null
+++ b/packages/observe/src/json_log.cpp
@@ -0,0 +1,224 @@
+#include <agatebank/observe/json_log.hpp>
+
+#include <boost/log/attributes/constant.hpp>
+#include <boost/log/attributes/value_extraction.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/make_shared.hpp>
+#include <boost/shared_ptr.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <iostream>
+#include <utility>
+
+#include <string.h>
+
+namespace agatebank
+{
+
+namespace
+{
+
+namespace logging = boost::log;
+using backend_type = logging::sinks::text_ostream_backend;
+using frontend_type = logging::sinks::synchronous_sink<backend_type>;
+using stream_ptr = boost::shared_ptr<std::ostream>;
+
+constexpr const char* step_open = "log.open";
+constexpr const char* step_level = "log.level";
+constexpr const char* record_attribute = "agatebank-record";
+constexpr const char* owner_attribute = "agatebank-owner";
+constexpr uint64_t us_per_s = 1000000;
+
+constexpr std::array level_words{"debug", "info", "warning", "error"};
+
+// UTC with microseconds, such as 2026-01-31T23:59:59.000001Z.
+std::string to_time_text(uint64_t wall_us)
+{
+    const auto seconds = static_cast<std::time_t>(wall_us / us_per_s);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, sizeof "0000-00-00T00:00:00"> day{};
+    std::strftime(day.data(), day.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::array<char, sizeof ".000000Z"> fraction{};
+    std::snprintf(fraction.data(), fraction.size(), ".%06uZ",
+                  static_cast<unsigned>(wall_us % us_per_s));
+    return std::string(day.data()) + fraction.data();
+}
+
+void put_text(nlohmann::ordered_json& line, const char* name,
+              const std::string& value)
+{
+    if (!value.empty())
+    {
+        line[name] = value;
+    }
+}
+
+std::string to_line(const json_log_options& options, uint64_t wall_us,
+                    const log_record& r)
+{
+    nlohmann::ordered_json line;
+    line["time"] = to_time_text(wall_us);
+    line["level"] = to_word(r.level);
+    line["process"] = options.process;
+    line["failure_domain"] = options.failure_domain;
+    line["text"] = r.text;
+    put_text(line, "step", r.step);
+    put_text(line, "peer", r.peer);
+    put_text(line, "submission", r.submission);
+    if (r.task >= 0)
+    {
+        line["task"] = r.task;
+    }
+    if (r.error != 0)
+    {
+        line["error"] = r.error;
+    }
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+result<stream_ptr> open_stream(const std::string& file)
+{
+    if (file.empty())
+    {
+        return stream_ptr(&std::clog, [](std::ostream*) {});
+    }
+    errno = 0;
+    auto out = boost::make_shared<std::ofstream>(file, std::ios::app);
+    if (!*out)
+    {
+        return fail(errc::log_unwritable, step_open, file, strerror(errno));
+    }
+    return stream_ptr(std::move(out));
+}
+
+} // namespace
+
+result<log_level> parse_log_level(const std::string& word)
+{
+    for (std::size_t i = 0; i < level_words.size(); ++i)
+    {
+        if (word == level_words[i])
+        {
+            return static_cast<log_level>(i);
+        }
+    }
+    return fail(errc::settings_invalid, step_level, {},
+                "found \"" + word +
+                    "\", expected debug, info, warning or error");
+}
+
+const char* to_word(log_level level) noexcept
+{
+    const auto i = static_cast<std::size_t>(level);
+    return i < level_words.size() ? level_words[i] : "unknown";
+}
+
+struct json_log::state
+{
+    json_log_options options;
+    wall_clock clock;
+    stream_ptr stream;
+    boost::shared_ptr<backend_type> backend;
+    boost::shared_ptr<frontend_type> frontend;
+    logging::attribute_set attributes;
+
+    // Boost.Log has one core for the process; the owner attribute keeps the
+    // records of two logs apart.
+    void attach()
+    {
+        attributes[owner_attribute] =
+            logging::attributes::constant<const state*>(this);
+        backend = boost::make_shared<backend_type>();
+        backend->auto_flush(true);
+        backend->add_stream(stream);
+        frontend = boost::make_shared<frontend_type>(backend);
+        frontend->set_filter(
+            [this](const logging::attribute_value_set& values)
+            {
+                const auto owner =
+                    logging::extract<const state*>(owner_attribute, values);
+                return owner && owner.get() == this;
+            });
+        frontend->set_formatter(
+            [this](const logging::record_view& view,
+                   logging::formatting_ostream& os)
+            {
+                const auto r =
+                    logging::extract<const log_record*>(record_attribute, view);
+                os << to_line(options, clock(), *r.get());
+            });
+        logging::core::get()->add_sink(frontend);
+    }
+
+    void write(const log_record& r)
+    {
+        if (r.level < options.level)
+        {
+            return;
+        }
+        attributes[record_attribute] =
+            logging::attributes::constant<const log_record*>(&r);
+        const auto core = logging::core::get();
+        auto record = core->open_record(attributes);
+        if (record)
+        {
+            core->push_record(std::move(record));
+        }
+    }
+};
+
+json_log::json_log(std::unique_ptr<state> s) : state_(std::move(s))
+{
+    state_->attach();
+}
+
+json_log::~json_log()
+{
+    logging::core::get()->remove_sink(state_->frontend);
+}
+
+result<std::unique_ptr<json_log>> json_log::open(json_log_options options,
+                                                 wall_clock clock)
+{
+    auto stream = open_stream(options.file);
+    if (!stream)
+    {
+        return tl::unexpected(stream.error());
+    }
+    auto s = std::make_unique<state>();
+    s->options = std::move(options);
+    s->clock = std::move(clock);
+    s->stream = std::move(*stream);
+    return std::unique_ptr<json_log>(new json_log(std::move(s)));
+}
+
+result<void> json_log::reopen()
+{
+    auto stream = open_stream(state_->options.file);
+    if (!stream)
+    {
+        return tl::unexpected(stream.error());
+    }
+    state_->backend->remove_stream(state_->stream);
+    state_->stream = std::move(*stream);
+    state_->backend->add_stream(state_->stream);
+    return {};
+}
+
+log_sink json_log::sink()
+{
+    return [s = state_.get()](const log_record& r)
+    {
+        s->write(r);
+    };
+}
+
+} // namespace agatebank
