--- a/packages/observe/src/json_log.cpp
+++ b/packages/observe/src/json_log.cpp
@@ -1,3 +1,4 @@
+#include "utc_time.hpp"
 #include <agatebank/observe/json_log.hpp>
 
 #include <boost/log/attributes/constant.hpp>
@@ -11,8 +12,6 @@
 
 #include <array>
 #include <cerrno>
-#include <cstdio>
-#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <utility>
@@ -34,24 +33,9 @@
 constexpr const char* step_level = "log.level";
 constexpr const char* record_attribute = "agatebank-record";
 constexpr const char* owner_attribute = "agatebank-owner";
-constexpr uint64_t us_per_s = 1000000;
 
 constexpr std::array level_words{"debug", "info", "warning", "error"};
 
-// UTC with microseconds, such as 2026-01-31T23:59:59.000001Z.
-std::string to_time_text(uint64_t wall_us)
-{
-    const auto seconds = static_cast<std::time_t>(wall_us / us_per_s);
-    std::tm parts{};
-    gmtime_r(&seconds, &parts);
-    std::array<char, sizeof "0000-00-00T00:00:00"> day{};
-    std::strftime(day.data(), day.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    std::array<char, sizeof ".000000Z"> fraction{};
-    std::snprintf(fraction.data(), fraction.size(), ".%06uZ",
-                  static_cast<unsigned>(wall_us % us_per_s));
-    return std::string(day.data()) + fraction.data();
-}
-
 void put_text(nlohmann::ordered_json& line, const char* name,
               const std::string& value)
 {
@@ -65,7 +49,7 @@
                     const log_record& r)
 {
     nlohmann::ordered_json line;
-    line["time"] = to_time_text(wall_us);
+    line["time"] = to_utc_text(wall_us);
     line["level"] = to_word(r.level);
     line["process"] = options.process;
     line["failure_domain"] = options.failure_domain;
