--- a/packages/entry/include/agatebank/entry/agent_directory.hpp
+++ b/packages/entry/include/agatebank/entry/agent_directory.hpp
@@ -68,9 +68,9 @@
 {
   public:
     // construction
-    agent_directory(
-        event_loop& loop, timer_queue& timers, link_hub& hub,
-        event_ring& events, process_identity self, duration loss_timeout);
+    agent_directory(event_loop& loop, timer_queue& timers, link_hub& hub,
+                    event_ring& events, process_identity self,
+                    duration loss_timeout);
 
     void set_events(agent_events events);
 
@@ -133,11 +133,11 @@
     void send_again(agent_state& agent);
     void schedule_acknowledgement(agent_state& agent);
     void acknowledge(agent_incarnation agent);
-    int64_t
-    agent_deadline_us(const agent_state& agent, time_point deadline) const;
-    void record(
-        event_kind kind, const agent_state& agent,
-        const start_order* order = nullptr, const std::string& detail = {});
+    int64_t agent_deadline_us(const agent_state& agent,
+                              time_point deadline) const;
+    void record(event_kind kind, const agent_state& agent,
+                const start_order* order = nullptr,
+                const std::string& detail = {});
 
     event_loop& loop_;
     timer_queue& timers_;
--- a/packages/entry/include/agatebank/entry/caller_api.hpp
+++ b/packages/entry/include/agatebank/entry/caller_api.hpp
@@ -23,28 +23,23 @@
 
     // construction
     /// @brief Registers the routes on @p server.
-    caller_api(
-        http_server& server, entry_incarnation self,
-        submission_id_codec codec, submission_service& submissions,
-        forwarder& forwarding, current_view view, not_serving serving);
+    caller_api(http_server& server, entry_incarnation self,
+               submission_id_codec codec, submission_service& submissions,
+               forwarder& forwarding, current_view view, not_serving serving);
 
   private:
     /// a handler for a caller whose token is known
     using caller_handler = std::function<void(
         const caller_rule&, const http_request&, http_responder)>;
 
-    void add(
-        const std::string& method, const std::string& pattern,
-        caller_handler handler);
-    void reserve(
-        const caller_rule& caller, const http_request& rq,
-        const http_responder& respond);
-    void create(
-        const caller_rule& caller, const http_request& rq,
-        http_responder respond);
-    void pass_on(
-        forward_kind kind, const caller_rule& caller, const http_request& rq,
-        http_responder respond);
+    void add(const std::string& method, const std::string& pattern,
+             caller_handler handler);
+    void reserve(const caller_rule& caller, const http_request& rq,
+                 const http_responder& respond);
+    void create(const caller_rule& caller, const http_request& rq,
+                http_responder respond);
+    void pass_on(forward_kind kind, const caller_rule& caller,
+                 const http_request& rq, http_responder respond);
 
     http_server& server_;
     entry_incarnation self_;
@@ -56,9 +51,8 @@
 };
 
 /// @brief Serves a caller's request on a submission of this entry.
-void serve_request(
-    submission_service& submissions, const forward_request& request,
-    http_responder respond);
+void serve_request(submission_service& submissions,
+                   const forward_request& request, http_responder respond);
 
 /// @brief SHA-256 of a text in lower-case hexadecimal.
 std::string sha256_hex(const std::string& text);
--- a/packages/entry/include/agatebank/entry/configuration_holder.hpp
+++ b/packages/entry/include/agatebank/entry/configuration_holder.hpp
@@ -16,8 +16,8 @@
 
 /// @brief Receives the configuration in the platform's table; nothing when
 /// none was ever written.
-using configuration_loaded = std::function<void(
-    result<std::shared_ptr<const configuration>>)>;
+using configuration_loaded =
+    std::function<void(result<std::shared_ptr<const configuration>>)>;
 /// @brief Reads the configuration from the platform's table.
 using configuration_loader = std::function<void(configuration_loaded)>;
 
@@ -29,9 +29,8 @@
     using change_handler = std::function<void()>;
 
     // construction
-    configuration_holder(
-        event_loop& loop, event_ring& events, log_sink log,
-        configuration_loader loader, duration poll_period);
+    configuration_holder(event_loop& loop, event_ring& events, log_sink log,
+                         configuration_loader loader, duration poll_period);
 
     void on_change(change_handler handler);
 
--- a/packages/entry/include/agatebank/entry/entry_directory.hpp
+++ b/packages/entry/include/agatebank/entry/entry_directory.hpp
@@ -42,18 +42,16 @@
 
     // construction
     /// @param peers addresses that announcements are sent to
-    entry_directory(
-        event_loop& loop, hybrid_clock& clock, const authenticator& auth,
-        event_ring& events, std::vector<endpoint> peers,
-        membership_options options);
+    entry_directory(event_loop& loop, hybrid_clock& clock,
+                    const authenticator& auth, event_ring& events,
+                    std::vector<endpoint> peers, membership_options options);
 
     /// @brief Called when a peer announces a configuration version.
     void set_version_seen(version_seen handler);
 
     // life time
     /// @brief Binds the socket and begins to announce.
-    result<void>
-    start(const endpoint& local, const entry_announcement& self);
+    result<void> start(const endpoint& local, const entry_announcement& self);
     /// @brief Changes what is announced and announces it at once.
     void announce(config_version version, bool leaving);
 
--- a/packages/entry/include/agatebank/entry/entry_process.hpp
+++ b/packages/entry/include/agatebank/entry/entry_process.hpp
@@ -83,8 +83,8 @@
     void apply_configuration();
 
     // callers
-    result<job_terms>
-    find_terms(const caller_name& caller, const job_document& job) const;
+    result<job_terms> find_terms(const caller_name& caller,
+                                 const job_document& job) const;
 
     // stopping
     void stop_when_idle();
--- a/packages/entry/include/agatebank/entry/entry_settings.hpp
+++ b/packages/entry/include/agatebank/entry/entry_settings.hpp
@@ -51,7 +51,7 @@
 /// fields are refused.
 /// @param file named in the error
 /// @return errc::settings_invalid with path, found and expected
-result<entry_settings>
-parse_entry_settings(const nlohmann::json& document, const std::string& file);
+result<entry_settings> parse_entry_settings(const nlohmann::json& document,
+                                            const std::string& file);
 
 } // namespace agatebank
--- a/packages/entry/include/agatebank/entry/event_collector.hpp
+++ b/packages/entry/include/agatebank/entry/event_collector.hpp
@@ -18,9 +18,9 @@
     using completion = std::function<void(std::vector<event>)>;
 
     // construction
-    event_collector(
-        timer_queue& timers, event_ring& own, agent_directory& agents,
-        entry_directory& entries, peer_links& links);
+    event_collector(timer_queue& timers, event_ring& own,
+                    agent_directory& agents, entry_directory& entries,
+                    peer_links& links);
 
     // modifiers
     void collect(const event_filter& filter, completion done);
--- a/packages/entry/include/agatebank/entry/forwarder.hpp
+++ b/packages/entry/include/agatebank/entry/forwarder.hpp
@@ -19,9 +19,8 @@
 {
   public:
     // construction
-    forwarder(
-        event_loop& loop, timer_queue& timers, peer_links& links,
-        entry_directory& entries, gatherer& gathering);
+    forwarder(event_loop& loop, timer_queue& timers, peer_links& links,
+              entry_directory& entries, gatherer& gathering);
 
     // modifiers
     /// @brief Forwards a request and passes on the issuer's response.
--- a/packages/entry/include/agatebank/entry/gatherer.hpp
+++ b/packages/entry/include/agatebank/entry/gatherer.hpp
@@ -23,16 +23,14 @@
 {
   public:
     // construction
-    gatherer(
-        event_loop& loop, timer_queue& timers, agent_directory& agents,
-        event_ring& events);
+    gatherer(event_loop& loop, timer_queue& timers, agent_directory& agents,
+             event_ring& events);
 
     // modifiers
     /// @brief Gathers a submission and responds with its verdict, or with
     /// "running" when @p wait passes while tasks still run.
-    void gather(
-        const submission_id& id, const std::string& id_text, duration wait,
-        http_responder respond);
+    void gather(const submission_id& id, const std::string& id_text,
+                duration wait, http_responder respond);
     void on_reply(agent_incarnation agent, const gather_reply& reply);
 
     // lookup
--- a/packages/entry/include/agatebank/entry/job_document.hpp
+++ b/packages/entry/include/agatebank/entry/job_document.hpp
@@ -42,7 +42,6 @@
 /// @return errc::request_malformed with the path of the first error, or
 /// errc::too_many_tasks
 /// @complexity linear in the text
-result<job_document>
-parse_job(std::string_view text, const job_limits& limits);
+result<job_document> parse_job(std::string_view text, const job_limits& limits);
 
 } // namespace agatebank
--- a/packages/entry/include/agatebank/entry/job_service.hpp
+++ b/packages/entry/include/agatebank/entry/job_service.hpp
@@ -30,8 +30,7 @@
 };
 
 /// @brief What the service tells its owner; called once for an admitted job.
-using job_settled =
-    std::function<void(const submission_id&, job_settlement)>;
+using job_settled = std::function<void(const submission_id&, job_settlement)>;
 
 /// @brief Counts of the jobs and tasks of this entry.
 struct job_counts
@@ -51,9 +50,9 @@
 {
   public:
     // construction
-    job_service(
-        event_loop& loop, timer_queue& timers, dispatcher& policy,
-        agent_directory& agents, event_ring& events, job_settled settled);
+    job_service(event_loop& loop, timer_queue& timers, dispatcher& policy,
+                agent_directory& agents, event_ring& events,
+                job_settled settled);
 
     // jobs
     /// @brief Admits a job, or refuses it with nothing started.
@@ -70,8 +69,8 @@
     /// @brief An agent takes no work for now.
     void withdraw(agent_incarnation agent);
     void on_grant(agent_incarnation agent, uint32_t credits);
-    void on_report(
-        agent_incarnation agent, task_ref task, const start_report& report);
+    void on_report(agent_incarnation agent, task_ref task,
+                   const start_report& report);
     void on_lost(agent_incarnation agent);
 
     // lookup
@@ -89,8 +88,8 @@
         std::vector<std::optional<std::string>> answers;
         std::size_t answered = 0;
         unsigned messages = 0;
-        unsigned starts = 0;   ///< sent
-        unsigned not_run = 0;  ///< of them, proved not to have run
+        unsigned starts = 0;  ///< sent
+        unsigned not_run = 0; ///< of them, proved not to have run
         std::vector<start_ref> sent;
         std::map<task_ref, start_ref> in_flight;
     };
@@ -111,8 +110,8 @@
     void finish(job_key key, job_settlement settlement);
     void release(const submission_id& id);
     run_fate fate_of(const job& j) const;
-    void record(
-        event_kind kind, const submission_id& id, const std::string& detail);
+    void record(event_kind kind, const submission_id& id,
+                const std::string& detail);
 
     event_loop& loop_;
     timer_queue& timers_;
--- a/packages/entry/include/agatebank/entry/peer_links.hpp
+++ b/packages/entry/include/agatebank/entry/peer_links.hpp
@@ -16,9 +16,8 @@
 {
   public:
     // construction
-    peer_links(
-        link_hub& hub, tcp_connector& connector, entry_directory& entries,
-        process_identity self);
+    peer_links(link_hub& hub, tcp_connector& connector,
+               entry_directory& entries, process_identity self);
 
     /// @brief Called when a link that was being opened is up.
     void on_up(std::function<void(entry_incarnation)> handler);
--- a/packages/entry/include/agatebank/entry/submission_service.hpp
+++ b/packages/entry/include/agatebank/entry/submission_service.hpp
@@ -39,8 +39,8 @@
 };
 
 /// @brief Finds the terms of a job, or why it is refused.
-using terms_lookup = std::function<result<job_terms>(
-    const caller_name& caller, const job_document& job)>;
+using terms_lookup = std::function<result<job_terms>(const caller_name& caller,
+                                                     const job_document& job)>;
 
 /// @brief The submissions that this entry incarnation issued: the only
 /// process that may start their tasks.
@@ -52,10 +52,9 @@
 {
   public:
     // construction
-    submission_service(
-        event_loop& loop, timer_queue& timers, entry_incarnation self,
-        submission_id_codec codec, terms_lookup terms,
-        submission_limits limits);
+    submission_service(event_loop& loop, timer_queue& timers,
+                       entry_incarnation self, submission_id_codec codec,
+                       terms_lookup terms, submission_limits limits);
 
     void set_jobs(job_service& jobs);
 
@@ -64,18 +63,15 @@
     std::string issue(const caller_name& caller);
     /// @brief Starts a job, or answers from its record when the id was used.
     /// Responds when the job is settled or @p wait has passed.
-    void submit(
-        const submission_id& id, const std::string& id_text,
-        const caller_name& caller, const std::string& body, duration wait,
-        http_responder respond);
+    void submit(const submission_id& id, const std::string& id_text,
+                const caller_name& caller, const std::string& body,
+                duration wait, http_responder respond);
     /// @brief Responds when the job is settled or @p wait has passed.
-    void show(
-        const submission_id& id, const std::string& id_text, duration wait,
-        http_responder respond);
+    void show(const submission_id& id, const std::string& id_text,
+              duration wait, http_responder respond);
     /// @brief Cancels a job that is not settled and shows it.
-    void cancel(
-        const submission_id& id, const std::string& id_text,
-        http_responder respond);
+    void cancel(const submission_id& id, const std::string& id_text,
+                http_responder respond);
 
     // events
     void on_settled(const submission_id& id, job_settlement settlement);
@@ -105,18 +101,15 @@
     };
 
     std::chrono::seconds age() const;
-    void start_job(
-        const submission_id& id, const std::string& id_text,
-        const caller_name& caller, const std::string& body, duration wait,
-        http_responder respond);
-    void wait_for(
-        const submission_id& id, record& r, duration wait,
-        http_responder respond);
-    void respond_settled(
-        const submission_id& id, const record& r,
-        const http_responder& respond);
-    void respond_unknown(
-        const submission_id& id, const http_responder& respond) const;
+    void start_job(const submission_id& id, const std::string& id_text,
+                   const caller_name& caller, const std::string& body,
+                   duration wait, http_responder respond);
+    void wait_for(const submission_id& id, record& r, duration wait,
+                  http_responder respond);
+    void respond_settled(const submission_id& id, const record& r,
+                         const http_responder& respond);
+    void respond_unknown(const submission_id& id,
+                         const http_responder& respond) const;
     void drop_answer(const submission_id& id);
     void drop_record(const submission_id& id);
 
--- a/packages/entry/src/agent_directory.cpp
+++ b/packages/entry/src/agent_directory.cpp
@@ -17,16 +17,16 @@
 std::string event_name(const submission_id& id)
 {
     std::array<char, 40> buf{};
-    const int n = std::snprintf(
-        buf.data(), buf.size(), "%llx-%llx",
-        static_cast<unsigned long long>(id.issuer.value()),
-        static_cast<unsigned long long>(id.sequence.value()));
+    const int n =
+        std::snprintf(buf.data(), buf.size(), "%llx-%llx",
+                      static_cast<unsigned long long>(id.issuer.value()),
+                      static_cast<unsigned long long>(id.sequence.value()));
     return {buf.data(), static_cast<std::size_t>(n)};
 }
 
-agent_directory::agent_directory(
-    event_loop& loop, timer_queue& timers, link_hub& hub, event_ring& events,
-    process_identity self, duration loss_timeout)
+agent_directory::agent_directory(event_loop& loop, timer_queue& timers,
+                                 link_hub& hub, event_ring& events,
+                                 process_identity self, duration loss_timeout)
     : loop_(loop)
     , timers_(timers)
     , hub_(hub)
@@ -261,8 +261,7 @@
     }
 }
 
-void agent_directory::take_reports(
-    agent_state& agent, const start_reports& m)
+void agent_directory::take_reports(agent_state& agent, const start_reports& m)
 {
     const agent_incarnation id(agent.self.incarnation);
     for (const auto& report : m.reports)
@@ -294,7 +293,8 @@
         return;
     }
     agent.grant = grant;
-    handlers_.on_grant(agent_incarnation(agent.self.incarnation), grant.credits);
+    handlers_.on_grant(agent_incarnation(agent.self.incarnation),
+                       grant.credits);
 }
 
 void agent_directory::schedule_acknowledgement(agent_state& agent)
@@ -312,9 +312,9 @@
 {
     auto& agent = agents_[id];
     agent.acknowledge_due = false;
-    const start_sequence floor =
-        agent.starts.empty() ? start_sequence(agent.last_sequence + 1)
-                             : agent.starts.begin()->first;
+    const start_sequence floor = agent.starts.empty()
+                                     ? start_sequence(agent.last_sequence + 1)
+                                     : agent.starts.begin()->first;
     if (agent.connected() && floor > agent.acknowledged)
     {
         agent.acknowledged = floor;
@@ -325,8 +325,8 @@
 // The agent's clock is known from its heartbeats, early by a one-way delay:
 // the deadline is never later than meant. Zero: the agent's clock is not
 // known yet, and only this entry enforces the deadline.
-int64_t agent_directory::agent_deadline_us(
-    const agent_state& agent, time_point deadline) const
+int64_t agent_directory::agent_deadline_us(const agent_state& agent,
+                                           time_point deadline) const
 {
     const auto* link = hub_.find(agent.link);
     const auto now = loop_.now();
@@ -403,9 +403,9 @@
     return n;
 }
 
-void agent_directory::record(
-    event_kind kind, const agent_state& agent, const start_order* order,
-    const std::string& detail)
+void agent_directory::record(event_kind kind, const agent_state& agent,
+                             const start_order* order,
+                             const std::string& detail)
 {
     event e;
     e.kind = kind;
--- a/packages/entry/src/caller_api.cpp
+++ b/packages/entry/src/caller_api.cpp
@@ -1,5 +1,4 @@
 #include <agatebank/entry/caller_api.hpp>
-
 #include <agatebank/entry/job_document.hpp>
 
 #include <glib.h>
@@ -21,9 +20,8 @@
 constexpr const char* bearer = "Bearer ";
 
 // A whole number in a query parameter, or the given value when absent.
-result<int64_t> read_parameter(
-    const http_request& rq, const std::string& name, int64_t absent,
-    int64_t min, int64_t max)
+result<int64_t> read_parameter(const http_request& rq, const std::string& name,
+                               int64_t absent, int64_t min, int64_t max)
 {
     const auto& text = rq.parameter(name);
     if (text.empty())
@@ -35,17 +33,16 @@
     const auto r = std::from_chars(text.data(), end, n);
     if (r.ec != std::errc{} || r.ptr != end || n < min || n > max)
     {
-        return fail(
-            errc::request_malformed, step_request, {},
-            "parameter " + name + ": found \"" + text +
-                "\", expected a whole number from " + std::to_string(min) +
-                " to " + std::to_string(max));
+        return fail(errc::request_malformed, step_request, {},
+                    "parameter " + name + ": found \"" + text +
+                        "\", expected a whole number from " +
+                        std::to_string(min) + " to " + std::to_string(max));
     }
     return n;
 }
 
-const caller_rule* authenticate(
-    const configuration_view& view, const http_request& rq)
+const caller_rule* authenticate(const configuration_view& view,
+                                const http_request& rq)
 {
     const auto& header = rq.header("authorization");
     if (header.rfind(bearer, 0) != 0)
@@ -60,41 +57,39 @@
 
 std::string sha256_hex(const std::string& text)
 {
-    char* hex = g_compute_checksum_for_string(
-        G_CHECKSUM_SHA256, text.data(), static_cast<gssize>(text.size()));
+    char* hex = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text.data(),
+                                              static_cast<gssize>(text.size()));
     std::string out = hex;
     g_free(hex);
     return out;
 }
 
-void serve_request(
-    submission_service& submissions, const forward_request& request,
-    http_responder respond)
+void serve_request(submission_service& submissions,
+                   const forward_request& request, http_responder respond)
 {
     const duration wait(request.wait_us);
     switch (request.kind)
     {
     case forward_kind::submit:
-        submissions.submit(
-            request.submission, request.submission_text, request.caller,
-            request.body, wait, std::move(respond));
+        submissions.submit(request.submission, request.submission_text,
+                           request.caller, request.body, wait,
+                           std::move(respond));
         return;
     case forward_kind::show:
-        submissions.show(
-            request.submission, request.submission_text, wait,
-            std::move(respond));
+        submissions.show(request.submission, request.submission_text, wait,
+                         std::move(respond));
         return;
     case forward_kind::cancel:
-        submissions.cancel(
-            request.submission, request.submission_text, std::move(respond));
+        submissions.cancel(request.submission, request.submission_text,
+                           std::move(respond));
         return;
     }
 }
 
-caller_api::caller_api(
-    http_server& server, entry_incarnation self, submission_id_codec codec,
-    submission_service& submissions, forwarder& forwarding,
-    current_view view, not_serving serving)
+caller_api::caller_api(http_server& server, entry_incarnation self,
+                       submission_id_codec codec,
+                       submission_service& submissions, forwarder& forwarding,
+                       current_view view, not_serving serving)
     : server_(server)
     , self_(self)
     , codec_(std::move(codec))
@@ -104,13 +99,11 @@
     , not_serving_(std::move(serving))
 {
     add("POST", "/v1/submissions",
-        [this](const auto& caller, const auto& rq, auto respond) {
-            reserve(caller, rq, respond);
-        });
+        [this](const auto& caller, const auto& rq, auto respond)
+        { reserve(caller, rq, respond); });
     add("POST", "/v1/jobs",
-        [this](const auto& caller, const auto& rq, auto respond) {
-            create(caller, rq, std::move(respond));
-        });
+        [this](const auto& caller, const auto& rq, auto respond)
+        { create(caller, rq, std::move(respond)); });
     const struct
     {
         const char* method;
@@ -123,21 +116,20 @@
     for (const auto& row : rows)
     {
         add(row.method, "/v1/submissions/{id}",
-            [this, kind = row.kind](
-                const auto& caller, const auto& rq, auto respond) {
-                pass_on(kind, caller, rq, std::move(respond));
-            });
+            [this, kind = row.kind](const auto& caller, const auto& rq,
+                                    auto respond)
+            { pass_on(kind, caller, rq, std::move(respond)); });
     }
 }
 
-void caller_api::add(
-    const std::string& method, const std::string& pattern,
-    caller_handler handler)
+void caller_api::add(const std::string& method, const std::string& pattern,
+                     caller_handler handler)
 {
     server_.route(
         method, pattern,
-        [this, handler = std::move(handler)](
-            const http_request& rq, const http_responder& respond) {
+        [this, handler = std::move(handler)](const http_request& rq,
+                                             const http_responder& respond)
+        {
             if (const auto why = not_serving_())
             {
                 auto r = refusal(503, *why);
@@ -156,17 +148,18 @@
             }
             // Every reply carries a fresh id, so reserving costs no trip.
             const auto name = caller->name;
-            handler(*caller, rq, [this, name, respond](http_response r) {
-                r.headers.push_back(
-                    {"Agatebank-Submission", submissions_.issue(name)});
-                respond(std::move(r));
-            });
+            handler(*caller, rq,
+                    [this, name, respond](http_response r)
+                    {
+                        r.headers.push_back(
+                            {"Agatebank-Submission", submissions_.issue(name)});
+                        respond(std::move(r));
+                    });
         });
 }
 
-void caller_api::reserve(
-    const caller_rule& caller, const http_request& rq,
-    const http_responder& respond)
+void caller_api::reserve(const caller_rule& caller, const http_request& rq,
+                         const http_responder& respond)
 {
     const auto count = read_parameter(rq, "count", 1, 1, max_reserved_ids);
     if (!count)
@@ -184,9 +177,8 @@
               {"valid_s", submissions_.limits().validity.count()}}));
 }
 
-void caller_api::create(
-    const caller_rule& caller, const http_request& rq,
-    http_responder respond)
+void caller_api::create(const caller_rule& caller, const http_request& rq,
+                        http_responder respond)
 {
     const auto wait =
         read_parameter(rq, "wait_ms", default_wait_ms, 0, max_wait_ms);
@@ -198,21 +190,20 @@
     const auto job = parse_job(rq.body, submissions_.limits().job);
     if (job && !job->idempotent)
     {
-        respond(refusal(
-            422, {errc::submission_required, step_request, {},
-                  "reserve an id with POST /v1/submissions"}));
+        respond(refusal(422, {errc::submission_required,
+                              step_request,
+                              {},
+                              "reserve an id with POST /v1/submissions"}));
         return;
     }
     const auto text = submissions_.issue(caller.name);
     const auto id = codec_.decode(text, caller.name);
-    submissions_.submit(
-        *id, text, caller.name, rq.body, std::chrono::milliseconds(*wait),
-        std::move(respond));
+    submissions_.submit(*id, text, caller.name, rq.body,
+                        std::chrono::milliseconds(*wait), std::move(respond));
 }
 
-void caller_api::pass_on(
-    forward_kind kind, const caller_rule& caller, const http_request& rq,
-    http_responder respond)
+void caller_api::pass_on(forward_kind kind, const caller_rule& caller,
+                         const http_request& rq, http_responder respond)
 {
     const auto& text = rq.captures.at("id");
     const auto id = codec_.decode(text, caller.name);
--- a/packages/entry/src/configuration_holder.cpp
+++ b/packages/entry/src/configuration_holder.cpp
@@ -1,15 +1,15 @@
-#include <agatebank/entry/configuration_holder.hpp>
-
 #include <agatebank/core/configuration_document.hpp>
+#include <agatebank/entry/configuration_holder.hpp>
 
 #include <utility>
 
 namespace agatebank
 {
 
-configuration_holder::configuration_holder(
-    event_loop& loop, event_ring& events, log_sink log,
-    configuration_loader loader, duration poll_period)
+configuration_holder::configuration_holder(event_loop& loop, event_ring& events,
+                                           log_sink log,
+                                           configuration_loader loader,
+                                           duration poll_period)
     : loop_(loop)
     , events_(events)
     , log_(std::move(log))
@@ -49,8 +49,8 @@
     }
 }
 
-void configuration_holder::adopt_text(
-    const std::string& text, const std::string& peer)
+void configuration_holder::adopt_text(const std::string& text,
+                                      const std::string& peer)
 {
     auto c = parse_configuration(text, peer);
     if (!c)
@@ -73,23 +73,25 @@
         return;
     }
     loading_ = true;
-    loader_([this](result<std::shared_ptr<const configuration>> c) {
-        loading_ = false;
-        if (!c)
+    loader_(
+        [this](result<std::shared_ptr<const configuration>> c)
         {
-            if (!std::exchange(failing_, true))
+            loading_ = false;
+            if (!c)
             {
-                log_(to_record(log_level::warning, c.error()));
+                if (!std::exchange(failing_, true))
+                {
+                    log_(to_record(log_level::warning, c.error()));
+                }
+                return;
             }
-            return;
-        }
-        failing_ = false;
-        known_ = true;
-        if (*c)
-        {
-            adopt(std::move(*c));
-        }
-    });
+            failing_ = false;
+            known_ = true;
+            if (*c)
+            {
+                adopt(std::move(*c));
+            }
+        });
 }
 
 const configuration_view& configuration_holder::view() const noexcept
--- a/packages/entry/src/entry_directory.cpp
+++ b/packages/entry/src/entry_directory.cpp
@@ -5,16 +5,15 @@
 namespace agatebank
 {
 
-entry_directory::entry_directory(
-    event_loop& loop, hybrid_clock& clock, const authenticator& auth,
-    event_ring& events, std::vector<endpoint> peers,
-    membership_options options)
+entry_directory::entry_directory(event_loop& loop, hybrid_clock& clock,
+                                 const authenticator& auth, event_ring& events,
+                                 std::vector<endpoint> peers,
+                                 membership_options options)
     : loop_(loop)
     , events_(events)
     , peers_(std::move(peers))
     , options_(options)
-    , socket_(
-          clock, auth, [this](const entry_announcement& a) { take(a); })
+    , socket_(clock, auth, [this](const entry_announcement& a) { take(a); })
 {
 }
 
@@ -23,8 +22,8 @@
     version_seen_ = std::move(handler);
 }
 
-result<void> entry_directory::start(
-    const endpoint& local, const entry_announcement& self)
+result<void> entry_directory::start(const endpoint& local,
+                                    const entry_announcement& self)
 {
     self_ = self;
     started_ = loop_.now();
@@ -33,10 +32,12 @@
     {
         return bound;
     }
-    timer_ = loop_.every(options_.announce_period, [this] {
-        drop_silent();
-        send_all();
-    });
+    timer_ = loop_.every(options_.announce_period,
+                         [this]
+                         {
+                             drop_silent();
+                             send_all();
+                         });
     send_all();
     return {};
 }
--- a/packages/entry/src/entry_process.cpp
+++ b/packages/entry/src/entry_process.cpp
@@ -1,6 +1,5 @@
-#include <agatebank/entry/entry_process.hpp>
-
 #include <agatebank/core/configuration_document.hpp>
+#include <agatebank/entry/entry_process.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -17,8 +16,8 @@
 constexpr duration connect_timeout = std::chrono::seconds(2);
 constexpr duration idle_poll = std::chrono::milliseconds(20);
 
-process_identity
-make_identity(const entry_settings& s, entry_incarnation incarnation)
+process_identity make_identity(const entry_settings& s,
+                               entry_incarnation incarnation)
 {
     process_identity out;
     out.incarnation = incarnation.value();
@@ -29,8 +28,8 @@
 
 } // namespace
 
-entry_process::entry_process(
-    entry_dependencies dependencies, entry_settings settings)
+entry_process::entry_process(entry_dependencies dependencies,
+                             entry_settings settings)
     : dependencies_(std::move(dependencies))
     , settings_(std::move(settings))
     , identity_(make_identity(settings_, dependencies_.incarnation))
@@ -38,54 +37,50 @@
     , timers_(dependencies_.loop)
     , connector_(connect_timeout)
     , policy_(dependencies_.policy)
-    , configuration_(
-          dependencies_.loop, dependencies_.events, dependencies_.log,
-          dependencies_.load_configuration, settings_.configuration_poll)
-    , hub_(
-          {dependencies_.loop, dependencies_.clock, dependencies_.auth,
-           settings_.links, [this] { return configuration_.version(); }},
-          make_hub_handlers())
-    , listener_([this](object_ptr<GSocketConnection> c) {
-        hub_.add(std::move(c));
-    })
-    , entries_(
-          dependencies_.loop, dependencies_.clock, dependencies_.auth,
-          dependencies_.events, settings_.peers, settings_.membership)
-    , agents_(
-          dependencies_.loop, timers_, hub_, dependencies_.events, identity_,
-          settings_.agent_loss_timeout)
+    , configuration_(dependencies_.loop, dependencies_.events,
+                     dependencies_.log, dependencies_.load_configuration,
+                     settings_.configuration_poll)
+    , hub_({dependencies_.loop, dependencies_.clock, dependencies_.auth,
+            settings_.links,
+            [this]
+            {
+                return configuration_.version();
+            }},
+           make_hub_handlers())
+    , listener_([this](object_ptr<GSocketConnection> c)
+                { hub_.add(std::move(c)); })
+    , entries_(dependencies_.loop, dependencies_.clock, dependencies_.auth,
+               dependencies_.events, settings_.peers, settings_.membership)
+    , agents_(dependencies_.loop, timers_, hub_, dependencies_.events,
+              identity_, settings_.agent_loss_timeout)
     , peers_(hub_, connector_, entries_, identity_)
     , gatherer_(dependencies_.loop, timers_, agents_, dependencies_.events)
     , forwarder_(dependencies_.loop, timers_, peers_, entries_, gatherer_)
     , collector_(timers_, dependencies_.events, agents_, entries_, peers_)
     , submissions_(
           dependencies_.loop, timers_, dependencies_.incarnation, codec_,
-          [this](const caller_name& caller, const job_document& job) {
-              return find_terms(caller, job);
-          },
+          [this](const caller_name& caller, const job_document& job)
+          { return find_terms(caller, job); },
           settings_.submissions)
-    , jobs_(
-          dependencies_.loop, timers_, policy_, agents_,
-          dependencies_.events,
-          [this](const submission_id& id, job_settlement s) {
-              submissions_.on_settled(id, std::move(s));
-          })
+    , jobs_(dependencies_.loop, timers_, policy_, agents_, dependencies_.events,
+            [this](const submission_id& id, job_settlement s)
+            { submissions_.on_settled(id, std::move(s)); })
     , http_(dependencies_.loop, settings_.http)
 {
     submissions_.set_jobs(jobs_);
     agents_.set_events(make_agent_events());
-    peers_.on_up([this](entry_incarnation peer) {
-        forwarder_.on_up(peer);
-        collector_.on_up(peer);
-    });
-    entries_.set_version_seen(
-        [this](const peer_record& peer) { query_newer(peer); });
+    peers_.on_up(
+        [this](entry_incarnation peer)
+        {
+            forwarder_.on_up(peer);
+            collector_.on_up(peer);
+        });
+    entries_.set_version_seen([this](const peer_record& peer)
+                              { query_newer(peer); });
     configuration_.on_change([this] { apply_configuration(); });
     callers_ = std::make_unique<caller_api>(
         http_, dependencies_.incarnation, codec_, submissions_, forwarder_,
-        [this]() -> const configuration_view& {
-            return configuration_.view();
-        },
+        [this]() -> const configuration_view& { return configuration_.view(); },
         [this] { return not_ready_for_calls(); });
 }
 
@@ -95,12 +90,10 @@
 
 result<void> entry_process::start()
 {
-    if (!dependencies_.auth.enabled() &&
-        !is_loopback(settings_.wire.address))
+    if (!dependencies_.auth.enabled() && !is_loopback(settings_.wire.address))
     {
-        return fail(
-            errc::key_required, step_start, settings_.wire.to_string(),
-            "set shared_key_file");
+        return fail(errc::key_required, step_start, settings_.wire.to_string(),
+                    "set shared_key_file");
     }
     const auto port = listener_.listen(settings_.wire);
     if (!port)
@@ -175,18 +168,18 @@
 {
     if (!configuration_.known())
     {
-        return failure{
-            errc::configuration_unknown, step_ready, settings_.platform_url,
-            "neither the store nor a peer has answered"};
+        return failure{errc::configuration_unknown, step_ready,
+                       settings_.platform_url,
+                       "neither the store nor a peer has answered"};
     }
     for (const auto& peer : entries_.live())
     {
         if (peer.announcement.version > configuration_.version() &&
             !entries_.settled())
         {
-            return failure{
-                errc::not_ready, step_ready, peer.announcement.self.name,
-                "fetching a newer configuration"};
+            return failure{errc::not_ready, step_ready,
+                           peer.announcement.self.name,
+                           "fetching a newer configuration"};
         }
     }
     return std::nullopt;
@@ -197,13 +190,16 @@
 hub_handlers entry_process::make_hub_handlers()
 {
     hub_handlers h;
-    h.on_message = [this](link_id link, message&& m) {
+    h.on_message = [this](link_id link, message&& m)
+    {
         take_message(link, std::move(m));
     };
-    h.on_heartbeat = [this](link_id link, const heartbeat& beat) {
+    h.on_heartbeat = [this](link_id link, const heartbeat& beat)
+    {
         agents_.on_heartbeat(link, beat);
     };
-    h.on_closed = [this](link_id link, const failure& why) {
+    h.on_closed = [this](link_id link, const failure& why)
+    {
         dependencies_.log(to_record(log_level::info, why));
         if (!agents_.on_closed(link))
         {
@@ -219,8 +215,7 @@
     if (const auto* hello = std::get_if<agent_hello>(&m))
     {
         agents_.on_hello(link, *hello);
-        send_agent_configuration(
-            agent_incarnation(hello->self.incarnation));
+        send_agent_configuration(agent_incarnation(hello->self.incarnation));
     }
     else if (const auto* request = std::get_if<forward_request>(&m))
     {
@@ -237,15 +232,13 @@
     else if (const auto* doc = std::get_if<configuration_document>(&m))
     {
         const auto* peer = hub_.find(link);
-        configuration_.adopt_text(
-            doc->text, peer == nullptr ? "" : peer->peer());
+        configuration_.adopt_text(doc->text,
+                                  peer == nullptr ? "" : peer->peer());
     }
     else if (const auto* query = std::get_if<event_query>(&m))
     {
-        hub_.send(
-            link, event_reply{
-                      query->number,
-                      dependencies_.events.select(query->filter)});
+        hub_.send(link, event_reply{query->number, dependencies_.events.select(
+                                                       query->filter)});
     }
     else if (agents_.is_agent(link))
     {
@@ -257,36 +250,33 @@
     }
 }
 
-void entry_process::take_forwarded(
-    link_id link, const forward_request& request)
+void entry_process::take_forwarded(link_id link, const forward_request& request)
 {
     event e;
     e.kind = event_kind::request_forwarded;
     e.submission = event_name(request.submission);
     dependencies_.events.record(std::move(e));
-    serve_request(
-        submissions_, request,
-        [this, link, number = request.number](const http_response& r) {
-            hub_.send(
-                link, forward_reply{number, r.status, r.content_type, r.body});
-        });
+    serve_request(submissions_, request,
+                  [this, link, number = request.number](const http_response& r)
+                  {
+                      hub_.send(link, forward_reply{number, r.status,
+                                                    r.content_type, r.body});
+                  });
 }
 
 void entry_process::send_configuration(link_id link)
 {
-    hub_.send(
-        link, configuration_document{
-                  configuration_.version(),
-                  to_text(configuration_.view().document())});
+    hub_.send(link, configuration_document{
+                        configuration_.version(),
+                        to_text(configuration_.view().document())});
 }
 
 void entry_process::query_newer(const peer_record& peer)
 {
     if (peer.announcement.version > configuration_.version())
     {
-        peers_.send(
-            entry_incarnation(peer.announcement.self.incarnation),
-            configuration_query{});
+        peers_.send(entry_incarnation(peer.announcement.self.incarnation),
+                    configuration_query{});
     }
 }
 
@@ -295,25 +285,34 @@
 agent_events entry_process::make_agent_events()
 {
     agent_events h;
-    h.on_target = [this](agent_incarnation agent) { offer_target(agent); };
-    h.on_disconnected = [this](agent_incarnation agent) {
+    h.on_target = [this](agent_incarnation agent)
+    {
+        offer_target(agent);
+    };
+    h.on_disconnected = [this](agent_incarnation agent)
+    {
         jobs_.withdraw(agent);
         offer_target(agent);
     };
-    h.on_lost = [this](agent_incarnation agent) { jobs_.on_lost(agent); };
-    h.on_grant = [this](agent_incarnation agent, uint32_t credits) {
+    h.on_lost = [this](agent_incarnation agent)
+    {
+        jobs_.on_lost(agent);
+    };
+    h.on_grant = [this](agent_incarnation agent, uint32_t credits)
+    {
         jobs_.on_grant(agent, credits);
     };
-    h.on_report = [this](
-                      agent_incarnation agent, task_ref task,
-                      const start_report& report) {
+    h.on_report = [this](agent_incarnation agent, task_ref task,
+                         const start_report& report)
+    {
         jobs_.on_report(agent, task, report);
     };
-    h.on_gathered = [this](
-                        agent_incarnation agent, const gather_reply& reply) {
+    h.on_gathered = [this](agent_incarnation agent, const gather_reply& reply)
+    {
         gatherer_.on_reply(agent, reply);
     };
-    h.on_events = [this](agent_incarnation, const event_reply& reply) {
+    h.on_events = [this](agent_incarnation, const event_reply& reply)
+    {
         collector_.on_reply(reply);
     };
     return h;
@@ -329,13 +328,13 @@
     offer.failure_domain = record->self.failure_domain;
     offer.slots = std::min<uint32_t>(record->target.slots, facts.slots);
     offer.one_way_delay = agents_.one_way_delay(agent);
-    offer.accepts_work = record->connected() &&
-                         record->target.accepts_work && facts.in_inventory &&
+    offer.accepts_work = record->connected() && record->target.accepts_work &&
+                         facts.in_inventory &&
                          facts.state == target_state::active;
     for (const auto& service : record->target.services)
     {
-        if (std::count(
-                facts.services.begin(), facts.services.end(), service) != 0)
+        if (std::count(facts.services.begin(), facts.services.end(), service) !=
+            0)
         {
             offer.services.push_back(service);
         }
@@ -368,26 +367,25 @@
 
 // ----- callers -----
 
-result<job_terms> entry_process::find_terms(
-    const caller_name& caller, const job_document& job) const
+result<job_terms> entry_process::find_terms(const caller_name& caller,
+                                            const job_document& job) const
 {
     const auto& view = configuration_.view();
     const auto* service = view.find_service(job.service);
     if (service == nullptr)
     {
-        return fail(
-            errc::service_unknown, step_terms, {}, job.service.value());
+        return fail(errc::service_unknown, step_terms, {}, job.service.value());
     }
     const auto* patience = view.find_patience(job.patience);
     if (patience == nullptr)
     {
-        return fail(
-            errc::patience_unknown, step_terms, {}, job.patience.value());
+        return fail(errc::patience_unknown, step_terms, {},
+                    job.patience.value());
     }
     if (!view.can_ever_run(job.service))
     {
-        return fail(
-            errc::needs_unmeetable, step_terms, {}, job.service.value());
+        return fail(errc::needs_unmeetable, step_terms, {},
+                    job.service.value());
     }
     for (const auto& it : view.document().rules.callers)
     {
@@ -395,10 +393,9 @@
             jobs_.waiting_tasks(caller) + job.tasks.size() >
                 it.max_queued_tasks)
         {
-            return fail(
-                errc::quota_exceeded, step_terms, {},
-                "at most " + std::to_string(it.max_queued_tasks) +
-                    " queued tasks");
+            return fail(errc::quota_exceeded, step_terms, {},
+                        "at most " + std::to_string(it.max_queued_tasks) +
+                            " queued tasks");
         }
     }
     return job_terms{*service, *patience};
--- a/packages/entry/src/event_collector.cpp
+++ b/packages/entry/src/event_collector.cpp
@@ -12,9 +12,9 @@
 
 } // namespace
 
-event_collector::event_collector(
-    timer_queue& timers, event_ring& own, agent_directory& agents,
-    entry_directory& entries, peer_links& links)
+event_collector::event_collector(timer_queue& timers, event_ring& own,
+                                 agent_directory& agents,
+                                 entry_directory& entries, peer_links& links)
     : timers_(timers)
     , own_(own)
     , agents_(agents)
@@ -42,8 +42,7 @@
     }
     for (const auto& it : peers)
     {
-        links_.send(
-            entry_incarnation(it.announcement.self.incarnation), ask);
+        links_.send(entry_incarnation(it.announcement.self.incarnation), ask);
     }
     if (q.awaited == 0)
     {
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -15,9 +15,8 @@
 
 } // namespace
 
-forwarder::forwarder(
-    event_loop& loop, timer_queue& timers, peer_links& links,
-    entry_directory& entries, gatherer& gathering)
+forwarder::forwarder(event_loop& loop, timer_queue& timers, peer_links& links,
+                     entry_directory& entries, gatherer& gathering)
     : loop_(loop)
     , timers_(timers)
     , links_(links)
@@ -62,18 +61,22 @@
 void forwarder::retry_later(uint64_t number)
 {
     auto& p = requests_.at(number);
-    p.retry = timers_.schedule(retry_pause, [this, number] {
-        auto& again = requests_.at(number);
-        const auto* peer = entries_.find(again.request.submission.issuer);
-        const bool sent = again.sent_on != link_id();
-        const bool live = peer != nullptr && !peer->gone;
-        if (sent && live && loop_.now() < again.give_up)
-        {
-            retry_later(number);
-            return;
-        }
-        attempt(number);
-    });
+    p.retry =
+        timers_.schedule(retry_pause,
+                         [this, number]
+                         {
+                             auto& again = requests_.at(number);
+                             const auto* peer =
+                                 entries_.find(again.request.submission.issuer);
+                             const bool sent = again.sent_on != link_id();
+                             const bool live = peer != nullptr && !peer->gone;
+                             if (sent && live && loop_.now() < again.give_up)
+                             {
+                                 retry_later(number);
+                                 return;
+                             }
+                             attempt(number);
+                         });
 }
 
 void forwarder::on_up(entry_incarnation issuer)
@@ -124,9 +127,8 @@
     auto node = requests_.extract(number);
     auto& p = node.mapped();
     timers_.cancel(p.retry);
-    gathering_.gather(
-        p.request.submission, p.request.submission_text,
-        duration(p.request.wait_us), std::move(p.respond));
+    gathering_.gather(p.request.submission, p.request.submission_text,
+                      duration(p.request.wait_us), std::move(p.respond));
 }
 
 void forwarder::give_up(uint64_t number)
--- a/packages/entry/src/gatherer.cpp
+++ b/packages/entry/src/gatherer.cpp
@@ -1,5 +1,4 @@
 #include <agatebank/entry/gatherer.hpp>
-
 #include <agatebank/entry/job_settlement.hpp>
 
 #include <utility>
@@ -28,16 +27,14 @@
 
 } // namespace
 
-gatherer::gatherer(
-    event_loop& loop, timer_queue& timers, agent_directory& agents,
-    event_ring& events)
+gatherer::gatherer(event_loop& loop, timer_queue& timers,
+                   agent_directory& agents, event_ring& events)
     : loop_(loop), timers_(timers), agents_(agents), events_(events)
 {
 }
 
-void gatherer::gather(
-    const submission_id& id, const std::string& id_text, duration wait,
-    http_responder respond)
+void gatherer::gather(const submission_id& id, const std::string& id_text,
+                      duration wait, http_responder respond)
 {
     const auto known = verdicts_.find(id);
     if (known != verdicts_.end())
@@ -68,9 +65,9 @@
     {
         agents_.send(agent, gather_query{number, q.submission});
     }
-    q.round_end = timers_.schedule(
-        q.awaited.empty() ? duration::zero() : round_timeout,
-        [this, number] { end_round(number); });
+    q.round_end =
+        timers_.schedule(q.awaited.empty() ? duration::zero() : round_timeout,
+                         [this, number] { end_round(number); });
 }
 
 void gatherer::on_reply(agent_incarnation agent, const gather_reply& reply)
@@ -113,8 +110,8 @@
         inquiries_.erase(number);
         return;
     }
-    q.round_end = timers_.schedule(
-        round_pause, [this, number] { begin_round(number); });
+    q.round_end =
+        timers_.schedule(round_pause, [this, number] { begin_round(number); });
 }
 
 void gatherer::conclude(uint64_t number)
@@ -124,9 +121,8 @@
     const auto added = verdicts_.emplace(q.submission, verdict_of(q));
     if (added.second)
     {
-        timers_.schedule(verdict_retention, [this, id = q.submission] {
-            verdicts_.erase(id);
-        });
+        timers_.schedule(verdict_retention,
+                         [this, id = q.submission] { verdicts_.erase(id); });
     }
     event e;
     e.kind = event_kind::gather_ended;
--- a/packages/entry/src/job_document.cpp
+++ b/packages/entry/src/job_document.cpp
@@ -1,6 +1,5 @@
-#include <agatebank/entry/job_document.hpp>
-
 #include <agatebank/core/json_reader.hpp>
+#include <agatebank/entry/job_document.hpp>
 
 namespace agatebank
 {
@@ -15,9 +14,8 @@
     return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
-task_document read_task(
-    const nlohmann::json& value, const std::string& path,
-    const job_limits& limits, json_errors& errors)
+task_document read_task(const nlohmann::json& value, const std::string& path,
+                        const job_limits& limits, json_errors& errors)
 {
     task_document task;
     json_fields fields(value, path, errors);
@@ -42,8 +40,7 @@
 
 } // namespace
 
-result<job_document>
-parse_job(std::string_view text, const job_limits& limits)
+result<job_document> parse_job(std::string_view text, const job_limits& limits)
 {
     const auto document = parse_json(text, step_parse, {});
     if (!document)
@@ -57,20 +54,21 @@
     fields.text("patience", job.patience);
     fields.optional_flag("idempotent", job.idempotent);
     bool too_many = false;
-    fields.array(
-        "tasks", [&](const nlohmann::json& value, const std::string& path) {
-            too_many = job.tasks.size() >= limits.max_tasks;
-            if (!too_many)
-            {
-                job.tasks.push_back(read_task(value, path, limits, errors));
-            }
-        });
+    fields.array("tasks",
+                 [&](const nlohmann::json& value, const std::string& path)
+                 {
+                     too_many = job.tasks.size() >= limits.max_tasks;
+                     if (!too_many)
+                     {
+                         job.tasks.push_back(
+                             read_task(value, path, limits, errors));
+                     }
+                 });
     fields.finish();
     if (too_many)
     {
-        return fail(
-            errc::too_many_tasks, step_parse, {},
-            "at most " + std::to_string(limits.max_tasks) + " tasks");
+        return fail(errc::too_many_tasks, step_parse, {},
+                    "at most " + std::to_string(limits.max_tasks) + " tasks");
     }
     if (errors.empty() && job.tasks.empty())
     {
--- a/packages/entry/src/job_service.cpp
+++ b/packages/entry/src/job_service.cpp
@@ -38,9 +38,8 @@
 
 price promised_price(const job_order& order)
 {
-    return price(
-        order.patience.price_per_task.value() *
-        static_cast<int64_t>(order.document.tasks.size()));
+    return price(order.patience.price_per_task.value() *
+                 static_cast<int64_t>(order.document.tasks.size()));
 }
 
 errc to_error(const start_report& report)
@@ -68,9 +67,9 @@
 
 } // namespace
 
-job_service::job_service(
-    event_loop& loop, timer_queue& timers, dispatcher& policy,
-    agent_directory& agents, event_ring& events, job_settled settled)
+job_service::job_service(event_loop& loop, timer_queue& timers,
+                         dispatcher& policy, agent_directory& agents,
+                         event_ring& events, job_settled settled)
     : loop_(loop)
     , timers_(timers)
     , policy_(policy)
@@ -90,23 +89,23 @@
     if (verdict.refusal)
     {
         ++counts_.refused;
-        record(
-            event_kind::job_refused, order.submission,
-            verdict.refusal.message());
+        record(event_kind::job_refused, order.submission,
+               verdict.refusal.message());
         return verdict;
     }
     ++counts_.admitted;
-    record(
-        event_kind::job_admitted, order.submission,
-        order.patience.name.value());
+    record(event_kind::job_admitted, order.submission,
+           order.patience.name.value());
     const auto id = order.submission;
     job j;
     j.admitted = now;
     j.answers.resize(order.document.tasks.size());
     j.order = std::move(order);
-    j.deadline = timers_.schedule(verdict.deadline - now, [this, key] {
-        fail_job(key, {errc::wait_exceeded, step_wait, {}, {}});
-    });
+    j.deadline = timers_.schedule(
+        verdict.deadline - now,
+        [this, key] {
+            fail_job(key, {errc::wait_exceeded, step_wait, {}, {}});
+        });
     jobs_.emplace(key, std::move(j));
     keys_[id] = key;
     schedule_dispatch();
@@ -157,8 +156,8 @@
     schedule_dispatch();
 }
 
-void job_service::on_report(
-    agent_incarnation agent, task_ref task, const start_report& report)
+void job_service::on_report(agent_incarnation agent, task_ref task,
+                            const start_report& report)
 {
     const auto now = loop_.now();
     const auto it = jobs_.find(task.job);
@@ -178,9 +177,8 @@
     }
     else
     {
-        policy_.on_outcome(
-            task, agent, to_outcome(report.kind),
-            duration(report.run_time_us), now);
+        policy_.on_outcome(task, agent, to_outcome(report.kind),
+                           duration(report.run_time_us), now);
         if (it != jobs_.end())
         {
             take_answer(task.job, task, report);
@@ -189,17 +187,16 @@
     schedule_dispatch();
 }
 
-void job_service::take_answer(
-    job_key key, task_ref task, const start_report& report)
+void job_service::take_answer(job_key key, task_ref task,
+                              const start_report& report)
 {
     auto& j = jobs_.at(key);
     if (report.kind != report_kind::answered)
     {
-        fail_job(
-            key, {to_error(report),
-                  report.step.empty() ? step_run : report.step,
-                  {},
-                  "task " + std::to_string(task.task.value())});
+        fail_job(key, {to_error(report),
+                       report.step.empty() ? step_run : report.step,
+                       {},
+                       "task " + std::to_string(task.task.value())});
         return;
     }
     auto& slot = j.answers.at(task.task.value());
@@ -223,9 +220,8 @@
     {
         if (jobs_.count(task.job) != 0)
         {
-            fail_job(
-                task.job, {errc::agent_lost, step_run, peer,
-                           "task " + std::to_string(task.task.value())});
+            fail_job(task.job, {errc::agent_lost, step_run, peer,
+                                "task " + std::to_string(task.task.value())});
         }
     }
     schedule_dispatch();
@@ -240,10 +236,12 @@
         return;
     }
     dispatch_pending_ = true;
-    loop_.defer([this] {
-        dispatch_pending_ = false;
-        dispatch();
-    });
+    loop_.defer(
+        [this]
+        {
+            dispatch_pending_ = false;
+            dispatch();
+        });
 }
 
 void job_service::dispatch()
@@ -257,10 +255,12 @@
     if (policy_.waiting_tasks() > 0 && !tick_pending_)
     {
         tick_pending_ = true;
-        timers_.schedule(dispatch_period, [this] {
-            tick_pending_ = false;
-            dispatch();
-        });
+        timers_.schedule(dispatch_period,
+                         [this]
+                         {
+                             tick_pending_ = false;
+                             dispatch();
+                         });
     }
 }
 
@@ -365,12 +365,10 @@
     settlement.patience = j.order.patience.name;
     settlement.response_time = loop_.now() - j.admitted;
     settlement.messages = j.messages;
-    record(
-        event_kind::job_settled, id,
-        settlement.complete ? "complete" : settlement.reason.to_string());
-    held_[id] = {
-        std::move(j.sent),
-        timers_.schedule(answer_hold, [this, id] { release(id); })};
+    record(event_kind::job_settled, id,
+           settlement.complete ? "complete" : settlement.reason.to_string());
+    held_[id] = {std::move(j.sent),
+                 timers_.schedule(answer_hold, [this, id] { release(id); })};
     settled_(id, std::move(settlement));
     schedule_dispatch();
 }
@@ -411,8 +409,8 @@
     return policy_.waiting_tasks(caller);
 }
 
-void job_service::record(
-    event_kind kind, const submission_id& id, const std::string& detail)
+void job_service::record(event_kind kind, const submission_id& id,
+                         const std::string& detail)
 {
     event e;
     e.kind = kind;
--- a/packages/entry/src/job_settlement.cpp
+++ b/packages/entry/src/job_settlement.cpp
@@ -1,5 +1,4 @@
 #include <agatebank/entry/job_settlement.hpp>
-
 #include <agatebank/http/http_message.hpp>
 
 #include <glib.h>
@@ -20,8 +19,8 @@
     {
         return {{"body", answer}};
     }
-    char* text = g_base64_encode(
-        reinterpret_cast<const guchar*>(answer.data()), answer.size());
+    char* text = g_base64_encode(reinterpret_cast<const guchar*>(answer.data()),
+                                 answer.size());
     json out{{"base64", text}};
     g_free(text);
     return out;
@@ -34,21 +33,19 @@
     {
         answers.push_back(to_json(it));
     }
-    return {
-        {"state", "complete"},
-        {"run", to_word(run_fate::ran)},
-        {"price", s.charged.value()},
-        {"answers", std::move(answers)}};
+    return {{"state", "complete"},
+            {"run", to_word(run_fate::ran)},
+            {"price", s.charged.value()},
+            {"answers", std::move(answers)}};
 }
 
 json failed_json(const job_settlement& s)
 {
     const auto problem = problem_response(200, s.reason, s.fate);
-    return {
-        {"state", "failed"},
-        {"run", to_word(s.fate)},
-        {"price", 0},
-        {"problem", json::parse(problem.body)}};
+    return {{"state", "failed"},
+            {"run", to_word(s.fate)},
+            {"price", 0},
+            {"problem", json::parse(problem.body)}};
 }
 
 } // namespace
--- a/packages/entry/src/peer_links.cpp
+++ b/packages/entry/src/peer_links.cpp
@@ -5,9 +5,8 @@
 namespace agatebank
 {
 
-peer_links::peer_links(
-    link_hub& hub, tcp_connector& connector, entry_directory& entries,
-    process_identity self)
+peer_links::peer_links(link_hub& hub, tcp_connector& connector,
+                       entry_directory& entries, process_identity self)
     : hub_(hub)
     , connector_(connector)
     , entries_(entries)
@@ -56,18 +55,21 @@
     {
         return;
     }
-    route.connecting = connector_.connect(
-        remote, [this, peer](result<object_ptr<GSocketConnection>> c) {
-            auto& opened = routes_[peer];
-            const auto handle = std::exchange(opened.connecting, nullptr);
-            if (!c)
-            {
-                return;
-            }
-            opened.link = hub_.add(std::move(*c));
-            hub_.send(opened.link, peer_hello{self_});
-            up_(peer);
-        });
+    route.connecting =
+        connector_.connect(remote,
+                           [this, peer](result<object_ptr<GSocketConnection>> c)
+                           {
+                               auto& opened = routes_[peer];
+                               const auto handle =
+                                   std::exchange(opened.connecting, nullptr);
+                               if (!c)
+                               {
+                                   return;
+                               }
+                               opened.link = hub_.add(std::move(*c));
+                               hub_.send(opened.link, peer_hello{self_});
+                               up_(peer);
+                           });
 }
 
 } // namespace agatebank
--- a/packages/entry/src/submission_service.cpp
+++ b/packages/entry/src/submission_service.cpp
@@ -17,8 +17,8 @@
 
 std::string digest_of(const std::string& body)
 {
-    char* hex = g_compute_checksum_for_string(
-        G_CHECKSUM_SHA256, body.data(), static_cast<gssize>(body.size()));
+    char* hex = g_compute_checksum_for_string(G_CHECKSUM_SHA256, body.data(),
+                                              static_cast<gssize>(body.size()));
     std::string out = hex;
     g_free(hex);
     return out;
@@ -50,8 +50,7 @@
 
 http_response running_response(const std::string& id_text)
 {
-    return json_response(
-        202, {{"submission", id_text}, {"state", "running"}});
+    return json_response(202, {{"submission", id_text}, {"state", "running"}});
 }
 
 // Whole seconds, at least one (RFC 9110, Retry-After).
@@ -68,9 +67,11 @@
     return problem_response(status, f, run_fate::not_run);
 }
 
-submission_service::submission_service(
-    event_loop& loop, timer_queue& timers, entry_incarnation self,
-    submission_id_codec codec, terms_lookup terms, submission_limits limits)
+submission_service::submission_service(event_loop& loop, timer_queue& timers,
+                                       entry_incarnation self,
+                                       submission_id_codec codec,
+                                       terms_lookup terms,
+                                       submission_limits limits)
     : loop_(loop)
     , timers_(timers)
     , self_(self)
@@ -102,10 +103,11 @@
 
 // ----- submit -----
 
-void submission_service::submit(
-    const submission_id& id, const std::string& id_text,
-    const caller_name& caller, const std::string& body, duration wait,
-    http_responder respond)
+void submission_service::submit(const submission_id& id,
+                                const std::string& id_text,
+                                const caller_name& caller,
+                                const std::string& body, duration wait,
+                                http_responder respond)
 {
     const auto it = records_.find(id);
     if (it == records_.end())
@@ -126,10 +128,11 @@
     wait_for(id, it->second, wait, std::move(respond));
 }
 
-void submission_service::start_job(
-    const submission_id& id, const std::string& id_text,
-    const caller_name& caller, const std::string& body, duration wait,
-    http_responder respond)
+void submission_service::start_job(const submission_id& id,
+                                   const std::string& id_text,
+                                   const caller_name& caller,
+                                   const std::string& body, duration wait,
+                                   http_responder respond)
 {
     if (age() >= id.expiry)
     {
@@ -149,26 +152,24 @@
     auto job = parse_job(body, limits_.job);
     if (!job)
     {
-        respond(refusal(
-            status_of(static_cast<errc>(job.error().code.value())),
-            job.error()));
+        respond(refusal(status_of(static_cast<errc>(job.error().code.value())),
+                        job.error()));
         return;
     }
     const auto terms = terms_(caller, *job);
     if (!terms)
     {
-        respond(refusal(
-            status_of(static_cast<errc>(terms.error().code.value())),
-            terms.error()));
+        respond(
+            refusal(status_of(static_cast<errc>(terms.error().code.value())),
+                    terms.error()));
         return;
     }
     const auto verdict = jobs_->submit(
         {id, caller, std::move(*job), terms->patience, terms->service});
     if (verdict.refusal)
     {
-        auto r = refusal(
-            status_of(static_cast<errc>(verdict.refusal.value())),
-            {verdict.refusal, step_admit, {}, {}});
+        auto r = refusal(status_of(static_cast<errc>(verdict.refusal.value())),
+                         {verdict.refusal, step_admit, {}, {}});
         r.headers.push_back(
             {"Retry-After", to_retry_after(verdict.retry_after)});
         respond(r);
@@ -180,9 +181,8 @@
     wait_for(id, r, wait, std::move(respond));
 }
 
-void submission_service::wait_for(
-    const submission_id& id, record& r, duration wait,
-    http_responder respond)
+void submission_service::wait_for(const submission_id& id, record& r,
+                                  duration wait, http_responder respond)
 {
     if (r.settled)
     {
@@ -195,21 +195,24 @@
         return;
     }
     const auto number = ++last_waiter_;
-    const auto timeout = timers_.schedule(wait, [this, id, number] {
-        auto& rec = records_.at(id);
-        const auto node = rec.waiters.extract(number);
-        --waiters_;
-        node.mapped().respond(running_response(rec.id_text));
-    });
+    const auto timeout = timers_.schedule(
+        wait,
+        [this, id, number]
+        {
+            auto& rec = records_.at(id);
+            const auto node = rec.waiters.extract(number);
+            --waiters_;
+            node.mapped().respond(running_response(rec.id_text));
+        });
     r.waiters.emplace(number, waiter{std::move(respond), timeout});
     ++waiters_;
 }
 
 // ----- show and cancel -----
 
-void submission_service::show(
-    const submission_id& id, const std::string& id_text, duration wait,
-    http_responder respond)
+void submission_service::show(const submission_id& id,
+                              const std::string& id_text, duration wait,
+                              http_responder respond)
 {
     const auto it = records_.find(id);
     if (it != records_.end())
@@ -221,22 +224,22 @@
     respond_unknown(id, respond);
 }
 
-void submission_service::cancel(
-    const submission_id& id, const std::string& id_text,
-    http_responder respond)
+void submission_service::cancel(const submission_id& id,
+                                const std::string& id_text,
+                                http_responder respond)
 {
     jobs_->cancel(id);
     show(id, id_text, duration::zero(), std::move(respond));
 }
 
-void submission_service::respond_unknown(
-    const submission_id& id, const http_responder& respond) const
+void submission_service::respond_unknown(const submission_id& id,
+                                         const http_responder& respond) const
 {
     if (age() >= id.expiry)
     {
-        respond(problem_response(
-            410, {errc::submission_expired, step_show, {}, {}},
-            run_fate::may_have_run));
+        respond(problem_response(410,
+                                 {errc::submission_expired, step_show, {}, {}},
+                                 run_fate::may_have_run));
         return;
     }
     respond(refusal(404, {errc::not_found, step_show, {}, "not submitted"}));
@@ -244,8 +247,8 @@
 
 // ----- settlement -----
 
-void submission_service::on_settled(
-    const submission_id& id, job_settlement settlement)
+void submission_service::on_settled(const submission_id& id,
+                                    job_settlement settlement)
 {
     auto& r = records_.at(id);
     r.settled = true;
@@ -259,24 +262,25 @@
         --waiters_;
         respond_settled(id, r, w.respond);
     }
-    timers_.schedule(
-        limits_.answer_retention, [this, id] { drop_answer(id); });
+    timers_.schedule(limits_.answer_retention, [this, id] { drop_answer(id); });
     while (answer_bytes_ > limits_.max_answer_bytes)
     {
         drop_answer(settled_order_.front());
     }
 }
 
-void submission_service::respond_settled(
-    const submission_id& id, const record& r, const http_responder& respond)
+void submission_service::respond_settled(const submission_id& id,
+                                         const record& r,
+                                         const http_responder& respond)
 {
     if (r.dropped)
     {
-        respond(problem_response(
-            410,
-            {errc::submission_expired, step_show, {},
-             "the answer is no longer kept"},
-            r.fate));
+        respond(problem_response(410,
+                                 {errc::submission_expired,
+                                  step_show,
+                                  {},
+                                  "the answer is no longer kept"},
+                                 r.fate));
         return;
     }
     http_response out;
@@ -308,9 +312,8 @@
     }
     // Kept while the id is valid, so that it cannot start a second job.
     const auto left = id.expiry - age() + std::chrono::seconds(1);
-    timers_.schedule(
-        std::max<duration>(left, duration::zero()),
-        [this, id] { drop_record(id); });
+    timers_.schedule(std::max<duration>(left, duration::zero()),
+                     [this, id] { drop_record(id); });
 }
 
 void submission_service::drop_record(const submission_id& id)
--- a/packages/wire/src/link_hub.cpp
+++ b/packages/wire/src/link_hub.cpp
@@ -27,23 +27,26 @@
 {
     const link_id id(++last_id_);
     link_handlers handlers;
-    handlers.on_message = [this, id](message&& m) {
+    handlers.on_message = [this, id](message&& m)
+    {
         handlers_.on_message(id, std::move(m));
     };
-    handlers.on_heartbeat = [this, id](const heartbeat& beat) {
+    handlers.on_heartbeat = [this, id](const heartbeat& beat)
+    {
         if (handlers_.on_heartbeat)
         {
             handlers_.on_heartbeat(id, beat);
         }
     };
-    handlers.on_closed = [this, id](const failure& why) {
+    handlers.on_closed = [this, id](const failure& why)
+    {
         count_closed(id);
         links_.erase(id);
         handlers_.on_closed(id, why);
     };
-    links_.emplace(
-        id, std::make_unique<tcp_link>(
-                context_, std::move(connection), std::move(handlers)));
+    links_.emplace(id,
+                   std::make_unique<tcp_link>(context_, std::move(connection),
+                                              std::move(handlers)));
     return id;
 }
 
