--- a/packages/daemon/include/agatebank/daemon/process_runtime.hpp
+++ b/packages/daemon/include/agatebank/daemon/process_runtime.hpp
@@ -52,6 +52,7 @@
     metrics_registry metrics;
 
     log_sink log();
+    void log_info(std::string text);
     /// @brief A random number for ids and jitter.
     static uint64_t random_number();
 
--- a/packages/daemon/src/agent_role.cpp
+++ b/packages/daemon/src/agent_role.cpp
@@ -60,11 +60,11 @@
     {
         return tl::unexpected(started.error());
     }
-    rt.log()({log_level::info, "agent started"});
+    rt.log_info("agent started");
     const auto code = rt.run([&agent](std::function<void()> done) {
         agent.begin_stop(std::move(done));
     });
-    rt.log()({log_level::info, "agent stopped"});
+    rt.log_info("agent stopped");
     return code;
 }
 
--- a/packages/daemon/src/entry_role.cpp
+++ b/packages/daemon/src/entry_role.cpp
@@ -87,11 +87,11 @@
     {
         return tl::unexpected(started.error());
     }
-    rt.log()({log_level::info, "entry started"});
+    rt.log_info("entry started");
     const auto code = rt.run([&entry](std::function<void()> done) {
         entry.begin_stop(std::move(done));
     });
-    rt.log()({log_level::info, "entry stopped"});
+    rt.log_info("entry stopped");
     return code;
 }
 
--- a/packages/daemon/src/process_runtime.cpp
+++ b/packages/daemon/src/process_runtime.cpp
@@ -119,6 +119,13 @@
     return log_->sink();
 }
 
+void process_runtime::log_info(std::string text)
+{
+    log_record r;
+    r.text = std::move(text);
+    log_->sink()(r);
+}
+
 uint64_t process_runtime::random_number()
 {
     std::random_device device;
