core: property tests of admission, credits and starts

Cause: the decisions need proof beyond their unit tests. Admission is held against a full run with true run times; the model it is exact for (one entry, one service, equal fixed credits, no delay, no failures) stands at the test. Change: admission allows for the round trip, and a job of the same place counts as behind, since keys need not rise.

--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -158,6 +158,7 @@
                    time_point now) const;
     double total_speed(const service_name& service, time_point now) const;
     double mean_speed(const service_name& service) const;
+    duration longest_delay(const service_name& service) const;
     bool share_targets(const service_name& a, const service_name& b) const;
 
     // admission
@@ -245,6 +246,19 @@
     return slots > 0 ? sum / slots : 1;
 }
 
+duration dispatcher::state::longest_delay(const service_name& service) const
+{
+    duration longest{};
+    for (const auto& [agent, t] : targets)
+    {
+        if (t.serves(service))
+        {
+            longest = std::max(longest, t.offer.one_way_delay);
+        }
+    }
+    return longest;
+}
+
 bool dispatcher::state::share_targets(const service_name& a,
                                       const service_name& b) const
 {
@@ -256,8 +270,9 @@
 
 // ----- admission -----
 
-// Run time that a job's longest task is allowed for: the high quantile, but
-// not more than half of the wait as long as the expected time fits.
+// Time that a job's longest task is allowed for: the round trip and the high
+// quantile of its run time, but not more than half of the wait as long as the
+// expected run time fits.
 duration dispatcher::state::run_bound(const job_record& job) const
 {
     duration mean{};
@@ -268,7 +283,8 @@
         high = std::max(high, it.high);
     }
     const double speed = mean_speed(job.request.service);
-    return std::min(time_for(high, speed),
+    return 2 * longest_delay(job.request.service) +
+           std::min(time_for(high, speed),
                     std::max(time_for(mean, speed), job.request.wait / 2));
 }
 
--- a/packages/core/src/work_backlog.cpp
+++ b/packages/core/src/work_backlog.cpp
@@ -71,7 +71,7 @@
     for (const auto& [at, amount] : places_)
     {
         sum += amount;
-        if (place < at && now + time_for(sum, speed) > at.latest_start)
+        if (place <= at && now + time_for(sum, speed) > at.latest_start)
         {
             return false;
         }
--- /dev/null
+++ b/packages/core/tests/unit-dispatcher.cpp
@@ -0,0 +1,321 @@
+#include <agatebank/core/dispatcher.hpp>
+#include <agatebank/core/error.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <vector>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point start{};
+const service_name booking("pall-booking");
+const service_name printing("ticket-print");
+
+target_offer offer(uint64_t agent,
+                   std::vector<service_name> services = {booking})
+{
+    target_offer out;
+    out.agent = agent_incarnation(agent);
+    out.target = target_name("t" + std::to_string(agent));
+    out.services = std::move(services);
+    out.slots = 4;
+    return out;
+}
+
+job_request job(uint64_t key, std::size_t tasks, duration wait = 10s,
+                duration run = 100ms)
+{
+    job_request out;
+    out.key = job_key(key);
+    out.service = booking;
+    out.caller = caller_name("hall");
+    out.wait = wait;
+    out.tasks.assign(tasks, {run});
+    return out;
+}
+
+// What an outside observer knows of the starts.
+struct observer
+{
+    std::map<agent_incarnation, target_offer> targets;
+    std::map<agent_incarnation, unsigned> grants;
+    std::map<agent_incarnation, std::set<task_ref>> in_flight;
+    std::set<task_ref> started; // and not reported as not run
+    std::set<job_key> removed;
+
+    void check(const std::vector<assignment>& out)
+    {
+        for (const auto& it : out)
+        {
+            RC_ASSERT(targets.count(it.agent) == 1);
+            RC_ASSERT(targets.at(it.agent).accepts_work);
+            const auto& services = targets.at(it.agent).services;
+            RC_ASSERT(std::count(services.begin(), services.end(), booking));
+            RC_ASSERT(started.insert(it.task).second);
+            RC_ASSERT(removed.count(it.task.job) == 0);
+            auto& here = in_flight[it.agent];
+            here.insert(it.task);
+            RC_ASSERT(here.size() <= grants[it.agent]);
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("dispatcher: never starts twice, above the grant or elsewhere")
+{
+    rc::prop("any run of events",
+             []
+             {
+                 dispatcher d({});
+                 observer seen;
+                 auto now = start;
+                 uint64_t next_job = 0;
+                 const auto steps =
+                     *rc::gen::container<std::vector<std::pair<int, int>>>(
+                         rc::gen::pair(rc::gen::inRange(0, 10),
+                                       rc::gen::inRange(0, 600)));
+                 for (const auto& [kind, which] : steps)
+                 {
+                     now += 20ms;
+                     const agent_incarnation agent(which % 4);
+                     auto& running = seen.in_flight[agent];
+                     const auto some = running.empty()
+                                           ? task_ref{}
+                                           : *std::next(running.begin(),
+                                                        which % running.size());
+                     if (kind < 2)
+                     {
+                         auto o = offer(
+                             agent.value(),
+                             {kind == 0 || which % 5 ? booking : printing});
+                         o.accepts_work = which % 7 != 0;
+                         seen.targets[agent] = o;
+                         d.put_target(o, now);
+                         seen.grants[agent] = which / 10 % 5;
+                         d.set_grant(agent, seen.grants[agent]);
+                     }
+                     else if (kind < 5)
+                     {
+                         d.admit(job(next_job++, 1 + which % 5), now);
+                     }
+                     else if (kind == 5 && which % 3 == 0)
+                     {
+                         const auto lost = d.remove_target(agent);
+                         RC_ASSERT(std::set<task_ref>(lost.begin(),
+                                                      lost.end()) == running);
+                         running.clear();
+                         seen.targets.erase(agent);
+                     }
+                     else if (kind == 6 && next_job > 0)
+                     {
+                         const job_key key(which % next_job);
+                         d.remove_job(key);
+                         seen.removed.insert(key);
+                     }
+                     else if (kind == 7 && !running.empty())
+                     {
+                         d.on_not_run(some, agent, now);
+                         running.erase(some);
+                         seen.started.erase(some);
+                     }
+                     else if (!running.empty())
+                     {
+                         const auto outcome = which % 4 == 0
+                                                  ? task_outcome::failed
+                                                  : task_outcome::answered;
+                         d.on_outcome(some, agent, outcome, 100ms, now);
+                         d.on_outcome(some, agent, outcome, 100ms, now);
+                         running.erase(some);
+                     }
+                     seen.check(d.assign(now));
+                     std::size_t total = 0;
+                     for (const auto& [a, tasks] : seen.in_flight)
+                     {
+                         total += tasks.size();
+                         RC_ASSERT(seen.targets.count(a) == 0 ||
+                                   d.demand(a, now).in_flight == tasks.size());
+                     }
+                     RC_ASSERT(d.in_flight_tasks() == total);
+                     RC_ASSERT(d.waiting_tasks() ==
+                               d.waiting_tasks(caller_name("hall")));
+                 }
+             });
+}
+
+// The model that admission is exact for: one entry, one service, targets of
+// one speed with fixed credits and no delay, declared times that are true,
+// no failures and no cancellations.
+TEST_CASE("dispatcher: every admitted job ends in time with true run times")
+{
+    rc::prop(
+        "full look-ahead",
+        []
+        {
+            dispatch_options options;
+            options.learned_run_times = false;
+            dispatcher d(options);
+            for (uint64_t i = 0; i < 2; ++i)
+            {
+                d.put_target(offer(i), start);
+                d.set_grant(agent_incarnation(i), 4);
+            }
+            using ending = std::tuple<time_point, task_ref, agent_incarnation>;
+            std::set<ending> endings;
+            std::map<job_key, time_point> deadlines;
+            std::map<job_key, std::vector<task_request>> tasks;
+            const auto begin = [&](time_point now)
+            {
+                for (const auto& it : d.assign(now))
+                {
+                    const auto run = *tasks.at(it.task.job)
+                                          .at(it.task.task.value())
+                                          .declared_run_time;
+                    endings.insert({now + run, it.task, it.agent});
+                }
+            };
+            const auto run_until = [&](time_point until)
+            {
+                while (!endings.empty() &&
+                       std::get<0>(*endings.begin()) <= until)
+                {
+                    const auto [at, task, agent] = *endings.begin();
+                    endings.erase(endings.begin());
+                    RC_ASSERT(at <= deadlines.at(task.job));
+                    d.on_outcome(task, agent, task_outcome::answered, 1ms, at);
+                    begin(at);
+                }
+            };
+            const auto arrivals =
+                *rc::gen::container<std::vector<std::array<int, 4>>>(
+                    rc::gen::container<std::array<int, 4>>(
+                        rc::gen::inRange(0, 1000)));
+            auto now = start;
+            for (uint64_t i = 0; i < arrivals.size(); ++i)
+            {
+                const auto& a = arrivals[i];
+                now += std::chrono::milliseconds(a[0] / 10);
+                run_until(now);
+                constexpr std::array<duration, 3> waits{1s, 3s, 10s};
+                auto j = job(i, 1 + a[1] % 40, waits[a[2] % 3]);
+                j.never_delay = a[2] % 10 == 0;
+                for (std::size_t k = 0; k < j.tasks.size(); ++k)
+                {
+                    j.tasks[k].declared_run_time =
+                        std::chrono::milliseconds(50 + (a[3] * (k + 1)) % 900);
+                }
+                const auto got = d.admit(j, now);
+                if (!got.refusal)
+                {
+                    deadlines[j.key] = got.deadline;
+                    tasks[j.key] = j.tasks;
+                }
+                begin(now);
+            }
+            run_until(now + 100s);
+            RC_ASSERT(d.waiting_tasks() == 0);
+            RC_ASSERT(d.in_flight_tasks() == 0);
+        });
+}
+
+TEST_CASE("dispatcher: admission")
+{
+    struct row
+    {
+        const char* name;
+        std::size_t queued; // tasks of 100 ms that wait already
+        job_request asked;
+        bool admitted;
+    };
+    auto urgent = job(9, 1, 1s);
+    urgent.never_delay = true;
+    auto unknown = job(9, 1);
+    unknown.service = printing;
+    const row rows[] = {
+        {"idle", 0, job(9, 1, 1s), true},
+        {"longer run than the wait", 0, job(9, 1, 1s, 2s), false},
+        {"no target serves it", 0, unknown, false},
+        {"no tasks", 0, job(9, 0), false},
+        {"queue in the way of equal patience", 360, job(9, 60), false},
+        {"short wait goes ahead", 300, job(9, 1, 1s), true},
+        {"would break a promise", 370, job(9, 10, 1s), false},
+        {"never delayed goes ahead of all", 300, urgent, true},
+    };
+    for (const auto& r : rows)
+    {
+        SECTION(r.name)
+        {
+            dispatch_options options;
+            options.learned_run_times = false;
+            dispatcher d(options);
+            d.put_target(offer(1), start);
+            d.set_grant(agent_incarnation(1), 4);
+            if (r.queued > 0)
+            {
+                REQUIRE(!d.admit(job(1, r.queued), start).refusal);
+            }
+            const auto got = d.admit(r.asked, start);
+            CHECK(!got.refusal == r.admitted);
+            CHECK((got.retry_after > 0s) ==
+                  (got.refusal == errc::wait_unattainable));
+        }
+    }
+}
+
+TEST_CASE("dispatcher: a reserved slot is kept for its service")
+{
+    dispatcher d({});
+    auto o = offer(1, {booking, printing});
+    o.reserved = {{printing, 1}};
+    d.put_target(o, start);
+    d.set_grant(agent_incarnation(1), 4);
+    d.admit(job(1, 10), start);
+    CHECK(d.assign(start).size() == 3);
+    auto print = job(2, 2);
+    print.service = printing;
+    d.admit(print, start);
+    CHECK(d.assign(start).size() == 1);
+}
+
+TEST_CASE("dispatcher: a refused start waits for the back-off, then goes again")
+{
+    dispatcher d({});
+    d.put_target(offer(1), start);
+    d.set_grant(agent_incarnation(1), 4);
+    d.admit(job(1, 1), start);
+    const auto first = d.assign(start);
+    REQUIRE(first.size() == 1);
+    d.on_not_run(first[0].task, first[0].agent, start);
+    CHECK(d.assign(start).empty());
+    CHECK(d.waiting_tasks() == 1);
+    CHECK(d.assign(start + 1s).size() == 1);
+}
+
+TEST_CASE("dispatcher: overdue jobs and cancelled ones")
+{
+    dispatcher d({});
+    d.put_target(offer(1), start);
+    d.set_grant(agent_incarnation(1), 1);
+    d.admit(job(1, 3), start);
+    d.admit(job(2, 1, 20s), start);
+    CHECK(d.assign(start).size() == 1);
+    CHECK(d.overdue(start + 9s).empty());
+    CHECK(d.overdue(start + 10s) == std::vector<job_key>{job_key(1)});
+    const auto running = d.remove_job(job_key(1));
+    REQUIRE(running.size() == 1);
+    CHECK(d.overdue(start + 10s).empty());
+    CHECK(d.waiting_tasks() == 1);
+    CHECK(d.in_flight_tasks() == 1);
+    CHECK(d.assign(start).empty());
+    d.on_outcome(running[0].task, running[0].agent, task_outcome::answered,
+                 100ms, start + 1s);
+    CHECK(d.assign(start + 1s).size() == 1);
+}
