Join the operators' interface, status and time line to the entry

Cause: operators had no way to drive the running system. Ruled out: a second token reader in the entry; bearer_token moved to http. Change: admin routes on the entry's server, target and process status, events collected from agents and peers; a change made here is in force here at once.

--- a/packages/admin/src/operator_authenticator.cpp
+++ b/packages/admin/src/operator_authenticator.cpp
@@ -1,5 +1,5 @@
-#include <agatebank/admin/bearer_token.hpp>
 #include <agatebank/admin/operator_authenticator.hpp>
+#include <agatebank/http/bearer_token.hpp>
 
 #include <utility>
 
--- a/packages/daemon/src/entry_role.cpp
+++ b/packages/daemon/src/entry_role.cpp
@@ -1,4 +1,6 @@
+#include <agatebank/admin/admin_api.hpp>
 #include <agatebank/daemon/entry_metrics.hpp>
+#include <agatebank/daemon/entry_status.hpp>
 #include <agatebank/daemon/process_runtime.hpp>
 #include <agatebank/daemon/roles.hpp>
 #include <agatebank/entry/entry_process.hpp>
@@ -6,6 +8,7 @@
 #include <agatebank/platform/configuration_store.hpp>
 
 #include <iostream>
+#include <sstream>
 #include <utility>
 
 namespace agatebank
@@ -19,10 +22,12 @@
 // An absent document is no failure: nothing was configured yet.
 configuration_loader make_loader(configuration_store& store)
 {
-    return [&store](configuration_loaded done) {
+    return [&store](configuration_loaded done)
+    {
         store.load(
             [done = std::move(done)](
-                const result<std::shared_ptr<const configuration>>& c) {
+                const result<std::shared_ptr<const configuration>>& c)
+            {
                 if (!c && c.error().code == errc::configuration_unknown)
                 {
                     done(std::shared_ptr<const configuration>());
@@ -33,17 +38,61 @@
     };
 }
 
+std::string random_id()
+{
+    std::ostringstream os;
+    os << std::hex << process_runtime::random_number();
+    return os.str();
+}
+
+// A change that this entry made is in force here at once.
+admin_hooks make_admin_hooks(entry_process& entry, configuration_store& store)
+{
+    admin_hooks h;
+    h.configuration = [&entry]
+    {
+        return entry.configuration().shared_view();
+    };
+    h.change = [&entry, &store](configuration_change change,
+                                configuration_store::change_completion done)
+    {
+        store.change(std::move(change),
+                     [&entry, done = std::move(done)](const auto& outcome)
+                     {
+                         if (outcome)
+                         {
+                             entry.configuration().adopt(outcome->document);
+                         }
+                         done(outcome);
+                     });
+    };
+    h.targets = [&entry]
+    {
+        return list_targets(entry);
+    };
+    h.processes = [&entry]
+    {
+        return list_processes(entry);
+    };
+    h.events = [&entry](const event_filter& filter,
+                        std::function<void(std::vector<event>)> done)
+    {
+        entry.events().collect(filter, std::move(done));
+    };
+    h.random_id = random_id;
+    return h;
+}
+
 runtime_settings to_runtime(const entry_settings& s)
 {
-    return {
-        s.name, s.failure_domain.value(), s.shared_key_file, s.log.file,
-        s.log.level};
+    return {s.name, s.failure_domain.value(), s.shared_key_file, s.log.file,
+            s.log.level};
 }
 
 } // namespace
 
-result<exit_code> run_entry(
-    const nlohmann::json& document, const std::string& file, bool check_only)
+result<exit_code> run_entry(const nlohmann::json& document,
+                            const std::string& file, bool check_only)
 {
     auto settings = parse_entry_settings(document, file);
     if (!settings)
@@ -73,24 +122,29 @@
         {rt.loop, rt.clock, rt.auth, rt.events, rt.log(), make_loader(store),
          entry_incarnation(process_runtime::random_number()), policy},
         *settings);
+    admin_options admin_settings;
+    admin_settings.bootstrap_operator_sha256 =
+        settings->bootstrap_operator_sha256;
+    admin_api admin(rt.loop, make_admin_hooks(entry, store), admin_settings);
+    admin.add_routes(entry.http());
     add_entry_metrics(rt.metrics, entry);
-    add_metrics_routes(
-        entry.http(), rt.metrics, [&entry]() -> result<void> {
-            if (auto why = entry.not_ready())
-            {
-                return tl::unexpected(std::move(*why));
-            }
-            return {};
-        });
+    add_metrics_routes(entry.http(), rt.metrics,
+                       [&entry]() -> result<void>
+                       {
+                           if (auto why = entry.not_ready())
+                           {
+                               return tl::unexpected(std::move(*why));
+                           }
+                           return {};
+                       });
     auto started = entry.start();
     if (!started)
     {
         return tl::unexpected(started.error());
     }
     rt.log_info("entry started");
-    const auto code = rt.run([&entry](std::function<void()> done) {
-        entry.begin_stop(std::move(done));
-    });
+    const auto code = rt.run([&entry](std::function<void()> done)
+                             { entry.begin_stop(std::move(done)); });
     rt.log_info("entry stopped");
     return code;
 }
--- /dev/null
+++ b/packages/daemon/src/entry_status.cpp
@@ -0,0 +1,91 @@
+#include <agatebank/daemon/entry_status.hpp>
+
+namespace agatebank
+{
+
+namespace
+{
+
+process_status describe_self(entry_process& entry)
+{
+    process_status out;
+    out.name = entry.identity().name;
+    out.incarnation = entry.identity().incarnation;
+    out.failure_domain = entry.identity().failure_domain;
+    out.version = entry.configuration().version();
+    out.leaving = entry.leaving();
+    out.reachable = true;
+    return out;
+}
+
+process_status describe_peer(const peer_record& peer)
+{
+    process_status out;
+    out.name = peer.announcement.self.name;
+    out.incarnation = peer.announcement.self.incarnation;
+    out.failure_domain = peer.announcement.self.failure_domain;
+    out.address = peer.wire_endpoint().to_string();
+    out.version = peer.announcement.version;
+    out.leaving = peer.announcement.leaving;
+    out.reachable = !peer.gone;
+    return out;
+}
+
+process_status describe_agent(const entry_process& entry,
+                              const agent_record& agent)
+{
+    const auto* link = entry.links().find(agent.link);
+    process_status out;
+    out.kind = process_kind::agent;
+    out.name = agent.self.name;
+    out.incarnation = agent.self.incarnation;
+    out.failure_domain = agent.self.failure_domain;
+    out.address = link == nullptr ? "" : link->peer();
+    out.version = agent.version;
+    out.reachable = agent.connected();
+    return out;
+}
+
+} // namespace
+
+std::vector<target_status> list_targets(entry_process& entry)
+{
+    const auto& view = entry.configuration().view();
+    std::vector<target_status> out;
+    for (const auto id : entry.agents().known())
+    {
+        const auto* agent = entry.agents().find(id);
+        const auto* row = view.find_target(agent->target.target);
+        target_status s;
+        s.target = agent->target.target;
+        s.worker = row == nullptr ? worker_name() : row->worker;
+        s.failure_domain = agent->self.failure_domain;
+        s.agent = agent->self.name;
+        s.state = view.state_of(agent->target.target);
+        s.services = agent->target.services;
+        s.slots = agent->target.slots;
+        s.in_flight =
+            static_cast<unsigned>(entry.agents().unreported_starts(id));
+        s.ejected = entry.policy().is_ejected(id, entry.now());
+        s.accepts_work = agent->connected() && agent->target.accepts_work;
+        s.version = agent->version;
+        out.push_back(std::move(s));
+    }
+    return out;
+}
+
+std::vector<process_status> list_processes(entry_process& entry)
+{
+    std::vector<process_status> out{describe_self(entry)};
+    for (const auto& peer : entry.entries().live())
+    {
+        out.push_back(describe_peer(peer));
+    }
+    for (const auto id : entry.agents().known())
+    {
+        out.push_back(describe_agent(entry, *entry.agents().find(id)));
+    }
+    return out;
+}
+
+} // namespace agatebank
--- a/packages/entry/include/agatebank/entry/agent_directory.hpp
+++ b/packages/entry/include/agatebank/entry/agent_directory.hpp
@@ -106,6 +106,8 @@
     std::vector<agent_incarnation> known() const;
     duration one_way_delay(agent_incarnation agent) const;
     std::size_t kept_starts() const;
+    /// @brief Starts of one agent that have no report yet.
+    std::size_t unreported_starts(agent_incarnation agent) const;
 
   private:
     struct kept_start
--- a/packages/entry/include/agatebank/entry/caller_api.hpp
+++ b/packages/entry/include/agatebank/entry/caller_api.hpp
@@ -54,7 +54,4 @@
 void serve_request(submission_service& submissions,
                    const forward_request& request, http_responder respond);
 
-/// @brief SHA-256 of a text in lower-case hexadecimal.
-std::string sha256_hex(const std::string& text);
-
 } // namespace agatebank
--- a/packages/entry/include/agatebank/entry/configuration_holder.hpp
+++ b/packages/entry/include/agatebank/entry/configuration_holder.hpp
@@ -46,6 +46,8 @@
 
     // lookup
     const configuration_view& view() const noexcept;
+    /// @brief The view, kept alive by the caller; null while not known.
+    std::shared_ptr<const configuration_view> shared_view() const;
     config_version version() const noexcept;
     /// @brief Whether the store or a peer has answered.
     bool known() const noexcept;
@@ -59,7 +61,7 @@
     configuration_loader loader_;
     duration poll_period_;
     std::vector<change_handler> handlers_;
-    std::unique_ptr<configuration_view> view_;
+    std::shared_ptr<const configuration_view> view_;
     bool known_ = false;
     bool loading_ = false;
     bool failing_ = false;
--- a/packages/entry/include/agatebank/entry/entry_process.hpp
+++ b/packages/entry/include/agatebank/entry/entry_process.hpp
@@ -65,6 +65,7 @@
     event_collector& events() noexcept;
     const process_identity& identity() const noexcept;
     bool leaving() const noexcept;
+    time_point now() const;
 
   private:
     // wiring
--- a/packages/entry/src/agent_directory.cpp
+++ b/packages/entry/src/agent_directory.cpp
@@ -1,5 +1,6 @@
 #include <agatebank/entry/agent_directory.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -403,6 +404,19 @@
     return n;
 }
 
+std::size_t agent_directory::unreported_starts(agent_incarnation id) const
+{
+    const auto it = agents_.find(id);
+    if (it == agents_.end())
+    {
+        return 0;
+    }
+    const auto& starts = it->second.starts;
+    return static_cast<std::size_t>(
+        std::count_if(starts.begin(), starts.end(),
+                      [](const auto& s) { return !s.second.reported; }));
+}
+
 void agent_directory::record(event_kind kind, const agent_state& agent,
                              const start_order* order,
                              const std::string& detail)
--- a/packages/entry/src/caller_api.cpp
+++ b/packages/entry/src/caller_api.cpp
@@ -1,7 +1,6 @@
 #include <agatebank/entry/caller_api.hpp>
 #include <agatebank/entry/job_document.hpp>
-
-#include <glib.h>
+#include <agatebank/http/bearer_token.hpp>
 
 #include <charconv>
 #include <utility>
@@ -17,7 +16,6 @@
 constexpr int64_t max_reserved_ids = 1000;
 constexpr int64_t max_wait_ms = 3600L * 1000;
 constexpr int64_t default_wait_ms = 30L * 1000;
-constexpr const char* bearer = "Bearer ";
 
 // A whole number in a query parameter, or the given value when absent.
 result<int64_t> read_parameter(const http_request& rq, const std::string& name,
@@ -44,26 +42,12 @@
 const caller_rule* authenticate(const configuration_view& view,
                                 const http_request& rq)
 {
-    const auto& header = rq.header("authorization");
-    if (header.rfind(bearer, 0) != 0)
-    {
-        return nullptr;
-    }
-    return view.find_caller(
-        sha256_hex(header.substr(std::string(bearer).size())));
+    const auto token = bearer_token(rq);
+    return token.empty() ? nullptr : view.find_caller(sha256_hex(token));
 }
 
 } // namespace
 
-std::string sha256_hex(const std::string& text)
-{
-    char* hex = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text.data(),
-                                              static_cast<gssize>(text.size()));
-    std::string out = hex;
-    g_free(hex);
-    return out;
-}
-
 void serve_request(submission_service& submissions,
                    const forward_request& request, http_responder respond)
 {
--- a/packages/entry/src/configuration_holder.cpp
+++ b/packages/entry/src/configuration_holder.cpp
@@ -15,7 +15,7 @@
     , log_(std::move(log))
     , loader_(std::move(loader))
     , poll_period_(poll_period)
-    , view_(std::make_unique<configuration_view>(
+    , view_(std::make_shared<const configuration_view>(
           std::make_shared<const configuration>()))
 {
 }
@@ -38,7 +38,7 @@
     {
         return;
     }
-    view_ = std::make_unique<configuration_view>(std::move(c));
+    view_ = std::make_shared<const configuration_view>(std::move(c));
     event e;
     e.kind = event_kind::configuration_in_force;
     e.detail = "version " + std::to_string(version().value());
@@ -99,6 +99,12 @@
     return *view_;
 }
 
+std::shared_ptr<const configuration_view>
+configuration_holder::shared_view() const
+{
+    return known_ ? view_ : nullptr;
+}
+
 config_version configuration_holder::version() const noexcept
 {
     return view_->version();
--- a/packages/entry/src/entry_process.cpp
+++ b/packages/entry/src/entry_process.cpp
@@ -453,6 +453,11 @@
     return identity_;
 }
 
+time_point entry_process::now() const
+{
+    return dependencies_.loop.now();
+}
+
 bool entry_process::leaving() const noexcept
 {
     return leaving_;
--- a/packages/entry/src/submission_service.cpp
+++ b/packages/entry/src/submission_service.cpp
@@ -1,6 +1,5 @@
 #include <agatebank/entry/submission_service.hpp>
-
-#include <glib.h>
+#include <agatebank/http/bearer_token.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -15,15 +14,6 @@
 constexpr const char* step_admit = "job.admit";
 constexpr const char* step_show = "submission.show";
 
-std::string digest_of(const std::string& body)
-{
-    char* hex = g_compute_checksum_for_string(G_CHECKSUM_SHA256, body.data(),
-                                              static_cast<gssize>(body.size()));
-    std::string out = hex;
-    g_free(hex);
-    return out;
-}
-
 unsigned status_of(errc e)
 {
     switch (e)
@@ -115,7 +105,7 @@
         start_job(id, id_text, caller, body, wait, std::move(respond));
         return;
     }
-    if (it->second.body_digest != digest_of(body))
+    if (it->second.body_digest != sha256_hex(body))
     {
         // Says what became of the first body, so that a caller that wrote
         // the same job differently does not take it for not run.
@@ -177,7 +167,7 @@
     }
     auto& r = records_[id];
     r.id_text = id_text;
-    r.body_digest = digest_of(body);
+    r.body_digest = sha256_hex(body);
     wait_for(id, r, wait, std::move(respond));
 }
 
--- a/packages/admin/src/bearer_token.cpp
+++ b/packages/http/src/bearer_token.cpp
@@ -1,4 +1,4 @@
-#include <agatebank/admin/bearer_token.hpp>
+#include <agatebank/http/bearer_token.hpp>
 
 #include <glib.h>
 
