experiment: in-process load experiment with four versions of the policy

Cause: the policy's goals need figures under load and faults. The real dispatcher and allocator run on a virtual clock against fake targets; naive, power of two choices and first in first out with credits run beside them on the same arrivals.

--- a/packages/core/include/agatebank/core/dispatcher.hpp
+++ b/packages/core/include/agatebank/core/dispatcher.hpp
@@ -156,6 +156,8 @@
     std::size_t waiting_tasks() const;
     /// @brief Waiting tasks of one caller, for its quota.
     std::size_t waiting_tasks(const caller_name& caller) const;
+    /// @brief Waiting tasks of one job.
+    std::size_t waiting_tasks(job_key job) const;
     std::size_t in_flight_tasks() const;
     bool is_ejected(agent_incarnation agent, time_point now) const;
     /// @brief Learned speed of a target relative to speed 1.
--- a/packages/core/include/agatebank/core/job_queue.hpp
+++ b/packages/core/include/agatebank/core/job_queue.hpp
@@ -67,6 +67,7 @@
         return size_;
     }
     std::size_t size(const service_name& service) const;
+    std::size_t size(job_key job) const;
 
   private:
     struct waiting_job
--- a/packages/core/src/credit_allocator.cpp
+++ b/packages/core/src/credit_allocator.cpp
@@ -23,7 +23,7 @@
 
 uint32_t credit_allocator::share::need() const
 {
-    return demand.in_flight + demand.queued;
+    return running + demand.queued;
 }
 
 credit_allocator::credit_allocator(uint32_t slots, uint32_t queue_allowance)
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -757,6 +757,11 @@
     return it == state_->waiting_of.end() ? 0 : it->second;
 }
 
+std::size_t dispatcher::waiting_tasks(job_key job) const
+{
+    return state_->queue.size(job);
+}
+
 std::size_t dispatcher::in_flight_tasks() const
 {
     return state_->in_flight;
--- a/packages/core/src/job_queue.cpp
+++ b/packages/core/src/job_queue.cpp
@@ -120,6 +120,12 @@
     return it == services_.end() ? 0 : it->second.size;
 }
 
+std::size_t job_queue::size(job_key job) const
+{
+    const auto it = jobs_.find(job);
+    return it == jobs_.end() ? 0 : it->second.tasks.size();
+}
+
 void job_queue::change_size(service_queue& queue, std::ptrdiff_t n)
 {
     queue.size += static_cast<std::size_t>(n);
--- /dev/null
+++ b/tools/experiment/main.cpp
@@ -0,0 +1,150 @@
+#include "measures.hpp"
+#include "report.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <cstdio>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <vector>
+
+/// @file
+/// Runs every version under every scenario of both sites and writes tables
+/// and plots.
+
+namespace
+{
+
+using namespace agatebank::experiment;
+namespace options = boost::program_options;
+
+struct settings
+{
+    std::string out;
+    std::string version;
+    std::string scenario;
+    std::string site;
+    bool quick = false;
+};
+
+struct report
+{
+    std::vector<run_measures> runs;
+    std::vector<std::pair<std::string, std::string>> plots; // file, SVG
+};
+
+bool wanted(const std::string& filter, const std::string& name)
+{
+    return filter.empty() || name.find(filter) != std::string::npos;
+}
+
+std::string file_name(const std::string& site, std::size_t scenario)
+{
+    return site + "-" + std::to_string(scenario) + ".svg";
+}
+
+report run_all(const settings& s)
+{
+    report out;
+    for (const auto& place : all_sites())
+    {
+        std::size_t number = 0;
+        for (const auto& sc : all_scenarios(s.quick))
+        {
+            ++number;
+            if (!wanted(s.site, place.name) || !wanted(s.scenario, sc.name))
+            {
+                continue;
+            }
+            std::vector<plot_line> lines;
+            for (const auto& version : all_versions())
+            {
+                if (wanted(s.version, version.name))
+                {
+                    const auto run = simulate(place, sc, version);
+                    out.runs.push_back(measure(place, sc, version, run));
+                    lines.push_back({version.name, answered_within(run)});
+                }
+            }
+            out.plots.emplace_back(
+                file_name(place.name, number),
+                to_svg(place.name + ", " + sc.name + ": class " +
+                           patience_classes.front().name +
+                           ", share of offered jobs answered",
+                       lines));
+        }
+    }
+    return out;
+}
+
+bool write_file(const std::filesystem::path& path, const std::string& text)
+{
+    std::ofstream os(path);
+    os << text;
+    os.close();
+    return !os.fail();
+}
+
+bool write_report(const settings& s, const report& r)
+{
+    const std::filesystem::path folder(s.out);
+    std::filesystem::create_directories(folder);
+    bool ok = write_file(folder / "policy.csv", to_csv(r.runs));
+    ok &= write_file(folder / "policy.md",
+                     "# Policy under load and faults\n\n"
+                     "Written by `make experiment`; the columns are explained "
+                     "in `README.md`.\n" +
+                         to_markdown(r.runs));
+    for (const auto& [name, svg] : r.plots)
+    {
+        ok &= write_file(folder / name, svg);
+    }
+    return ok;
+}
+
+int run(int argc, char** argv)
+{
+    settings s;
+    options::options_description known("experiment");
+    known.add_options()("help", "show this text")(
+        "out", options::value(&s.out), "folder to write; none: print only")(
+        "site", options::value(&s.site), "only sites with this in the name")(
+        "scenario", options::value(&s.scenario),
+        "only scenarios with this in the name")(
+        "version", options::value(&s.version),
+        "only versions with this in the name")(
+        "quick", options::bool_switch(&s.quick), "shorter runs");
+    options::variables_map given;
+    options::store(options::parse_command_line(argc, argv, known), given);
+    options::notify(given);
+    if (given.count("help") != 0)
+    {
+        std::cout << known;
+        return 0;
+    }
+    const auto r = run_all(s);
+    if (s.out.empty())
+    {
+        std::cout << to_markdown(r.runs);
+        return 0;
+    }
+    return write_report(s, r) ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return run(argc, argv);
+    }
+    catch (const std::exception& e)
+    {
+        std::fprintf(stderr, "experiment: %s\n", e.what());
+        return 2;
+    }
+}
--- /dev/null
+++ b/tools/experiment/policies.cpp
@@ -0,0 +1,378 @@
+#include "policies.hpp"
+
+#include "workload.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace agatebank::experiment
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration naive_retry_pause = 10ms;
+
+// The real decision code.
+class design_policy : public entry_policy
+{
+  public:
+    explicit design_policy(const dispatch_options& options)
+        : dispatcher_(options)
+    {
+    }
+    void put_target(const target_offer& offer, time_point now) override
+    {
+        dispatcher_.put_target(offer, now);
+    }
+    void set_grant(agent_incarnation agent, unsigned grant) override
+    {
+        dispatcher_.set_grant(agent, grant);
+    }
+    std::vector<task_ref> remove_target(agent_incarnation agent) override
+    {
+        return dispatcher_.remove_target(agent);
+    }
+    admission admit(const job_request& job, time_point now) override
+    {
+        return dispatcher_.admit(job, now);
+    }
+    std::vector<assignment> remove_job(job_key job) override
+    {
+        return dispatcher_.remove_job(job);
+    }
+    void on_outcome(task_ref task, agent_incarnation agent,
+                    task_outcome outcome, duration run_time,
+                    time_point now) override
+    {
+        dispatcher_.on_outcome(task, agent, outcome, run_time, now);
+    }
+    void on_not_run(task_ref task, agent_incarnation agent,
+                    time_point now) override
+    {
+        dispatcher_.on_not_run(task, agent, now);
+    }
+    std::vector<assignment> assign(time_point now) override
+    {
+        return dispatcher_.assign(now);
+    }
+    std::vector<job_key> overdue(time_point now) const override
+    {
+        return dispatcher_.overdue(now);
+    }
+    demand_report demand(agent_incarnation agent, time_point now) const override
+    {
+        return dispatcher_.demand(agent, now);
+    }
+    std::size_t waiting_tasks() const override
+    {
+        return dispatcher_.waiting_tasks();
+    }
+    bool is_waiting(job_key job) const override
+    {
+        return dispatcher_.waiting_tasks(job) > 0;
+    }
+
+  private:
+    dispatcher dispatcher_;
+};
+
+// What the simple versions share: a queue first in first out, everything
+// admitted, nothing learned. Derived classes choose the target.
+class simple_policy : public entry_policy
+{
+  public:
+    explicit simple_policy(const dispatch_options& options)
+        : random_(options.seed)
+    {
+    }
+    void put_target(const target_offer& offer, time_point) override
+    {
+        targets_[offer.agent].offer = offer;
+    }
+    void set_grant(agent_incarnation agent, unsigned grant) override
+    {
+        const auto it = targets_.find(agent);
+        if (it != targets_.end())
+        {
+            it->second.grant = grant;
+        }
+    }
+    std::vector<task_ref> remove_target(agent_incarnation agent) override
+    {
+        std::vector<task_ref> out;
+        const auto it = targets_.find(agent);
+        if (it != targets_.end())
+        {
+            out.assign(it->second.in_flight.begin(),
+                       it->second.in_flight.end());
+            targets_.erase(it);
+        }
+        return out;
+    }
+    admission admit(const job_request& job, time_point now) override
+    {
+        admission out;
+        out.deadline = now + job.wait;
+        jobs_[job.key] = {out.deadline, job.tasks.size(), job.tasks.size()};
+        deadlines_.insert({out.deadline, job.key});
+        for (uint32_t i = 0; i < job.tasks.size(); ++i)
+        {
+            queue_.push_back({now, {job.key, task_index(i)}});
+        }
+        return out;
+    }
+    std::vector<assignment> remove_job(job_key job) override
+    {
+        std::vector<assignment> out;
+        const auto it = jobs_.find(job);
+        if (it == jobs_.end())
+        {
+            return out;
+        }
+        for (const auto& [agent, target] : targets_)
+        {
+            auto task = target.in_flight.lower_bound({job, task_index(0)});
+            for (; task != target.in_flight.end() && task->job == job; ++task)
+            {
+                out.push_back({*task, agent, it->second.deadline});
+            }
+        }
+        std::erase_if(queue_, [&](const auto& w) { return w.task.job == job; });
+        deadlines_.erase({it->second.deadline, job});
+        jobs_.erase(it);
+        return out;
+    }
+    void on_outcome(task_ref task, agent_incarnation agent, task_outcome,
+                    duration, time_point) override
+    {
+        const auto target = targets_.find(agent);
+        if (target != targets_.end())
+        {
+            target->second.in_flight.erase(task);
+        }
+        const auto job = jobs_.find(task.job);
+        if (job != jobs_.end() && --job->second.unsettled == 0)
+        {
+            deadlines_.erase({job->second.deadline, task.job});
+        }
+    }
+    void on_not_run(task_ref task, agent_incarnation agent,
+                    time_point now) override
+    {
+        const auto target = targets_.find(agent);
+        if (target != targets_.end())
+        {
+            target->second.in_flight.erase(task);
+        }
+        const auto job = jobs_.find(task.job);
+        if (job != jobs_.end())
+        {
+            ++job->second.waiting;
+            queue_.push_back({now + naive_retry_pause, task});
+        }
+    }
+    std::vector<assignment> assign(time_point now) override
+    {
+        std::vector<assignment> out;
+        while (!queue_.empty() && queue_.front().not_before <= now)
+        {
+            const auto agent = choose();
+            if (!agent)
+            {
+                break;
+            }
+            const auto task = queue_.front().task;
+            queue_.pop_front();
+            auto& job = jobs_.at(task.job);
+            --job.waiting;
+            targets_.at(*agent).in_flight.insert(task);
+            out.push_back({task, *agent, job.deadline});
+        }
+        return out;
+    }
+    std::vector<job_key> overdue(time_point now) const override
+    {
+        std::vector<job_key> out;
+        for (const auto& [deadline, job] : deadlines_)
+        {
+            if (deadline > now)
+            {
+                break;
+            }
+            out.push_back(job);
+        }
+        return out;
+    }
+    demand_report demand(agent_incarnation agent, time_point) const override
+    {
+        demand_report out;
+        const auto it = targets_.find(agent);
+        if (it != targets_.end())
+        {
+            out.queued = static_cast<uint32_t>(queue_.size());
+            out.in_flight = static_cast<uint32_t>(it->second.in_flight.size());
+        }
+        return out;
+    }
+    std::size_t waiting_tasks() const override
+    {
+        return queue_.size();
+    }
+    bool is_waiting(job_key job) const override
+    {
+        const auto it = jobs_.find(job);
+        return it != jobs_.end() && it->second.waiting > 0;
+    }
+
+  protected:
+    struct known_target
+    {
+        target_offer offer;
+        unsigned grant = 0;
+        std::set<task_ref> in_flight;
+    };
+
+    virtual std::optional<agent_incarnation> choose() = 0;
+
+    std::optional<agent_incarnation> random_target()
+    {
+        if (targets_.empty())
+        {
+            return std::nullopt;
+        }
+        const auto last = static_cast<unsigned>(targets_.size()) - 1;
+        return std::next(targets_.begin(), random_.between(0, last))->first;
+    }
+
+    std::map<agent_incarnation, known_target> targets_;
+    random_source random_;
+
+  private:
+    struct job_state
+    {
+        time_point deadline;
+        std::size_t unsettled = 0;
+        std::size_t waiting = 0;
+    };
+    struct waiting_task
+    {
+        time_point not_before;
+        task_ref task;
+    };
+
+    std::deque<waiting_task> queue_;
+    std::map<job_key, job_state> jobs_;
+    std::set<std::pair<time_point, job_key>> deadlines_;
+};
+
+// Pushes each task to a random target.
+class naive_policy : public simple_policy
+{
+  public:
+    using simple_policy::simple_policy;
+
+  protected:
+    std::optional<agent_incarnation> choose() override
+    {
+        return random_target();
+    }
+};
+
+// Pushes each task to the one of two random targets with fewer of this
+// entry's starts.
+class two_choices_policy : public simple_policy
+{
+  public:
+    using simple_policy::simple_policy;
+
+  protected:
+    std::optional<agent_incarnation> choose() override
+    {
+        const auto a = random_target();
+        const auto b = random_target();
+        if (!a || !b)
+        {
+            return a;
+        }
+        return targets_.at(*b).in_flight.size() <
+                       targets_.at(*a).in_flight.size()
+                   ? b
+                   : a;
+    }
+};
+
+// Sends the oldest task to a random target with a free credit.
+class fifo_credits_policy : public simple_policy
+{
+  public:
+    using simple_policy::simple_policy;
+
+  protected:
+    std::optional<agent_incarnation> choose() override
+    {
+        std::vector<agent_incarnation> free;
+        for (const auto& [agent, t] : targets_)
+        {
+            if (t.in_flight.size() < t.grant)
+            {
+                free.push_back(agent);
+            }
+        }
+        if (free.empty())
+        {
+            return std::nullopt;
+        }
+        const auto last = static_cast<unsigned>(free.size()) - 1;
+        return free[random_.between(0, last)];
+    }
+};
+
+template <class Policy>
+std::unique_ptr<entry_policy> make_policy(const dispatch_options& options)
+{
+    return std::make_unique<Policy>(options);
+}
+
+} // namespace
+
+policy_version design_version()
+{
+    return {"design", true, agent_queue::bounded,      0,
+            true,     {},   make_policy<design_policy>};
+}
+
+std::vector<policy_version> all_versions()
+{
+    return {
+        {"naive",
+         false,
+         agent_queue::none,
+         0,
+         true,
+         {},
+         make_policy<naive_policy>},
+        {"two-choices",
+         false,
+         agent_queue::unbounded,
+         0,
+         true,
+         {},
+         make_policy<two_choices_policy>},
+        {"fifo-credits",
+         true,
+         agent_queue::bounded,
+         0,
+         true,
+         {},
+         make_policy<fifo_credits_policy>},
+        design_version(),
+    };
+}
+
+} // namespace agatebank::experiment
