agent: leave only after every entry gave up its credits; bound what is kept

Cause: an idle agent left at once, so a start on its way was lost and its job had to be marked 'may have run'. A gather reply could pass the longest frame, and floors of lost entries were kept without end. Announcements are not authenticated and were taken from any machine. Ruled out: a fixed wait before leaving; it is either too short or wasted. Change: the stop ends when the zero grants are confirmed; max_gather_bytes, max_lost_entries; announcements only from this machine.

--- a/packages/agent/include/agatebank/agent/agent_process.hpp
+++ b/packages/agent/include/agatebank/agent/agent_process.hpp
@@ -107,6 +107,7 @@
 
     // target
     void add_routes();
+    bool is_beside(const std::string& peer) const;
     void on_announcement(const http_request& rq, const http_responder& respond);
     void on_goodbye(const http_request& rq, const http_responder& respond);
     void watch_announcements();
--- a/packages/agent/include/agatebank/agent/agent_settings.hpp
+++ b/packages/agent/include/agatebank/agent/agent_settings.hpp
@@ -32,6 +32,10 @@
     duration stop_delivery = std::chrono::seconds(5);
     /// longest answer of a target
     std::size_t max_answer_bytes = 8U << 20U;
+    /// answers in one reply to an entry that gathers
+    std::size_t max_gather_bytes = 12U << 20U;
+    /// lost entries whose floor is remembered
+    std::size_t max_lost_entries = 4096;
     /// tracked starts of one entry
     std::size_t max_records = 1U << 18U;
     /// gathered submissions that are fenced at once
--- a/packages/agent/include/agatebank/agent/start_board.hpp
+++ b/packages/agent/include/agatebank/agent/start_board.hpp
@@ -97,6 +97,7 @@
     /// @brief Unfinished starts of one entry.
     std::size_t unfinished(entry_incarnation entry) const;
     bool has_reports(entry_incarnation entry) const;
+    std::size_t known_entries() const noexcept;
 
   private:
     struct entry_starts
@@ -109,6 +110,7 @@
     entry_starts& starts_of(entry_incarnation entry);
     const entry_starts* find(entry_incarnation entry) const;
     void drop_settled_queue();
+    void forget_entries();
 
     agent_incarnation self_;
     agent_limits limits_;
--- a/packages/agent/include/agatebank/agent/start_ledger.hpp
+++ b/packages/agent/include/agatebank/agent/start_ledger.hpp
@@ -42,6 +42,9 @@
     ignored    ///< the ledger is full; nothing is recorded or reported
 };
 
+/// @brief The word of a verdict, such as "accepted".
+const char* to_word(start_verdict verdict) noexcept;
+
 /// @brief What an agent holds of one submission.
 struct held_starts
 {
@@ -84,8 +87,9 @@
 
     // gathering
     /// @brief Fences what has not begun of a submission, now and later.
+    /// @param max_bytes of answers; a report beyond it is left out
     /// @return what is held of it
-    held_starts gather(const submission_id& submission);
+    held_starts gather(const submission_id& submission, std::size_t max_bytes);
     /// @brief Ends the fence of a gathered submission.
     void release_gathered(const submission_id& submission);
 
@@ -109,6 +113,8 @@
     /// @brief The lowest sequence above all that are tracked or settled.
     start_sequence ceiling() const noexcept;
     std::vector<start_sequence> queued_starts() const;
+    /// @brief Submissions that are fenced.
+    std::size_t gathered() const noexcept;
 
   private:
     enum class state : uint8_t
--- a/packages/agent/src/agent_process.cpp
+++ b/packages/agent/src/agent_process.cpp
@@ -302,7 +302,8 @@
         }
         else if (verdict != start_verdict::known)
         {
-            record_start(event_kind::start_refused, submission, task, s.name);
+            record_start(event_kind::start_refused, submission, task, s.name,
+                         to_word(verdict));
         }
     }
     begin_runs();
@@ -315,6 +316,7 @@
                         {m.queued, m.in_flight, duration(m.least_slack_us)});
     credits_.confirm(entry, m.grant_version, m.in_flight);
     update_credits();
+    finish_stop();
 }
 
 void agent_process::on_configuration(std::size_t at,
@@ -337,8 +339,12 @@
     {
         return;
     }
-    record_start(event_kind::gather_began, m.submission, task_index(),
-                 sessions_[at].name);
+    event e;
+    e.kind = event_kind::gather_began;
+    e.submission = submission_word(m.submission);
+    e.target = settings_.target.value();
+    e.peer = sessions_[at].name;
+    events_.record(std::move(e));
     schedule_expiry();
     schedule_flush();
     hub_.send(sessions_[at].link,
@@ -357,9 +363,22 @@
                 { on_goodbye(rq, respond); });
 }
 
+// Announcements are not authenticated, so they must come from this machine.
+bool agent_process::is_beside(const std::string& peer) const
+{
+    return is_loopback(peer) || peer == settings_.http.address;
+}
+
 void agent_process::on_announcement(const http_request& rq,
                                     const http_responder& respond)
 {
+    if (!is_beside(rq.peer))
+    {
+        respond(problem_response(
+            403, {make_error_code(errc::forbidden), step_announce, rq.peer, {}},
+            run_fate::not_run));
+        return;
+    }
     auto a = parse_announcement(rq.body, rq.peer);
     if (!a)
     {
@@ -383,7 +402,7 @@
 void agent_process::on_goodbye(const http_request& rq,
                                const http_responder& respond)
 {
-    if (gate_.withdraw())
+    if (is_beside(rq.peer) && gate_.withdraw())
     {
         record(event_kind::target_withdrawn, rq.peer, "goodbye");
         on_target_changed();
@@ -481,7 +500,6 @@
 void agent_process::flush()
 {
     flush_pending_ = false;
-    const auto report = gate_.report();
     const bool changed = std::exchange(target_changed_, false);
     for (const auto& s : sessions_)
     {
@@ -491,7 +509,7 @@
         }
         if (changed)
         {
-            hub_.send(s.link, report);
+            hub_.send(s.link, gate_.report());
         }
         send_reports(s);
     }
@@ -549,7 +567,9 @@
     {
         return;
     }
-    if (board_.unacknowledged() == 0)
+    // Until an entry has confirmed that it has no credits left, starts may
+    // be on their way here.
+    if (board_.unacknowledged() == 0 && credits_.committed() == 0)
     {
         end_stop();
         return;
--- a/packages/agent/src/start_board.cpp
+++ b/packages/agent/src/start_board.cpp
@@ -129,8 +129,10 @@
     {
         return it->second;
     }
+    // Lost until it connects: a gathered issuer may never have.
     return entries_
-        .emplace(entry, entry_starts{start_ledger(self_, limits_.max_records)})
+        .emplace(entry,
+                 entry_starts{start_ledger(self_, limits_.max_records), true})
         .first->second;
 }
 
@@ -171,7 +173,8 @@
         return std::nullopt;
     }
     fenced_until_us_[submission] = now_us + limits_.gather_fence.count();
-    auto held = starts_of(submission.issuer).ledger.gather(submission);
+    auto held = starts_of(submission.issuer)
+                    .ledger.gather(submission, limits_.max_gather_bytes);
     drop_settled_queue();
     return held;
 }
@@ -209,9 +212,34 @@
         consider(it->second);
         ++it;
     }
+    forget_entries();
     return next;
 }
 
+// Bounds what is remembered of lost entries; the first lost go first.
+void start_board::forget_entries()
+{
+    std::vector<std::pair<int64_t, entry_incarnation>> lost;
+    for (const auto& [entry, starts] : entries_)
+    {
+        if (starts.lost && starts.ledger.size() == 0 &&
+            starts.ledger.gathered() == 0)
+        {
+            lost.emplace_back(starts.drop_at_us, entry);
+        }
+    }
+    if (lost.size() <= limits_.max_lost_entries)
+    {
+        return;
+    }
+    std::sort(lost.begin(), lost.end());
+    lost.resize(lost.size() - limits_.max_lost_entries);
+    for (const auto& it : lost)
+    {
+        entries_.erase(it.second);
+    }
+}
+
 // ----- reports -----
 
 std::vector<start_report> start_board::take_reports(entry_incarnation entry,
@@ -281,4 +309,9 @@
     return starts != nullptr && starts->ledger.has_reports();
 }
 
+std::size_t start_board::known_entries() const noexcept
+{
+    return entries_.size();
+}
+
 } // namespace agatebank
--- a/packages/agent/src/start_ledger.cpp
+++ b/packages/agent/src/start_ledger.cpp
@@ -18,6 +18,26 @@
 
 } // namespace
 
+const char* to_word(start_verdict verdict) noexcept
+{
+    switch (verdict)
+    {
+    case start_verdict::accepted:
+        return "accepted";
+    case start_verdict::known:
+        return "known";
+    case start_verdict::refused:
+        return "refused";
+    case start_verdict::stale:
+        return "stale";
+    case start_verdict::misplaced:
+        return "misplaced";
+    case start_verdict::ignored:
+        return "ignored";
+    }
+    return "";
+}
+
 start_ledger::start_ledger(agent_incarnation self, std::size_t max_records)
     : self_(self), max_records_(max_records)
 {
@@ -188,10 +208,12 @@
 
 // ----- gathering -----
 
-held_starts start_ledger::gather(const submission_id& submission)
+held_starts start_ledger::gather(const submission_id& submission,
+                                 std::size_t max_bytes)
 {
     gathered_.insert(submission);
     held_starts out;
+    std::size_t bytes = 0;
     for (auto& [sequence, r] : records_)
     {
         if (r.submission != submission)
@@ -207,6 +229,11 @@
             ++out.running;
             continue;
         }
+        bytes += r.body.size();
+        if (bytes > max_bytes)
+        {
+            continue;
+        }
         out.reported.push_back({r.task, r.job_tasks, r.patience, r.job_price,
                                 to_report(sequence, r)});
     }
@@ -317,6 +344,11 @@
     return ceiling_;
 }
 
+std::size_t start_ledger::gathered() const noexcept
+{
+    return gathered_.size();
+}
+
 std::vector<start_sequence> start_ledger::queued_starts() const
 {
     std::vector<start_sequence> out;
--- /dev/null
+++ b/packages/agent/tests/unit-start_board.cpp
@@ -0,0 +1,227 @@
+#include <agatebank/agent/start_board.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+#include <set>
+
+using namespace agatebank;
+
+namespace
+{
+
+const agent_incarnation self(7);
+const entry_incarnation first(1);
+const start_gate open_gate = [](const start_order&)
+{
+    return static_cast<const start_refusal*>(nullptr);
+};
+
+start_order make_order(entry_incarnation entry, uint64_t sequence)
+{
+    start_order o;
+    o.sequence = start_sequence(sequence);
+    o.agent = self;
+    o.submission = {entry, submission_sequence(sequence),
+                    std::chrono::seconds(600)};
+    return o;
+}
+
+run_result answer()
+{
+    run_result r;
+    r.kind = report_kind::answered;
+    return r;
+}
+
+// A board, what an observer saw of it, and a clock of whole seconds.
+struct observed_board
+{
+    agent_limits limits;
+    start_board board{self, limits};
+    std::map<start_key, int> begun;
+    std::set<start_key> in_run;
+    std::set<start_key> said_not_run;
+    int64_t now_us = 1;
+
+    void apply(uint32_t n)
+    {
+        const entry_incarnation entry(1 + n / 10 % 2);
+        const uint64_t sequence = 1 + n / 20 % 16;
+        const start_key key{entry, start_sequence(sequence)};
+        switch (n % 10)
+        {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+            board.on_entry_connected(entry);
+            board.on_order(entry, make_order(entry, sequence), now_us,
+                           open_gate);
+            break;
+        case 4:
+        case 5:
+            if (in_run.erase(key) != 0)
+            {
+                board.on_run_ended(key, answer());
+            }
+            break;
+        case 6:
+            board.on_cancel(entry, {{start_sequence(sequence)}});
+            break;
+        case 7:
+            board.on_acknowledgement(entry, {start_sequence(sequence / 4)});
+            break;
+        case 8:
+            board.on_entry_lost(entry, now_us);
+            now_us += 40'000'000;
+            board.expire(now_us);
+            break;
+        default:
+            board.set_capacity(static_cast<uint32_t>(sequence % 4),
+                               static_cast<uint32_t>(sequence / 4 % 3));
+        }
+        observe(entry);
+    }
+
+    void observe(entry_incarnation entry)
+    {
+        const auto before = board.running();
+        for (const auto& it : board.take_runnable(now_us))
+        {
+            RC_ASSERT(++begun[it.key] == 1);
+            RC_ASSERT(said_not_run.count(it.key) == 0U);
+            in_run.insert(it.key);
+        }
+        RC_ASSERT(board.running() == in_run.size());
+        RC_ASSERT(board.running() <=
+                  std::max<std::size_t>(before, board.slots()));
+        for (const auto& r : board.take_reports(entry, 1 << 20))
+        {
+            const start_key key{entry, r.sequence};
+            if (r.kind == report_kind::not_run)
+            {
+                RC_ASSERT(begun[key] == 0);
+                said_not_run.insert(key);
+            }
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("start_board: holds under any order of events of two entries")
+{
+    rc::prop("slots are kept and a start runs at most once",
+             [](const std::vector<uint32_t>& numbers)
+             {
+                 observed_board b;
+                 b.board.set_capacity(2, 1);
+                 for (const auto n : numbers)
+                 {
+                     b.apply(n);
+                 }
+             });
+}
+
+TEST_CASE("start_board: starts beyond slots and queue are refused")
+{
+    struct row
+    {
+        const char* name;
+        uint32_t slots;
+        uint32_t allowance;
+        std::size_t running;
+        std::size_t queued;
+    };
+    const row rows[] = {{"no queue", 2, 0, 2, 0},
+                        {"queue of one", 2, 1, 2, 1},
+                        {"queue of two", 2, 2, 2, 2},
+                        {"no slots", 0, 0, 0, 0}};
+    for (const auto& r : rows)
+    {
+        SECTION(r.name)
+        {
+            start_board board(self, {});
+            board.set_capacity(r.slots, r.allowance);
+            board.on_entry_connected(first);
+            for (uint64_t n = 1; n <= 5; ++n)
+            {
+                board.on_order(first, make_order(first, n), 1, open_gate);
+            }
+            CHECK(board.take_runnable(1).size() == r.running);
+            CHECK(board.queued() == r.queued);
+            CHECK(board.take_reports(first, 1 << 20).size() ==
+                  5 - r.running - r.queued);
+        }
+    }
+}
+
+TEST_CASE("start_board: a queued start past its deadline is not begun")
+{
+    start_board board(self, {});
+    board.set_capacity(1, 1);
+    board.on_entry_connected(first);
+    auto late = make_order(first, 2);
+    late.deadline_us = 50;
+    board.on_order(first, make_order(first, 1), 1, open_gate);
+    CHECK(board.take_runnable(1).size() == 1);
+    board.on_order(first, late, 1, open_gate);
+    board.on_run_ended({first, start_sequence(1)}, answer());
+    CHECK(board.take_runnable(50).empty());
+    const auto reports = board.take_reports(first, 1 << 20);
+    REQUIRE(reports.size() == 2);
+    CHECK(reports[1].error == static_cast<int>(errc::start_past_deadline));
+}
+
+TEST_CASE("start_board: a lost entry that returns starts nothing again")
+{
+    const agent_limits limits;
+    start_board board(self, limits);
+    board.set_capacity(1, 1);
+    board.on_entry_connected(first);
+    board.on_order(first, make_order(first, 1), 1, open_gate);
+    CHECK(board.take_runnable(1).size() == 1);
+    board.on_order(first, make_order(first, 2), 1, open_gate);
+    board.on_run_ended({first, start_sequence(1)}, answer());
+
+    board.on_entry_lost(first, 1);
+    CHECK(board.take_runnable(1).empty());
+    const auto held = board.gather(make_order(first, 1).submission, 1);
+    REQUIRE(held);
+    REQUIRE(held->reported.size() == 1);
+    CHECK(held->reported[0].report.kind == report_kind::answered);
+
+    board.expire(1 + limits.held_answers.count());
+    CHECK(board.tracked() == 0);
+    board.on_entry_connected(first);
+    CHECK(board.on_order(first, make_order(first, 1), 1, open_gate) ==
+          start_verdict::stale);
+    CHECK(board.on_order(first, make_order(first, 3), 1, open_gate) ==
+          start_verdict::accepted);
+}
+
+TEST_CASE("start_board: what is kept of gathered and lost is bounded")
+{
+    agent_limits limits;
+    limits.max_gather_fences = 2;
+    limits.max_lost_entries = 2;
+    start_board board(self, limits);
+    for (uint64_t n = 1; n <= 3; ++n)
+    {
+        const auto id = make_order(entry_incarnation(n), 1).submission;
+        CHECK(board.gather(id, 1).has_value() == (n <= 2));
+    }
+    auto now_us = 1 + limits.gather_fence.count();
+    CHECK(board.expire(1) == now_us);
+    for (uint64_t n = 3; n <= 6; ++n)
+    {
+        CHECK(board.expire(now_us) == 0);
+        const auto id = make_order(entry_incarnation(n), 1).submission;
+        CHECK(board.gather(id, now_us));
+        now_us += limits.gather_fence.count();
+    }
+    CHECK(board.expire(now_us) == 0);
+    CHECK(board.known_entries() == 2);
+}
--- a/packages/agent/tests/unit-start_ledger.cpp
+++ b/packages/agent/tests/unit-start_ledger.cpp
@@ -209,7 +209,7 @@
 
     void gather(uint64_t job)
     {
-        const auto held = ledger.gather(submission(job));
+        const auto held = ledger.gather(submission(job), 1 << 20);
         naive.gather(submission(job));
         for (const auto& it : held.reported)
         {
@@ -310,7 +310,7 @@
          [](start_ledger& l) { l.cancel(start_sequence(5)); }, nothing, nullptr,
          start_verdict::known, report_kind::not_run, errc::cancelled, 1},
         {"of a gathered submission",
-         [](start_ledger& l) { l.gather(submission(1)); }, nothing, nullptr,
+         [](start_ledger& l) { l.gather(submission(1), 1); }, nothing, nullptr,
          start_verdict::refused, report_kind::not_run, errc::entry_lost, 1},
         {"answered before",
          [](start_ledger& l)
--- /dev/null
+++ b/packages/agent/tests/unit-target_gate.cpp
@@ -0,0 +1,136 @@
+#include <agatebank/agent/target_gate.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace agatebank;
+
+namespace
+{
+
+const service_name pall("pall-booking");
+
+agent_configuration active(uint64_t version)
+{
+    return {config_version(version), true, target_state::active, {pall}, 4, 1};
+}
+
+target_gate open_gate()
+{
+    target_gate gate(target_name("t-1"));
+    gate.announce({{pall, service_name("other")}, 8, "http://127.0.0.1:1"});
+    gate.configure(active(5));
+    return gate;
+}
+
+} // namespace
+
+TEST_CASE("target_gate: takes work within announcement and configuration")
+{
+    const auto gate = open_gate();
+    CHECK(gate.refusal() == nullptr);
+    CHECK(gate.report().accepts_work);
+    CHECK(gate.report().slots == 4);
+    CHECK(gate.report().services == std::vector<service_name>{pall});
+    start_order order;
+    order.service = pall;
+    CHECK(gate.refusal(order) == nullptr);
+    order.service = service_name("other");
+    REQUIRE(gate.refusal(order) != nullptr);
+    CHECK(gate.refusal(order)->code == errc::service_unknown);
+}
+
+TEST_CASE("target_gate: what closes it")
+{
+    struct row
+    {
+        const char* name;
+        std::function<void(target_gate&)> change;
+        const char* step;
+    };
+    const auto configured = [](auto edit)
+    {
+        return [edit](target_gate& gate)
+        {
+            auto c = active(6);
+            edit(c);
+            CHECK(gate.configure(c));
+        };
+    };
+    const row rows[] = {
+        {"withdrawn", [](target_gate& g) { CHECK(g.withdraw()); },
+         "agent.target_withdrawn"},
+        {"draining",
+         configured([](auto& c) { c.state = target_state::draining; }),
+         "agent.draining"},
+        {"stopped",
+         configured([](auto& c) { c.state = target_state::stopped; }),
+         "agent.draining"},
+        {"removed", configured([](auto& c) { c.in_inventory = false; }),
+         "agent.inventory"},
+        {"leaving", [](target_gate& g) { CHECK(g.leave()); }, "agent.leaving"},
+        {"no slots", configured([](auto& c) { c.slots = 0; }), nullptr},
+        {"no services", configured([](auto& c) { c.services.clear(); }),
+         nullptr},
+    };
+    for (const auto& r : rows)
+    {
+        SECTION(r.name)
+        {
+            auto gate = open_gate();
+            r.change(gate);
+            CHECK_FALSE(gate.report().accepts_work);
+            CHECK((gate.refusal() != nullptr) == (r.step != nullptr));
+            if (r.step != nullptr)
+            {
+                CHECK(std::string(gate.refusal()->step) == r.step);
+            }
+        }
+    }
+}
+
+TEST_CASE("target_gate: a version that is not higher changes nothing")
+{
+    auto gate = open_gate();
+    auto lower = active(4);
+    lower.state = target_state::stopped;
+    CHECK_FALSE(gate.configure(lower));
+    lower.version = config_version(5);
+    CHECK_FALSE(gate.configure(lower));
+    CHECK(gate.version() == config_version(5));
+    CHECK(gate.report().accepts_work);
+}
+
+TEST_CASE("target_gate: announcements are validated")
+{
+    struct row
+    {
+        const char* text;
+        const char* error;
+    };
+    const row rows[] = {
+        {R"({"services":["a"],"slots":8,"url":"http://127.0.0.1:1/"})", ""},
+        {R"({"services":[],"slots":8,"url":"http://127.0.0.1:1"})",
+         "at /services: found 0 services, expected 1 to 64 services"},
+        {R"({"services":["a",""],"slots":8,"url":"http://127.0.0.1:1"})",
+         "at /services/1: found 0 bytes, expected 1 to 128 bytes"},
+        {R"({"services":["a"],"slots":0,"url":"http://127.0.0.1:1"})",
+         "at /slots: found 0, expected a whole number from 1 to 512"},
+        {R"({"services":["a"],"slots":8,"url":"ftp://127.0.0.1"})",
+         "at /url: found \"ftp://127.0.0.1\", expected an http URL"},
+        {R"({"services":["a"],"slots":8,"url":"http://127.0.0.1:1","x":1})",
+         "at /x: found an unknown field, expected no such field"},
+    };
+    for (const auto& r : rows)
+    {
+        SECTION(r.text)
+        {
+            const auto got = parse_announcement(r.text, "target");
+            CHECK((got ? std::string() : got.error().detail) == r.error);
+            if (got)
+            {
+                CHECK(got->url == "http://127.0.0.1:1");
+            }
+        }
+    }
+    CHECK_FALSE(parse_announcement("{", "target"));
+}
