core: fewer credit messages

Cause: 4.35 control messages per start at 80 % (Kitami): grants were evened out at each change of demand, and a queue that filled and drained told every agent twice.

--- a/packages/core/include/agatebank/core/credit_allocator.hpp
+++ b/packages/core/include/agatebank/core/credit_allocator.hpp
@@ -90,16 +90,22 @@
         std::vector<slot_grant> usable; ///< confirmed one first, then later
         uint32_t running = 0;           ///< unanswered at the confirmation
         demand_report demand;
+        uint32_t peak_need = 0; ///< largest of late
+        time_point peak_at;
 
         uint32_t credits() const;
         uint32_t exposure() const;
         uint32_t need() const;
+        void update_peak(time_point now);
     };
     using share_map = std::map<entry_incarnation, share>;
     using plan = std::map<entry_incarnation, uint32_t>;
 
     uint32_t capacity() const;
     plan desired() const;
+    bool move_one(plan& out, uint32_t& spare, bool to_even_share) const;
+    plan::iterator fewest(plan& out, bool in_need, uint32_t limit) const;
+    plan::iterator largest_surplus(plan& out, bool of_peak) const;
     void grant(entry_incarnation entry, share& s, uint32_t credits);
 
     uint32_t slots_;
--- a/packages/core/src/credit_allocator.cpp
+++ b/packages/core/src/credit_allocator.cpp
@@ -1,11 +1,21 @@
 #include <agatebank/core/credit_allocator.hpp>
 
 #include <algorithm>
-#include <tuple>
+#include <chrono>
+#include <utility>
 
 namespace agatebank
 {
 
+namespace
+{
+
+// Time for which an entry's largest need keeps its credits from being evened
+// out.
+constexpr duration peak_hold = std::chrono::milliseconds(500);
+
+} // namespace
+
 uint32_t credit_allocator::share::credits() const
 {
     return usable.empty() ? 0 : usable.back().credits;
@@ -104,9 +114,13 @@
     queue_allowance_ = queue_allowance;
 }
 
-std::vector<slot_grant> credit_allocator::rebalance(time_point)
+std::vector<slot_grant> credit_allocator::rebalance(time_point now)
 {
     std::vector<slot_grant> out;
+    for (auto& [entry, s] : shares_)
+    {
+        s.update_peak(now);
+    }
     const auto wanted = desired();
     for (auto& [entry, s] : shares_)
     {
@@ -131,40 +145,117 @@
     return out;
 }
 
+void credit_allocator::share::update_peak(time_point now)
+{
+    if (need() >= peak_need || now - peak_at > peak_hold)
+    {
+        peak_need = need();
+        peak_at = now;
+    }
+}
+
 uint32_t credit_allocator::capacity() const
 {
     const auto all = slots_ == 0 ? 0 : slots_ + queue_allowance_;
     return all > orphans_ ? all - orphans_ : 0;
 }
 
-// Hands out one credit after the other: first to entries in need, the one
-// with the fewest credits first, then evenly.
+// Starts from the credits that entries have and moves single credits: to
+// entries in need, then to those below an even share. Credits that nobody
+// needs stay where they are, so that a small change of demand costs nothing.
 credit_allocator::plan credit_allocator::desired() const
 {
     plan out;
+    uint32_t sum = 0;
     for (const auto& [entry, s] : shares_)
     {
-        out[entry] = 0;
+        out[entry] = s.credits();
+        sum += s.credits();
+    }
+    for (; sum > capacity(); --sum)
+    {
+        --largest_surplus(out, false)->second;
     }
-    for (uint32_t left = shares_.empty() ? 0 : capacity(); left > 0; --left)
+    auto spare = out.empty() ? 0 : capacity() - sum;
+    while (move_one(out, spare, false))
     {
-        const auto next =
-            std::min_element(out.begin(), out.end(),
-                             [&](const auto& a, const auto& b)
-                             {
-                                 const auto rank = [&](const auto& p)
-                                 {
-                                     const bool met =
-                                         p.second >= shares_.at(p.first).need();
-                                     return std::tuple(met, p.second, p.first);
-                                 };
-                                 return rank(a) < rank(b);
-                             });
-        ++next->second;
+    }
+    while (move_one(out, spare, true))
+    {
+    }
+    for (; spare > 0; --spare)
+    {
+        ++fewest(out, false, UINT32_MAX)->second;
     }
     return out;
 }
 
+// Moves one credit to the entry with the fewest that lacks one, from the
+// spare ones, from an entry that has more than it needs, or from one in need
+// that has two more. @return whether one was moved
+bool credit_allocator::move_one(plan& out, uint32_t& spare,
+                                bool to_even_share) const
+{
+    const auto even = capacity() / static_cast<uint32_t>(
+                                       std::max<std::size_t>(out.size(), 1));
+    const auto to = to_even_share ? fewest(out, false, even)
+                                  : fewest(out, true, UINT32_MAX);
+    if (to == out.end())
+    {
+        return false;
+    }
+    if (spare > 0)
+    {
+        --spare;
+        ++to->second;
+        return true;
+    }
+    const auto from = largest_surplus(out, to_even_share);
+    const auto& donor = shares_.at(from->first);
+    const auto kept = to_even_share ? std::max(donor.peak_need, even)
+                                    : std::min(donor.need(), to->second + 1);
+    if (from == to || from->second <= kept)
+    {
+        return false;
+    }
+    --from->second;
+    ++to->second;
+    return true;
+}
+
+// The entry with the fewest credits below a limit, or in need of one.
+credit_allocator::plan::iterator
+credit_allocator::fewest(plan& out, bool in_need, uint32_t limit) const
+{
+    auto best = out.end();
+    for (auto it = out.begin(); it != out.end(); ++it)
+    {
+        const bool lacks =
+            it->second < (in_need ? shares_.at(it->first).need() : limit);
+        if (lacks && (best == out.end() || it->second < best->second))
+        {
+            best = it;
+        }
+    }
+    return best;
+}
+
+// The entry with the most credits beyond its need; if none has any, the one
+// with the most credits.
+credit_allocator::plan::iterator
+credit_allocator::largest_surplus(plan& out, bool of_peak) const
+{
+    const auto rank = [&](const auto& it)
+    {
+        const auto& s = shares_.at(it.first);
+        const auto need = of_peak ? s.peak_need : s.need();
+        return std::pair(it.second > need ? it.second - need : 0, it.second);
+    };
+    return std::max_element(out.begin(), out.end(),
+                            [&](const auto& a, const auto& b)
+                            { return rank(a) < rank(b); });
+}
+
 void credit_allocator::grant(entry_incarnation entry, share& s,
                              uint32_t credits)
 {
