core: the shortest waits go first while every promise holds

Cause: at 120 % and after a burst the queue is full of long waits that have come near their latest start; by latest start alone they go ahead of fresh short ones, which were then refused or answered late. Change: the queue keeps both orders; the shortest wait goes first as long as the order of latest start could still keep every promise afterwards (slack of the backlog above 200 ms and one task). Longer waits leave a tenth of their wait free at admission. The look-ahead property still holds under the mixed order. Ruled out: latest start alone.

--- a/packages/core/include/agatebank/core/job_queue.hpp
+++ b/packages/core/include/agatebank/core/job_queue.hpp
@@ -9,29 +9,38 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 namespace agatebank
 {
 
-/// @brief Place of a job in the order of start: lower goes first.
+/// @brief Place of a job in the queue.
 struct queue_position
 {
     bool delayable = true; ///< false: ahead of all that may be delayed
+    duration wait{};       ///< paid
     time_point latest_start;
     job_key job;
 
     auto operator<=>(const queue_position&) const = default;
 };
 
+/// @brief Which waiting job goes first among those that may be delayed.
+enum class queue_order
+{
+    latest_start, ///< the one that must start soonest
+    patience      ///< the one with the shortest paid wait
+};
+
 /// @brief The waiting tasks of one entry, by service, in the order of their
 /// jobs: a job's tasks go together.
 ///
 /// @code
 /// job_queue queue;
 /// queue.add(service, position, {0, 1, 2});
-/// const auto first = queue.first(service); // position of the most urgent
+/// const auto first = queue.first(service, queue_order::latest_start);
 /// const auto task = queue.take(first->job);
 /// @endcode
 class job_queue
@@ -54,10 +63,12 @@
     // lookup
     /// @brief The most urgent job of a service with a waiting task.
     /// @complexity O(log s) for s services
-    std::optional<queue_position> first(const service_name& service) const;
+    std::optional<queue_position> first(const service_name& service,
+                                        queue_order order) const;
     /// @brief The next one after a position. @complexity O(log n)
     std::optional<queue_position> after(const service_name& service,
-                                        const queue_position& position) const;
+                                        const queue_position& position,
+                                        queue_order order) const;
     /// @brief The task that @ref take would give. @complexity O(1)
     std::optional<uint32_t> peek(job_key job) const;
     /// @brief Services that have waiting tasks.
@@ -76,10 +87,22 @@
         queue_position position;
         std::vector<uint32_t> tasks; ///< next one last
     };
+    struct starts_sooner
+    {
+        bool operator()(const queue_position& a, const queue_position& b) const
+        {
+            return std::tie(a.delayable, a.latest_start, a.job) <
+                   std::tie(b.delayable, b.latest_start, b.job);
+        }
+    };
     struct service_queue
     {
-        std::set<queue_position> order;
+        std::set<queue_position, starts_sooner> by_start;
+        std::set<queue_position> by_patience;
         std::size_t size = 0;
+
+        void insert(const queue_position& position);
+        void erase(const queue_position& position);
     };
 
     void change_size(service_queue& queue, std::ptrdiff_t n);
--- a/packages/core/include/agatebank/core/work_backlog.hpp
+++ b/packages/core/include/agatebank/core/work_backlog.hpp
@@ -45,6 +45,10 @@
     /// @param speed total speed of the slots, above 0 @complexity O(places)
     bool fits(const work_place& place, work extra, work in_flight, double speed,
               time_point now) const;
+    /// @brief Time left until work in the order of latest start would begin
+    /// late; negative when some already does. The largest value when nothing
+    /// waits. @complexity O(places)
+    duration slack(work in_flight, double speed, time_point now) const;
     work total() const noexcept
     {
         return total_;
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -28,6 +28,8 @@
 constexpr duration no_target_retry_after = 500ms;
 constexpr double least_speed_share = 0.05; // for the longest waits
 constexpr double speed_steps = 8;          // steps of speed in a factor of e
+constexpr duration order_margin = 200ms;   // slack that patience order leaves
+constexpr double admission_margin = 0.1;   // of the wait, but the shortest
 constexpr unsigned max_held_jobs = 32;     // looked past in one round
 
 // A start that has not been reported.
@@ -180,6 +182,7 @@
                         time_point now) const;
     bool is_dearest(const job_record& job, time_point now) const;
     assignment start(job_record& job, target_record& t, time_point now);
+    queue_order order_of(const service_name& service, time_point now) const;
     void assign_service(const service_name& service, time_point now,
                         std::vector<assignment>& out);
     bool end_start(task_ref task, target_record& t, start_record& ended);
@@ -307,7 +310,13 @@
         }
     }
     const double left = std::max(speed - taken, least_speed_share * speed);
-    const auto begins = now + time_for(ahead, left);
+    const auto margin =
+        is_dearest(job, now)
+            ? duration::zero()
+            : duration(static_cast<int64_t>(
+                  admission_margin *
+                  static_cast<double>(job.request.wait.count())));
+    const auto begins = now + time_for(ahead, left) + margin;
     if (begins <= job.place.latest_start)
     {
         return std::nullopt;
@@ -336,8 +345,10 @@
     const auto& service = job.request.service;
     services[service].waiting.add(job.place, sum_of(job.expected));
     waiting_of[job.request.caller] += job.expected.size();
-    queue.add(service, {job.place.delayable, job.place.latest_start, key},
-              longest_first(job.expected));
+    queue.add(
+        service,
+        {job.place.delayable, job.request.wait, job.place.latest_start, key},
+        longest_first(job.expected));
     deadlines.insert({job.deadline, key});
     jobs.emplace(key, std::move(job));
 }
@@ -456,12 +467,36 @@
     return {task, t.offer.agent, job.deadline};
 }
 
+// The shortest waits go first as long as all promises can still be kept by
+// the order of latest start afterwards.
+queue_order dispatcher::state::order_of(const service_name& service,
+                                        time_point now) const
+{
+    const double speed = total_speed(service, now);
+    if (speed <= 0)
+    {
+        return queue_order::latest_start;
+    }
+    duration task{};
+    if (const auto first = queue.first(service, queue_order::patience))
+    {
+        const auto& job = jobs.at(first->job);
+        task = job.expected[*queue.peek(first->job)].mean;
+    }
+    const auto slack =
+        services.at(service).waiting.slack(in_flight_work, speed, now);
+    return slack > order_margin + time_for(task, speed)
+               ? queue_order::patience
+               : queue_order::latest_start;
+}
+
 void dispatcher::state::assign_service(const service_name& service,
                                        time_point now,
                                        std::vector<assignment>& out)
 {
     unsigned held = 0;
-    auto next = queue.first(service);
+    auto order = order_of(service, now);
+    auto next = queue.first(service, order);
     while (next && held < max_held_jobs && !ready.empty())
     {
         auto& job = jobs.at(next->job);
@@ -470,13 +505,19 @@
         if (target == nullptr)
         {
             ++held;
-            next = queue.after(service, *next);
+            next = queue.after(service, *next, order);
             continue;
         }
         out.push_back(start(job, *target, now));
-        if (!queue.peek(next->job))
+        const auto changed = order_of(service, now);
+        if (changed != order)
+        {
+            order = changed;
+            next = queue.first(service, order);
+        }
+        else if (!queue.peek(next->job))
         {
-            next = queue.after(service, *next);
+            next = queue.after(service, *next, order);
         }
     }
 }
@@ -696,7 +737,9 @@
     std::vector<std::pair<queue_position, service_name>> heads;
     for (const auto& service : state_->queue.services())
     {
-        heads.emplace_back(*state_->queue.first(service), service);
+        heads.emplace_back(
+            *state_->queue.first(service, state_->order_of(service, now)),
+            service);
     }
     std::sort(heads.begin(), heads.end());
     for (const auto& [position, service] : heads)
@@ -737,7 +780,9 @@
     for (const auto& service : it->second.offer.services)
     {
         out.queued += static_cast<uint32_t>(state_->queue.size(service));
-        if (const auto first = state_->queue.first(service))
+        const auto first =
+            state_->queue.first(service, queue_order::latest_start);
+        if (first)
         {
             out.least_slack =
                 std::min(out.least_slack, first->latest_start - now);
--- a/packages/core/src/job_queue.cpp
+++ b/packages/core/src/job_queue.cpp
@@ -6,6 +6,18 @@
 namespace agatebank
 {
 
+void job_queue::service_queue::insert(const queue_position& position)
+{
+    by_start.insert(position);
+    by_patience.insert(position);
+}
+
+void job_queue::service_queue::erase(const queue_position& position)
+{
+    by_start.erase(position);
+    by_patience.erase(position);
+}
+
 void job_queue::add(const service_name& service, const queue_position& position,
                     std::vector<uint32_t> tasks)
 {
@@ -15,7 +27,7 @@
     }
     std::reverse(tasks.begin(), tasks.end());
     auto& queue = services_[service];
-    queue.order.insert(position);
+    queue.insert(position);
     change_size(queue, static_cast<std::ptrdiff_t>(tasks.size()));
     jobs_[position.job] = {service, position, std::move(tasks)};
 }
@@ -33,7 +45,7 @@
     change_size(queue, -1);
     if (it->second.tasks.empty())
     {
-        queue.order.erase(it->second.position);
+        queue.erase(it->second.position);
     }
     return task;
 }
@@ -47,7 +59,7 @@
     }
     auto& queue = services_.at(it->second.service);
     it->second.tasks.push_back(task);
-    queue.order.insert(it->second.position);
+    queue.insert(it->second.position);
     change_size(queue, 1);
     return true;
 }
@@ -61,34 +73,40 @@
     }
     auto tasks = std::move(it->second.tasks);
     auto& queue = services_.at(it->second.service);
-    queue.order.erase(it->second.position);
+    queue.erase(it->second.position);
     change_size(queue, -static_cast<std::ptrdiff_t>(tasks.size()));
     jobs_.erase(it);
     return tasks;
 }
 
-std::optional<queue_position>
-job_queue::first(const service_name& service) const
+std::optional<queue_position> job_queue::first(const service_name& service,
+                                               queue_order order) const
 {
     const auto it = services_.find(service);
-    if (it == services_.end() || it->second.order.empty())
+    if (it == services_.end() || it->second.by_start.empty())
     {
         return std::nullopt;
     }
-    return *it->second.order.begin();
+    return order == queue_order::latest_start ? *it->second.by_start.begin()
+                                              : *it->second.by_patience.begin();
 }
 
-std::optional<queue_position>
-job_queue::after(const service_name& service,
-                 const queue_position& position) const
+std::optional<queue_position> job_queue::after(const service_name& service,
+                                               const queue_position& position,
+                                               queue_order order) const
 {
     const auto it = services_.find(service);
     if (it == services_.end())
     {
         return std::nullopt;
     }
-    const auto next = it->second.order.upper_bound(position);
-    return next == it->second.order.end() ? std::nullopt : std::optional(*next);
+    const auto next_in = [&](const auto& set)
+    {
+        const auto next = set.upper_bound(position);
+        return next == set.end() ? std::nullopt : std::optional(*next);
+    };
+    return order == queue_order::latest_start ? next_in(it->second.by_start)
+                                              : next_in(it->second.by_patience);
 }
 
 std::optional<uint32_t> job_queue::peek(job_key job) const
--- a/packages/core/src/work_backlog.cpp
+++ b/packages/core/src/work_backlog.cpp
@@ -64,6 +64,18 @@
     return sum;
 }
 
+duration work_backlog::slack(work in_flight, double speed, time_point now) const
+{
+    auto least = duration::max();
+    work sum = in_flight;
+    for (const auto& [at, amount] : places_)
+    {
+        sum += amount;
+        least = std::min(least, at.latest_start - now - time_for(sum, speed));
+    }
+    return least;
+}
+
 bool work_backlog::fits(const work_place& place, work extra, work in_flight,
                         double speed, time_point now) const
 {
