core: keep the last fast credit for the shortest wait

Cause: at 95 and 120 % the fastest targets are full of patient tasks when a dear one comes; it waits for one to end. Change: while every promise holds, patient tasks leave the last free credit of the fastest targets (if the entry has at least four there) to the shortest wait. Near a promise nothing is kept, so admission's model is unchanged.

--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <numeric>
 #include <set>
@@ -30,7 +31,10 @@
 constexpr double speed_steps = 8;          // steps of speed in a factor of e
 constexpr duration order_margin = 200ms;   // slack that patience order leaves
 constexpr double admission_margin = 0.1;   // of the wait, but the shortest
-constexpr unsigned max_held_jobs = 32;     // looked past in one round
+constexpr int equal_speed_steps = 2;       // taken for the same speed
+constexpr unsigned kept_credits = 1;       // of the fastest targets
+constexpr unsigned least_credits_to_keep = 4;
+constexpr unsigned max_held_jobs = 32; // looked past in one round
 
 // A start that has not been reported.
 struct start_record
@@ -101,6 +105,14 @@
     offered_load offered;
 };
 
+// The fastest targets of a service.
+struct fastest_group
+{
+    int least_step = std::numeric_limits<int>::min() / 2;
+    unsigned credits = 0;
+    unsigned free = 0;
+};
+
 // Order of the targets with free credits: slowest first.
 using ready_key = std::pair<int, agent_incarnation>;
 
@@ -173,10 +185,11 @@
 
     // starts
     target_record* choose(const job_record& job, uint32_t task, unsigned held,
-                          time_point now);
+                          queue_order order, time_point now);
     target_record* fastest(const job_record& job, time_point now);
+    fastest_group fastest_targets(const service_name& service) const;
     target_record* slowest_in_time(const job_record& job, uint32_t task,
-                                   time_point now);
+                                   queue_order order, time_point now);
     bool better_to_wait(const job_record& job, uint32_t task,
                         const target_record& best, unsigned held,
                         time_point now) const;
@@ -379,16 +392,46 @@
     return nullptr;
 }
 
+// The fastest targets of a service, of nearly equal speed.
+fastest_group
+dispatcher::state::fastest_targets(const service_name& service) const
+{
+    fastest_group out;
+    for (const auto& [agent, t] : targets)
+    {
+        if (!t.serves(service) || t.speed_step < out.least_step)
+        {
+            continue;
+        }
+        if (t.speed_step > out.least_step + equal_speed_steps)
+        {
+            out = {t.speed_step - equal_speed_steps, 0, 0};
+        }
+        const auto used = static_cast<unsigned>(t.in_flight.size());
+        out.credits += t.grant;
+        out.free += t.grant > used ? t.grant - used : 0;
+    }
+    return out;
+}
+
 // The slowest target on which nearly every such task ends in time; leaves
-// the fast ones to those who pay for them.
+// the fast ones to those who pay for them. While all promises hold, the last
+// free credit of the fastest targets is kept for the shortest wait.
 target_record* dispatcher::state::slowest_in_time(const job_record& job,
-                                                  uint32_t task, time_point now)
-{
+                                                  uint32_t task,
+                                                  queue_order order,
+                                                  time_point now)
+{
+    const auto top = fastest_targets(job.request.service);
+    const bool keep = order == queue_order::patience &&
+                      top.credits >= least_credits_to_keep &&
+                      top.free <= kept_credits;
     target_record* last = nullptr;
     for (const auto& [step, agent] : ready)
     {
         auto& t = targets.at(agent);
-        if (!may_start(t, job.request.service, now))
+        if (!may_start(t, job.request.service, now) ||
+            (keep && step >= top.least_step))
         {
             continue;
         }
@@ -432,11 +475,12 @@
 }
 
 target_record* dispatcher::state::choose(const job_record& job, uint32_t task,
-                                         unsigned held, time_point now)
+                                         unsigned held, queue_order order,
+                                         time_point now)
 {
     if (!is_dearest(job, now))
     {
-        return slowest_in_time(job, task, now);
+        return slowest_in_time(job, task, order, now);
     }
     auto* best = fastest(job, now);
     if (best != nullptr && better_to_wait(job, task, *best, held, now))
@@ -501,7 +545,7 @@
     {
         auto& job = jobs.at(next->job);
         const auto task = queue.peek(next->job);
-        auto* target = task ? choose(job, *task, held, now) : nullptr;
+        auto* target = task ? choose(job, *task, held, order, now) : nullptr;
         if (target == nullptr)
         {
             ++held;
