--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Developer chores over CMake.
 JOBS ?= $(shell nproc)
 
-.PHONY: all install-packages configure build check format format-check lint \
+.PHONY: all install-packages configure build check demo format format-check lint \
     clean
 
 all: build
@@ -22,6 +22,11 @@
 check: build
 	@scripts/check.sh
 
+## demo: run the main job of an example (EXAMPLE=pall-cloth, ticket-office)
+EXAMPLE ?= pall-cloth
+demo: build
+	@scripts/demo.sh $(EXAMPLE)
+
 ## format: format all sources
 format:
 	@scripts/format.sh
--- a/packages/daemon/include/agatebank/daemon/process_runtime.hpp
+++ b/packages/daemon/include/agatebank/daemon/process_runtime.hpp
@@ -57,9 +57,8 @@
     static uint64_t random_number();
 
   private:
-    process_runtime(
-        const runtime_settings& settings, std::string key,
-        std::unique_ptr<json_log> log);
+    process_runtime(const runtime_settings& settings, std::string key,
+                    std::unique_ptr<json_log> log);
 
     void on_stop_signal(const stopper& begin_stop);
 
--- a/packages/daemon/src/command_line.cpp
+++ b/packages/daemon/src/command_line.cpp
@@ -19,8 +19,8 @@
     po::options_description options("Options");
     options.add_options()("config", po::value<std::string>(), "settings file")(
         "check", "validate the settings and exit")(
-        "help", "print this text and exit")(
-        "version", "print the version and exit");
+        "help", "print this text and exit")("version",
+                                            "print the version and exit");
     return options;
 }
 
@@ -34,9 +34,8 @@
     {
         return daemon_role::agent;
     }
-    return fail(
-        errc::settings_invalid, step_command, {},
-        "found \"" + word + "\", expected entry or agent");
+    return fail(errc::settings_invalid, step_command, {},
+                "found \"" + word + "\", expected entry or agent");
 }
 
 } // namespace
@@ -51,12 +50,11 @@
     po::variables_map values;
     try
     {
-        po::store(
-            po::command_line_parser(argc, argv)
-                .options(all)
-                .positional(positions)
-                .run(),
-            values);
+        po::store(po::command_line_parser(argc, argv)
+                      .options(all)
+                      .positional(positions)
+                      .run(),
+                  values);
     }
     catch (const po::error& e)
     {
@@ -72,9 +70,8 @@
     }
     if (values.count("role") == 0 || values.count("config") == 0)
     {
-        return fail(
-            errc::settings_invalid, step_command, {},
-            "expected a role and --config FILE");
+        return fail(errc::settings_invalid, step_command, {},
+                    "expected a role and --config FILE");
     }
     const auto role = parse_role(values["role"].as<std::string>());
     if (!role)
--- a/packages/daemon/src/entry_metrics.cpp
+++ b/packages/daemon/src/entry_metrics.cpp
@@ -16,42 +16,89 @@
     const auto& jobs = entry.jobs();
     const row rows[] = {
         {"agatebank_jobs_admitted", "Jobs admitted since the start.",
-         [&jobs] { return double(jobs.counts().admitted); }},
+         [&jobs]
+         {
+             return double(jobs.counts().admitted);
+         }},
         {"agatebank_jobs_refused", "Jobs refused by admission.",
-         [&jobs] { return double(jobs.counts().refused); }},
+         [&jobs]
+         {
+             return double(jobs.counts().refused);
+         }},
         {"agatebank_jobs_complete", "Jobs settled with every answer.",
-         [&jobs] { return double(jobs.counts().complete); }},
+         [&jobs]
+         {
+             return double(jobs.counts().complete);
+         }},
         {"agatebank_jobs_failed", "Jobs marked failed.",
-         [&jobs] { return double(jobs.counts().failed); }},
+         [&jobs]
+         {
+             return double(jobs.counts().failed);
+         }},
         {"agatebank_jobs_cancelled", "Jobs cancelled by callers.",
-         [&jobs] { return double(jobs.counts().cancelled); }},
+         [&jobs]
+         {
+             return double(jobs.counts().cancelled);
+         }},
         {"agatebank_jobs_running", "Jobs admitted and not settled.",
-         [&jobs] { return double(jobs.running_jobs()); }},
+         [&jobs]
+         {
+             return double(jobs.running_jobs());
+         }},
         {"agatebank_starts_sent", "Starts sent to agents.",
-         [&jobs] { return double(jobs.counts().starts); }},
+         [&jobs]
+         {
+             return double(jobs.counts().starts);
+         }},
         {"agatebank_starts_not_run", "Starts reported as not run.",
-         [&jobs] { return double(jobs.counts().not_run_reports); }},
+         [&jobs]
+         {
+             return double(jobs.counts().not_run_reports);
+         }},
         {"agatebank_starts_kept", "Starts kept until acknowledged.",
-         [&entry] { return double(entry.agents().kept_starts()); }},
+         [&entry]
+         {
+             return double(entry.agents().kept_starts());
+         }},
         {"agatebank_tasks_waiting", "Tasks that wait for a slot.",
-         [&entry] { return double(entry.policy().waiting_tasks()); }},
+         [&entry]
+         {
+             return double(entry.policy().waiting_tasks());
+         }},
         {"agatebank_submission_records", "Submissions kept.",
-         [&entry] { return double(entry.submissions().records()); }},
+         [&entry]
+         {
+             return double(entry.submissions().records());
+         }},
         {"agatebank_callers_waiting", "Requests that wait for an answer.",
-         [&entry] { return double(entry.submissions().waiters()); }},
+         [&entry]
+         {
+             return double(entry.submissions().waiters());
+         }},
         {"agatebank_agents_connected", "Agents connected.",
-         [&entry] { return double(entry.agents().connected().size()); }},
+         [&entry]
+         {
+             return double(entry.agents().connected().size());
+         }},
         {"agatebank_entries_live", "Other entries heard of lately.",
-         [&entry] { return double(entry.entries().live().size()); }},
+         [&entry]
+         {
+             return double(entry.entries().live().size());
+         }},
         {"agatebank_datagrams_dropped", "Datagrams that were not accepted.",
-         [&entry] { return double(entry.entries().dropped_datagrams()); }},
+         [&entry]
+         {
+             return double(entry.entries().dropped_datagrams());
+         }},
         {"agatebank_link_bytes_sent", "Bytes sent to processes by TCP.",
-         [&entry] {
+         [&entry]
+         {
              return double(entry.links().total_traffic().bytes_sent);
          }},
         {"agatebank_link_bytes_received",
          "Bytes received from processes by TCP.",
-         [&entry] {
+         [&entry]
+         {
              return double(entry.links().total_traffic().bytes_received);
          }},
     };
--- a/packages/daemon/src/entry_role.cpp
+++ b/packages/daemon/src/entry_role.cpp
@@ -19,10 +19,12 @@
 // An absent document is no failure: nothing was configured yet.
 configuration_loader make_loader(configuration_store& store)
 {
-    return [&store](configuration_loaded done) {
+    return [&store](configuration_loaded done)
+    {
         store.load(
             [done = std::move(done)](
-                const result<std::shared_ptr<const configuration>>& c) {
+                const result<std::shared_ptr<const configuration>>& c)
+            {
                 if (!c && c.error().code == errc::configuration_unknown)
                 {
                     done(std::shared_ptr<const configuration>());
@@ -35,15 +37,14 @@
 
 runtime_settings to_runtime(const entry_settings& s)
 {
-    return {
-        s.name, s.failure_domain.value(), s.shared_key_file, s.log.file,
-        s.log.level};
+    return {s.name, s.failure_domain.value(), s.shared_key_file, s.log.file,
+            s.log.level};
 }
 
 } // namespace
 
-result<exit_code> run_entry(
-    const nlohmann::json& document, const std::string& file, bool check_only)
+result<exit_code> run_entry(const nlohmann::json& document,
+                            const std::string& file, bool check_only)
 {
     auto settings = parse_entry_settings(document, file);
     if (!settings)
@@ -74,23 +75,23 @@
          entry_incarnation(process_runtime::random_number()), policy},
         *settings);
     add_entry_metrics(rt.metrics, entry);
-    add_metrics_routes(
-        entry.http(), rt.metrics, [&entry]() -> result<void> {
-            if (auto why = entry.not_ready())
-            {
-                return tl::unexpected(std::move(*why));
-            }
-            return {};
-        });
+    add_metrics_routes(entry.http(), rt.metrics,
+                       [&entry]() -> result<void>
+                       {
+                           if (auto why = entry.not_ready())
+                           {
+                               return tl::unexpected(std::move(*why));
+                           }
+                           return {};
+                       });
     auto started = entry.start();
     if (!started)
     {
         return tl::unexpected(started.error());
     }
     rt.log_info("entry started");
-    const auto code = rt.run([&entry](std::function<void()> done) {
-        entry.begin_stop(std::move(done));
-    });
+    const auto code = rt.run([&entry](std::function<void()> done)
+                             { entry.begin_stop(std::move(done)); });
     rt.log_info("entry stopped");
     return code;
 }
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -28,8 +28,7 @@
     {
         return tl::unexpected(text.error());
     }
-    const auto document =
-        parse_json(*text, step_settings, command.config_file);
+    const auto document = parse_json(*text, step_settings, command.config_file);
     if (!document)
     {
         return tl::unexpected(document.error());
--- a/packages/daemon/src/process_runtime.cpp
+++ b/packages/daemon/src/process_runtime.cpp
@@ -39,8 +39,7 @@
     if (g_file_get_contents(path.c_str(), &data, &n, &raw) == FALSE)
     {
         const error_ptr error(raw);
-        return fail(
-            errc::settings_unreadable, step_read, path, error->message);
+        return fail(errc::settings_unreadable, step_read, path, error->message);
     }
     std::string out(data, n);
     g_free(data);
@@ -72,13 +71,12 @@
     {
         return tl::unexpected(log.error());
     }
-    return std::unique_ptr<process_runtime>(new process_runtime(
-        settings, std::move(key), std::move(*log)));
+    return std::unique_ptr<process_runtime>(
+        new process_runtime(settings, std::move(key), std::move(*log)));
 }
 
-process_runtime::process_runtime(
-    const runtime_settings& settings, std::string key,
-    std::unique_ptr<json_log> log)
+process_runtime::process_runtime(const runtime_settings& settings,
+                                 std::string key, std::unique_ptr<json_log> log)
     : clock(wall_clock_us)
     , auth(std::move(key))
     , events(clock, settings.name, event_capacity)
@@ -89,16 +87,22 @@
 exit_code process_runtime::run(const stopper& begin_stop)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    const auto stop = [this, &begin_stop] { on_stop_signal(begin_stop); };
+    const auto stop = [this, &begin_stop]
+    {
+        on_stop_signal(begin_stop);
+    };
     const auto on_term = loop.on_signal(SIGTERM, stop);
     const auto on_int = loop.on_signal(SIGINT, stop);
-    const auto on_hup = loop.on_signal(SIGHUP, [this] {
-        const auto reopened = log_->reopen();
-        if (!reopened)
+    const auto on_hup = loop.on_signal(
+        SIGHUP,
+        [this]
         {
-            log_->sink()(to_record(log_level::error, reopened.error()));
-        }
-    });
+            const auto reopened = log_->reopen();
+            if (!reopened)
+            {
+                log_->sink()(to_record(log_level::error, reopened.error()));
+            }
+        });
     loop.run();
     return exit_;
 }
