platform: tests of the configuration store against a table with faults

Cause: races, outages and lost replies must end in one known outcome. Change: a table over HTTP in the test refuses, loses writes or loses replies; cases for one change, and two operators racing 25 changes each with losses, where every accepted change is in the history and every refused one shows the other's.

--- a/packages/admin/src/admin_api.cpp
+++ b/packages/admin/src/admin_api.cpp
@@ -23,7 +23,7 @@
 constexpr uint64_t max_timeline_events = 100000;
 constexpr std::size_t max_change_id_characters = 64;
 
-http_response versioned(json body, const configuration_view& view)
+http_response versioned(const json& body, const configuration_view& view)
 {
     auto r = json_response(status_ok, body);
     r.headers.push_back(
--- a/packages/platform/include/agatebank/platform/configuration_store.hpp
+++ b/packages/platform/include/agatebank/platform/configuration_store.hpp
@@ -117,8 +117,9 @@
     void read();
     void on_read(const result<std::optional<table_value>>& value);
     void check_and_write(const configuration& current,
-                         std::optional<std::string> etag);
-    void write(const configuration& current, std::optional<std::string> etag);
+                         const std::optional<std::string>& etag);
+    void write(const configuration& current,
+               const std::optional<std::string>& etag);
     void on_written(const result<write_result>& outcome,
                     const std::shared_ptr<const configuration>& next);
     bool find_own_change(const std::shared_ptr<const configuration>& current);
--- a/packages/platform/src/configuration_store.cpp
+++ b/packages/platform/src/configuration_store.cpp
@@ -145,8 +145,8 @@
     check_and_write(**current, (*value)->etag);
 }
 
-void configuration_store::check_and_write(const configuration& current,
-                                          std::optional<std::string> etag)
+void configuration_store::check_and_write(
+    const configuration& current, const std::optional<std::string>& etag)
 {
     auto refusal = check_version(current);
     if (!refusal)
@@ -158,7 +158,7 @@
         give_up(std::move(*refusal));
         return;
     }
-    write(current, std::move(etag));
+    write(current, etag);
 }
 
 // Looks for a write of this change whose reply was lost, be it ours or that
@@ -233,7 +233,7 @@
 }
 
 void configuration_store::write(const configuration& current,
-                                std::optional<std::string> etag)
+                                const std::optional<std::string>& etag)
 {
     auto& pending = changes_.front();
     auto edited = pending.request.edit.apply(current);
--- /dev/null
+++ b/packages/platform/tests/unit-configuration_store.cpp
@@ -0,0 +1,523 @@
+#include <agatebank/core/configuration_document.hpp>
+#include <agatebank/http/http_server.hpp>
+#include <agatebank/platform/configuration_store.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace agatebank;
+
+namespace
+{
+
+// A table over HTTP whose faults the test chooses.
+class fake_table
+{
+  public:
+    explicit fake_table(event_loop& loop) : server_(loop, {})
+    {
+        server_.route("GET", "/t/{key}",
+                      [this](const auto&, auto respond) { get(respond); });
+        server_.route("PUT", "/t/{key}",
+                      [this](const auto& rq, auto respond)
+                      { put(rq, respond); });
+        port_ = server_.listen().value();
+    }
+
+    std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(port_) + "/t";
+    }
+
+    configuration document() const
+    {
+        return parse_configuration(body, "test").value();
+    }
+
+    void set(const configuration& c)
+    {
+        body = to_text(c);
+        ++tag;
+    }
+
+    std::string body;
+    unsigned tag = 0;
+    unsigned refuse = 0;       ///< calls answered with 503
+    unsigned lose_replies = 0; ///< writes that take effect, unanswered
+    unsigned lose_writes = 0;  ///< writes without effect, unanswered
+    unsigned fail_writes = 0;  ///< writes that take effect, answered 502
+    std::function<void()> before_write;
+
+  private:
+    std::string etag() const
+    {
+        return "\"" + std::to_string(tag) + "\"";
+    }
+
+    bool take(unsigned& n)
+    {
+        return n > 0 && n-- > 0;
+    }
+
+    void get(const http_responder& respond)
+    {
+        if (take(refuse))
+        {
+            respond({503, "", "", {}});
+        }
+        else if (body.empty())
+        {
+            respond({404, "", "", {}});
+        }
+        else
+        {
+            respond({200, "application/json", body, {{"ETag", etag()}}});
+        }
+    }
+
+    void put(const http_request& rq, const http_responder& respond)
+    {
+        if (before_write)
+        {
+            std::exchange(before_write, nullptr)();
+        }
+        if (take(refuse))
+        {
+            respond({503, "", "", {}});
+            return;
+        }
+        if (take(lose_writes))
+        {
+            return;
+        }
+        const bool allowed = body.empty() ? rq.header("if-none-match") == "*"
+                                          : rq.header("if-match") == etag();
+        if (!allowed)
+        {
+            respond({412, "", "", {}});
+            return;
+        }
+        body = rq.body;
+        ++tag;
+        if (take(fail_writes))
+        {
+            respond({502, "", "", {}});
+        }
+        else if (!take(lose_replies))
+        {
+            respond({200, "", "", {{"ETag", etag()}}});
+        }
+    }
+
+    http_server server_;
+    uint16_t port_ = 0;
+};
+
+configuration_store_options fast_options(uint64_t seed)
+{
+    configuration_store_options o;
+    o.min_read_interval = std::chrono::milliseconds(1);
+    o.first_back_off = std::chrono::milliseconds(2);
+    o.max_back_off = std::chrono::milliseconds(20);
+    o.change_timeout = std::chrono::seconds(20);
+    o.seed = seed;
+    return o;
+}
+
+// One operator's entry.
+struct entry_fixture
+{
+    entry_fixture(event_loop& loop, const fake_table& fake,
+                  const configuration_store_options& options)
+        : http(loop)
+        , table(http, fake.url(), std::chrono::milliseconds(150))
+        , store(loop, table, options, [](const log_record&) {})
+    {
+    }
+
+    http_client http;
+    table_client table;
+    configuration_store store;
+};
+
+configuration make_document(uint64_t version)
+{
+    configuration c;
+    for (uint64_t i = 1; i <= version; ++i)
+    {
+        c = make_next_version(c, {{}, "first" + std::to_string(i), "z", ""});
+    }
+    for (const char* name : {"t-1", "t-2"})
+    {
+        c.inventory.push_back({target_name(name),
+                               worker_name(name),
+                               rack_name("r"),
+                               failure_domain_name("d"),
+                               0,
+                               0,
+                               0,
+                               8,
+                               {}});
+    }
+    return c;
+}
+
+configuration_change make_change(const char* target, target_state state,
+                                 const std::string& id)
+{
+    configuration_change change;
+    change.edit = set_target_state(target_name(target), state);
+    change.change_id = id;
+    change.changed_by = operator_name("aoki");
+    return change;
+}
+
+using outcome = tl::expected<accepted_change, change_failure>;
+
+outcome run_change(event_loop& loop, configuration_store& store,
+                   configuration_change change)
+{
+    std::optional<outcome> got;
+    store.change(std::move(change),
+                 [&](const outcome& o)
+                 {
+                     got = o;
+                     loop.quit();
+                 });
+    if (!got)
+    {
+        loop.run();
+    }
+    return *got;
+}
+
+} // namespace
+
+TEST_CASE("configuration_store: a change is written once, whatever is lost")
+{
+    struct row
+    {
+        const char* name;
+        unsigned refuse, lose_replies, lose_writes, fail_writes;
+    };
+    const row rows[] = {{"no fault", 0, 0, 0, 0},
+                        {"outage before the read", 1, 0, 0, 0},
+                        {"longer outage", 7, 0, 0, 0},
+                        {"reply lost", 0, 1, 0, 0},
+                        {"write lost", 0, 0, 2, 0},
+                        {"effect, then server error", 0, 0, 0, 1},
+                        {"outage and reply lost", 3, 1, 0, 0}};
+    for (const auto& r : rows)
+    {
+        SECTION(r.name)
+        {
+            event_loop loop;
+            fake_table fake(loop);
+            fake.set(make_document(3));
+            fake.refuse = r.refuse;
+            fake.lose_replies = r.lose_replies;
+            fake.lose_writes = r.lose_writes;
+            fake.fail_writes = r.fail_writes;
+            entry_fixture entry(loop, fake, fast_options(1));
+            const auto got =
+                run_change(loop, entry.store,
+                           make_change("t-1", target_state::stopped, "mine"));
+            REQUIRE(got);
+            CHECK(got->version == config_version(4));
+            CHECK(got->written);
+            const auto document = fake.document();
+            CHECK(document.version == config_version(4));
+            CHECK(document.history.back().change_id == "mine");
+            CHECK(document.history.back().summary == "target states: 1 added");
+        }
+    }
+}
+
+TEST_CASE("configuration_store: the first change creates the document")
+{
+    event_loop loop;
+    fake_table fake(loop);
+    entry_fixture entry(loop, fake, fast_options(1));
+    std::error_code loaded;
+    entry.store.load([&](const auto& r) { loaded = r.error().code; });
+    auto change = make_change("t-1", target_state::stopped, "mine");
+    change.edit = replace_inventory(make_document(0).inventory);
+    change.base = std::make_shared<const configuration>();
+    const auto got = run_change(loop, entry.store, change);
+    REQUIRE(got);
+    CHECK(loaded == errc::configuration_unknown);
+    CHECK(fake.document().version == config_version(1));
+    CHECK(fake.document().inventory.size() == 2);
+}
+
+TEST_CASE("configuration_store: a change that is refused writes nothing")
+{
+    struct row
+    {
+        const char* name;
+        const char* target;
+        errc code;
+        const char* other; ///< target that another operator changed
+        bool exact;        ///< the base's version is required
+    };
+    const row rows[] = {
+        {"no such target", "t-9", errc::not_found, nullptr, false},
+        {"race on the same part", "t-1", errc::configuration_conflict, "t-1",
+         false},
+        {"any race when the version is required", "t-1",
+         errc::configuration_conflict, "t-2", true},
+    };
+    for (const auto& r : rows)
+    {
+        SECTION(r.name)
+        {
+            event_loop loop;
+            fake_table fake(loop);
+            const auto base =
+                std::make_shared<const configuration>(make_document(3));
+            auto now = *base;
+            if (r.other != nullptr)
+            {
+                now.target_states[target_name(r.other)] =
+                    target_state::draining;
+                now = make_next_version(now, {{}, "theirs", "sato", "x"});
+            }
+            fake.set(now);
+            auto change = make_change(r.target, target_state::stopped, "mine");
+            change.base = base;
+            if (r.exact)
+            {
+                change.required_version = base->version;
+            }
+            entry_fixture entry(loop, fake, fast_options(1));
+            const auto got = run_change(loop, entry.store, change);
+            REQUIRE_FALSE(got);
+            CHECK(got.error().reason.code == r.code);
+            CHECK(fake.document() == now);
+            REQUIRE(got.error().conflict.has_value() == (r.other != nullptr));
+            if (r.other != nullptr)
+            {
+                const auto& conflict = *got.error().conflict;
+                CHECK(conflict.version == config_version(4));
+                CHECK(conflict.change_id == "theirs");
+                CHECK(conflict.changed_by == "sato");
+                REQUIRE(conflict.changes.size() == 1);
+                REQUIRE(conflict.items.size() == 1);
+                CHECK(conflict.items[0].path ==
+                      "/target_states/" + std::string(r.other));
+            }
+        }
+    }
+}
+
+TEST_CASE("configuration_store: a race on another part is tried again")
+{
+    event_loop loop;
+    fake_table fake(loop);
+    const auto base = std::make_shared<const configuration>(make_document(3));
+    fake.set(*base);
+    fake.before_write = [&]
+    {
+        auto now = *base;
+        now.target_states[target_name("t-2")] = target_state::draining;
+        fake.set(make_next_version(now, {{}, "theirs", "sato", "x"}));
+    };
+    auto change = make_change("t-1", target_state::stopped, "mine");
+    change.base = base;
+    entry_fixture entry(loop, fake, fast_options(1));
+    const auto got = run_change(loop, entry.store, change);
+    REQUIRE(got);
+    const auto document = fake.document();
+    CHECK(document.version == config_version(5));
+    CHECK(document.target_states.size() == 2);
+}
+
+TEST_CASE("configuration_store: an outage past the time says what is known")
+{
+    struct row
+    {
+        const char* name;
+        unsigned refuse, lose_replies;
+        errc code;
+    };
+    const row rows[] = {
+        {"nothing was sent", 1000000, 0, errc::platform_refused},
+        {"a write was sent", 0, 1, errc::platform_outcome_unknown}};
+    for (const auto& r : rows)
+    {
+        SECTION(r.name)
+        {
+            event_loop loop;
+            fake_table fake(loop);
+            fake.set(make_document(3));
+            fake.refuse = r.refuse;
+            fake.lose_replies = r.lose_replies;
+            entry_fixture entry(loop, fake,
+                                [&]
+                                {
+                                    auto o = fast_options(1);
+                                    o.change_timeout =
+                                        std::chrono::milliseconds(600);
+                                    return o;
+                                }());
+            // the table is down from the first write on
+            watch outage;
+            fake.before_write = [&]
+            {
+                outage = loop.after(std::chrono::milliseconds(20),
+                                    [&] { fake.refuse = 1000000; });
+            };
+            const auto got =
+                run_change(loop, entry.store,
+                           make_change("t-1", target_state::stopped, "mine"));
+            REQUIRE_FALSE(got);
+            CHECK(got.error().reason.code == r.code);
+            CHECK(entry.store.reads_sent() < 400);
+        }
+    }
+}
+
+TEST_CASE("configuration_store: the same change id again is the same change")
+{
+    event_loop loop;
+    fake_table fake(loop);
+    fake.set(make_document(3));
+    entry_fixture entry(loop, fake, fast_options(1));
+    const auto change = make_change("t-1", target_state::stopped, "mine");
+    REQUIRE(run_change(loop, entry.store, change));
+    const auto again = run_change(loop, entry.store, change);
+    REQUIRE(again);
+    CHECK(again->version == config_version(4));
+    CHECK(fake.document().version == config_version(4));
+    const auto same = run_change(
+        loop, entry.store, make_change("t-1", target_state::stopped, "other"));
+    REQUIRE(same);
+    CHECK_FALSE(same->written);
+    CHECK(fake.document().version == config_version(4));
+}
+
+// Two operators at two entries change the same two targets in a loop, while
+// replies and writes are lost. Each bases its change on what it saw last.
+TEST_CASE("configuration_store: of racing operators every change is told")
+{
+    constexpr unsigned changes_each = 25;
+    event_loop loop;
+    fake_table fake(loop);
+    fake.set(make_document(1));
+    struct racer
+    {
+        std::unique_ptr<entry_fixture> entry;
+        std::shared_ptr<const configuration> seen;
+        unsigned made = 0;
+        unsigned conflicts = 0;
+    };
+    std::mt19937_64 random(20261204);
+    std::vector<racer> racers(2);
+    std::map<std::string, config_version> accepted;
+    unsigned unfinished = 2;
+    std::function<void(unsigned)> next = [&](unsigned i)
+    {
+        auto& r = racers[i];
+        if (r.made == changes_each)
+        {
+            if (--unfinished == 0)
+            {
+                loop.quit();
+            }
+            return;
+        }
+        const auto id = std::to_string(i) + "-" + std::to_string(r.made++);
+        auto change = make_change(random() % 2 == 0 ? "t-1" : "t-2",
+                                  static_cast<target_state>(random() % 3), id);
+        change.base = r.seen;
+        fake.lose_replies += random() % 5 == 0 ? 1U : 0U;
+        fake.lose_writes += random() % 10 == 0 ? 1U : 0U;
+        r.entry->store.change(
+            change,
+            [&, i, id](const outcome& got)
+            {
+                auto& me = racers[i];
+                if (got)
+                {
+                    me.seen = got->document;
+                    if (got->written)
+                    {
+                        accepted[id] = got->version;
+                    }
+                    loop.defer([&, i] { next(i); });
+                    return;
+                }
+                CHECK(got.error().reason.code == errc::configuration_conflict);
+                CHECK(got.error().conflict->version > me.seen->version);
+                CHECK_FALSE(got.error().conflict->items.empty());
+                ++me.conflicts;
+                me.entry->store.load(
+                    [&, i](const auto& document)
+                    {
+                        racers[i].seen = *document;
+                        loop.defer([&, i] { next(i); });
+                    });
+            });
+    };
+    for (unsigned i = 0; i < racers.size(); ++i)
+    {
+        racers[i].seen = std::make_shared<const configuration>(fake.document());
+        racers[i].entry =
+            std::make_unique<entry_fixture>(loop, fake, fast_options(i));
+    }
+    next(0);
+    next(1);
+    loop.run();
+
+    const auto document = fake.document();
+    std::set<std::string> found;
+    for (const auto& record : document.history)
+    {
+        found.insert(record.change_id);
+        if (record.changed_by == "aoki")
+        {
+            REQUIRE(accepted.count(record.change_id) == 1);
+            CHECK(accepted[record.change_id] == record.version);
+        }
+    }
+    for (const auto& item : accepted)
+    {
+        CHECK(found.count(item.first) == 1);
+    }
+    CHECK(document.version.value() == accepted.size() + 1);
+    CHECK(racers[0].conflicts + racers[1].conflicts > 0);
+}
+
+TEST_CASE("configuration_store: reads are paced")
+{
+    event_loop loop;
+    fake_table fake(loop);
+    fake.set(make_document(2));
+    auto options = fast_options(1);
+    options.min_read_interval = std::chrono::milliseconds(100);
+    entry_fixture entry(loop, fake, options);
+    unsigned loaded = 0;
+    std::function<void()> load = [&]
+    {
+        entry.store.load(
+            [&](const auto& r)
+            {
+                CHECK(r.has_value());
+                ++loaded;
+                load();
+            });
+    };
+    for (int i = 0; i < 50; ++i)
+    {
+        load();
+    }
+    const auto stop =
+        loop.after(std::chrono::milliseconds(350), [&] { loop.quit(); });
+    loop.run();
+    CHECK(loaded >= 50);
+    CHECK(entry.store.reads_sent() <= 4);
+}
