Test the entry's submissions, jobs, settings and configuration

Cause: the entry had no tests of its own. Change: unit tables and a property that the version in force never goes back. Before: 0 entry tests.

--- /dev/null
+++ b/packages/entry/tests/unit-configuration_holder.cpp
@@ -0,0 +1,93 @@
+#include <agatebank/core/configuration_document.hpp>
+#include <agatebank/entry/configuration_holder.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <vector>
+
+using namespace agatebank;
+
+namespace
+{
+
+std::shared_ptr<const configuration> make_version(uint64_t version)
+{
+    configuration c;
+    c.version = config_version(version);
+    return std::make_shared<const configuration>(std::move(c));
+}
+
+// A holder whose store gives what the test says.
+struct holder_fixture
+{
+    event_loop loop;
+    hybrid_clock clock{[]
+                       {
+                           return uint64_t{1};
+                       }};
+    event_ring events{clock, "entry", 1000};
+    configuration_loaded waiting;
+    configuration_holder holder{loop, events, [](const log_record&) {},
+                                [this](configuration_loaded done)
+                                { waiting = std::move(done); },
+                                std::chrono::hours(1)};
+};
+
+} // namespace
+
+TEST_CASE("configuration_holder: the version never goes back")
+{
+    rc::prop("documents of store and peers in any order",
+             [](const std::vector<std::pair<bool, uint8_t>>& steps)
+             {
+                 holder_fixture f;
+                 uint64_t highest = 0;
+                 f.holder.on_change(
+                     [&] { RC_ASSERT(f.holder.version().value() > highest); });
+                 for (const auto& [from_store, version] : steps)
+                 {
+                     const auto c = make_version(version);
+                     if (from_store)
+                     {
+                         f.holder.refresh();
+                         f.waiting(c);
+                     }
+                     else
+                     {
+                         f.holder.adopt_text(to_text(*c), "peer");
+                     }
+                     highest = std::max<uint64_t>(highest, version);
+                     RC_ASSERT(f.holder.version().value() == highest);
+                 }
+             });
+}
+
+TEST_CASE("configuration_holder: known only after an answer")
+{
+    holder_fixture f;
+    f.holder.start();
+    CHECK_FALSE(f.holder.known());
+    SECTION("an absent document is an answer")
+    {
+        f.waiting(std::shared_ptr<const configuration>());
+        CHECK(f.holder.known());
+    }
+    SECTION("a failure is none")
+    {
+        f.waiting(fail(errc::platform_unreachable, "test"));
+        CHECK_FALSE(f.holder.known());
+        CHECK(f.holder.shared_view() == nullptr);
+    }
+    SECTION("a peer's document is an answer")
+    {
+        f.holder.adopt_text(to_text(*make_version(3)), "peer");
+        CHECK(f.holder.known());
+        CHECK(f.holder.version() == config_version(3));
+    }
+    SECTION("a peer's broken document is none")
+    {
+        f.holder.adopt_text("{", "peer");
+        CHECK_FALSE(f.holder.known());
+    }
+}
--- /dev/null
+++ b/packages/entry/tests/unit-submission_service.cpp
@@ -0,0 +1,176 @@
+#include <agatebank/entry/submission_service.hpp>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+
+using namespace agatebank;
+
+namespace
+{
+
+constexpr const char* body =
+    R"({"service":"s","patience":"now","tasks":[{"payload":"x"}]})";
+
+// An entry's submissions with the real decisions and no agent.
+struct service_fixture
+{
+    event_loop loop;
+    timer_queue timers{loop};
+    hybrid_clock clock{[]
+                       {
+                           return uint64_t{1};
+                       }};
+    event_ring events{clock, "entry", 1000};
+    authenticator auth{"key"};
+    submission_id_codec codec{auth.hex_mac()};
+    link_hub hub{{loop,
+                  clock,
+                  auth,
+                  {},
+                  []
+                  {
+                      return config_version(1);
+                  }},
+                 {}};
+    agent_directory agents{loop,   timers, hub,
+                           events, {},     std::chrono::seconds(1)};
+    dispatcher policy{dispatch_options{}};
+    submission_service service;
+    job_service jobs;
+    caller_name caller{"desk"};
+    std::vector<http_response> responses;
+
+    explicit service_fixture(submission_limits limits)
+        : service(
+              loop, timers, entry_incarnation(7), codec,
+              [](const caller_name&,
+                 const job_document& job) -> result<job_terms>
+              {
+                  if (job.service != service_name("s"))
+                  {
+                      return fail(errc::service_unknown, "test");
+                  }
+                  return job_terms{{service_name("s")},
+                                   {patience_name("now"),
+                                    std::chrono::seconds(1), price(5)}};
+              },
+              limits)
+        , jobs(loop, timers, policy, agents, events,
+               [this](const submission_id& id, job_settlement s)
+               { service.on_settled(id, std::move(s)); })
+    {
+        service.set_jobs(jobs);
+        target_offer offer;
+        offer.agent = agent_incarnation(1);
+        offer.services = {service_name("s")};
+        offer.slots = 8;
+        policy.put_target(offer, loop.now());
+    }
+
+    submission_id read(const std::string& text)
+    {
+        return codec.decode(text, caller).value();
+    }
+
+    http_response put(const std::string& text, const std::string& job)
+    {
+        http_response got;
+        service.submit(read(text), text, caller, job, duration::zero(),
+                       [&](const http_response& r) { got = r; });
+        return got;
+    }
+
+    void run_for(duration d)
+    {
+        const auto end = loop.after(d, [this] { loop.quit(); });
+        loop.run();
+    }
+};
+
+std::string word_of(const http_response& r, const char* field)
+{
+    return nlohmann::json::parse(r.body).value(field, "");
+}
+
+} // namespace
+
+TEST_CASE("submission_service: an id starts one job")
+{
+    service_fixture f({});
+    const auto id = f.service.issue(f.caller);
+    CHECK(f.put(id, body).status == 202);
+
+    SECTION("the same body again joins the job")
+    {
+        CHECK(f.put(id, body).status == 202);
+        CHECK(f.jobs.counts().admitted == 1);
+    }
+    SECTION("another body is refused and starts nothing")
+    {
+        const auto r = f.put(id, std::string(body) + " ");
+        CHECK(r.status == 409);
+        CHECK(word_of(r, "code") == "submission_body_differs");
+        CHECK(word_of(r, "run") == "may-have-run");
+        CHECK(f.jobs.counts().admitted == 1);
+    }
+    SECTION("cancelled before any start: not run")
+    {
+        http_response got;
+        f.service.cancel(f.read(id), id,
+                         [&](const http_response& r) { got = r; });
+        CHECK(word_of(got, "state") == "failed");
+        CHECK(word_of(got, "run") == "not-run");
+        CHECK(f.put(id, body).body == got.body);
+        CHECK(f.jobs.counts().admitted == 1);
+    }
+}
+
+TEST_CASE("submission_service: a refused id may be used again")
+{
+    service_fixture f({});
+    const auto id = f.service.issue(f.caller);
+    const auto r =
+        f.put(id, R"({"service":"t","patience":"now","tasks":[{}]})");
+    CHECK(r.status == 422);
+    CHECK(word_of(r, "run") == "not-run");
+    CHECK(f.put(id, body).status == 202);
+}
+
+TEST_CASE("submission_service: a dropped record cannot start a second job")
+{
+    submission_limits limits;
+    limits.validity = std::chrono::seconds(1);
+    limits.answer_retention = std::chrono::seconds(1);
+    service_fixture f(limits);
+    const auto id = f.service.issue(f.caller);
+    const auto unused = f.service.issue(f.caller);
+    CHECK(f.put(id, body).status == 202);
+    http_response cancelled;
+    f.service.cancel(f.read(id), id,
+                     [&](const http_response& r) { cancelled = r; });
+    f.run_for(std::chrono::seconds(4));
+    CHECK(f.service.records() == 0);
+    for (const auto& text : {id, unused})
+    {
+        const auto r = f.put(text, body);
+        CHECK(r.status == 410);
+        CHECK(word_of(r, "run") == "may-have-run");
+    }
+    CHECK(f.jobs.counts().admitted == 1);
+}
+
+TEST_CASE("submission_service: refuses new jobs while leaving")
+{
+    service_fixture f({});
+    const auto running = f.service.issue(f.caller);
+    const auto late = f.service.issue(f.caller);
+    CHECK(f.put(running, body).status == 202);
+    f.service.refuse_new();
+    const auto r = f.put(late, body);
+    CHECK(r.status == 503);
+    CHECK(word_of(r, "run") == "not-run");
+    CHECK(f.put(running, body).status == 202);
+}
