--- a/packages/core/include/agatebank/core/credit_allocator.hpp
+++ b/packages/core/include/agatebank/core/credit_allocator.hpp
@@ -49,7 +49,10 @@
 {
   public:
     // construction
-    credit_allocator(uint32_t slots, uint32_t queue_allowance);
+    /// @param salt different for each agent, such as its incarnation: decides
+    /// who gets the credits that do not divide evenly
+    credit_allocator(uint32_t slots, uint32_t queue_allowance,
+                     uint64_t salt = 0);
 
     // entries
     void add_entry(entry_incarnation entry);
@@ -104,12 +107,14 @@
     uint32_t capacity() const;
     plan desired() const;
     bool move_one(plan& out, uint32_t& spare, bool to_even_share) const;
+    uint64_t tie_rank(entry_incarnation entry) const;
     plan::iterator fewest(plan& out, bool in_need, uint32_t limit) const;
     plan::iterator largest_surplus(plan& out, bool of_peak) const;
     void grant(entry_incarnation entry, share& s, uint32_t credits);
 
     uint32_t slots_;
     uint32_t queue_allowance_;
+    uint64_t salt_;
     uint32_t orphans_ = 0;
     uint64_t last_version_ = 0;
     share_map shares_;
--- a/packages/core/src/credit_allocator.cpp
+++ b/packages/core/src/credit_allocator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <tuple>
 #include <utility>
 
 namespace agatebank
@@ -36,8 +37,9 @@
     return running + demand.queued;
 }
 
-credit_allocator::credit_allocator(uint32_t slots, uint32_t queue_allowance)
-    : slots_(slots), queue_allowance_(queue_allowance)
+credit_allocator::credit_allocator(uint32_t slots, uint32_t queue_allowance,
+                                   uint64_t salt)
+    : slots_(slots), queue_allowance_(queue_allowance), salt_(salt)
 {
 }
 
@@ -232,7 +234,11 @@
     {
         const bool lacks =
             it->second < (in_need ? shares_.at(it->first).need() : limit);
-        if (lacks && (best == out.end() || it->second < best->second))
+        const auto rank = [&](const auto& p)
+        {
+            return std::pair(p->second, tie_rank(p->first));
+        };
+        if (lacks && (best == out.end() || rank(it) < rank(best)))
         {
             best = it;
         }
@@ -240,6 +246,15 @@
     return best;
 }
 
+// Order of entries with equal claims; differs from agent to agent, so that no
+// entry is the last one everywhere.
+uint64_t credit_allocator::tie_rank(entry_incarnation entry) const
+{
+    constexpr uint64_t odd = 0x9e3779b97f4a7c15; // 2^64 over the golden ratio
+    const auto x = (entry.value() ^ (salt_ * odd)) * odd;
+    return (x ^ (x >> 32U)) * odd;
+}
+
 // The entry with the most credits beyond its need; if none has any, the one
 // with the most credits.
 credit_allocator::plan::iterator
@@ -249,7 +264,8 @@
     {
         const auto& s = shares_.at(it.first);
         const auto need = of_peak ? s.peak_need : s.need();
-        return std::pair(it.second > need ? it.second - need : 0, it.second);
+        return std::tuple(it.second > need ? it.second - need : 0, it.second,
+                          ~tie_rank(it.first));
     };
     return std::max_element(out.begin(), out.end(),
                             [&](const auto& a, const auto& b)
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -227,11 +227,12 @@
 }
 
 // Speed of the slots that this entry may count on: those it has, or its even
-// share of the target.
+// share of all targets.
 double dispatcher::state::total_speed(const service_name& service,
                                       time_point now) const
 {
-    double sum = 0;
+    double granted = 0;
+    double all = 0;
     for (const auto& [agent, t] : targets)
     {
         if (!t.serves(service) ||
@@ -240,11 +241,10 @@
         {
             continue;
         }
-        const double even =
-            static_cast<double>(t.offer.slots) / std::max(options.entries, 1U);
-        sum += std::max(even, static_cast<double>(t.grant)) * t.speed;
+        granted += t.grant * t.speed;
+        all += t.offer.slots * t.speed;
     }
-    return sum;
+    return std::max(granted, all / std::max(options.entries, 1U));
 }
 
 double dispatcher::state::mean_speed(const service_name& service) const
--- a/tools/experiment/simulation.cpp
+++ b/tools/experiment/simulation.cpp
@@ -43,7 +43,8 @@
 
 struct agent_model
 {
-    agent_model(uint32_t slots, uint32_t allowance) : credits(slots, allowance)
+    agent_model(uint32_t slots, uint32_t allowance, uint64_t salt)
+        : credits(slots, allowance, salt)
     {
     }
 
@@ -169,7 +170,7 @@
     for (const double speed : site_.speeds)
     {
         agents_.push_back(std::make_unique<agent_model>(
-            site_.slots, version_.queue_allowance));
+            site_.slots, version_.queue_allowance, agents_.size() + 1));
         agents_.back()->speed = speed;
     }
 }
