core: count on granted credits while tasks wait

Change: with tasks waiting, admission counts the credits in hand, and at least half of the even share. Kept: the dearest class goes first.

--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -28,6 +28,7 @@
 constexpr duration longest_retry_after = 10s;
 constexpr duration no_target_retry_after = 500ms;
 constexpr double least_speed_share = 0.05; // for the longest waits
+constexpr double least_even_share = 0.5;   // of an entry under contention
 constexpr double speed_steps = 8;          // steps of speed in a factor of e
 constexpr duration order_margin = 200ms;   // slack that patience order leaves
 constexpr double admission_margin = 0.1;   // of the wait, but the shortest
@@ -227,7 +228,8 @@
 }
 
 // Speed of the slots that this entry may count on: those it has, or its even
-// share of all targets.
+// share of all targets. While tasks wait it has asked for all that it can
+// get, and only part of the even share is sure.
 double dispatcher::state::total_speed(const service_name& service,
                                       time_point now) const
 {
@@ -244,7 +246,9 @@
         granted += t.grant * t.speed;
         all += t.offer.slots * t.speed;
     }
-    return std::max(granted, all / std::max(options.entries, 1U));
+    const double even = all / std::max(options.entries, 1U);
+    const double least = queue.size() > 0 ? least_even_share * even : even;
+    return std::max(granted, least);
 }
 
 double dispatcher::state::mean_speed(const service_name& service) const
