core: confirm only grants that take credits away; slower evening out

Change: demand_reporter takes the grant and has it confirmed only when it lowers the credits; a decrease is told after 1.5 s, idle credits are evened out after 2 s.

--- a/packages/core/include/agatebank/core/demand_reporter.hpp
+++ b/packages/core/include/agatebank/core/demand_reporter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <agatebank/core/credit_allocator.hpp>
 #include <agatebank/core/dispatcher.hpp>
 
 #include <algorithm>
@@ -13,15 +14,17 @@
 ///
 /// The agent counts the starts it holds by itself; what it must hear is that
 /// tasks wait, that their number changed by a factor of two below a limit,
-/// and which grant the entry acts on. That fewer wait is told only when it
-/// has held for a while: a queue that fills and drains in between is quiet.
+/// and that the entry acts on a grant of fewer credits. That fewer wait is told
+/// only when it has held for a while: a queue that fills and drains in between
+/// is quiet.
 class demand_reporter
 {
   public:
     // modifiers
     /// @brief Whether to send this demand now; if so it counts as sent.
-    /// @param grant_version version of the grant the entry acts on
-    bool should_send(const demand_report& demand, uint64_t grant_version,
+    /// @param grant the grant the entry acts on; only one that takes credits
+    /// away has to be confirmed
+    bool should_send(const demand_report& demand, const slot_grant& grant,
                      time_point now)
     {
         const auto queued = std::min(demand.queued, largest_queue);
@@ -31,12 +34,13 @@
         }
         const bool more = queued > 2 * queued_;
         const bool less = now - high_at_ > decrease_delay;
-        if (!more && !less && grant_version == grant_version_)
+        credits_ = std::max(credits_, grant.credits);
+        if (!more && !less && grant.credits == credits_)
         {
             return false;
         }
         queued_ = queued;
-        grant_version_ = grant_version;
+        credits_ = grant.credits;
         high_at_ = now;
         return true;
     }
@@ -44,10 +48,10 @@
   private:
     /// Beyond it a longer queue asks for nothing more.
     static constexpr uint32_t largest_queue = 64;
-    static constexpr duration decrease_delay = std::chrono::milliseconds(500);
+    static constexpr duration decrease_delay = std::chrono::milliseconds(1500);
 
     uint32_t queued_ = 0;
-    uint64_t grant_version_ = 0;
+    uint32_t credits_ = 0; ///< largest since the last confirmed grant
     time_point high_at_;
 };
 
--- a/packages/core/src/credit_allocator.cpp
+++ b/packages/core/src/credit_allocator.cpp
@@ -13,7 +13,7 @@
 
 // Time for which an entry's largest need keeps its credits from being evened
 // out.
-constexpr duration peak_hold = std::chrono::milliseconds(500);
+constexpr duration peak_hold = std::chrono::milliseconds(2000);
 
 } // namespace
 
--- a/tools/experiment/simulation.cpp
+++ b/tools/experiment/simulation.cpp
@@ -349,7 +349,8 @@
         }
         const auto demand = entry.policy->demand(agent_id(a), clock_.now());
         const auto version = entry.grants[a].version;
-        if (entry.reporters[a].should_send(demand, version, clock_.now()))
+        if (entry.reporters[a].should_send(demand, entry.grants[a],
+                                           clock_.now()))
         {
             ++result_.messages.control;
             clock_.after(site_.between_processes, [this, a, e, demand, version]
