core: wait for a target on which nearly every such task ends in time

Cause: at 120 % 2 of 6151 admitted jobs of class now were late at Kitami: a long task on the slowest target. Change: a task waits if no free target, but a busy one, would end it in time by the high quantile.

--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -191,6 +191,10 @@
     fastest_group fastest_targets(const service_name& service) const;
     target_record* slowest_in_time(const job_record& job, uint32_t task,
                                    queue_order order, time_point now);
+    static bool in_time(const job_record& job, uint32_t task,
+                        const target_record& t, time_point now);
+    bool others_in_time(const job_record& job, uint32_t task,
+                        time_point now) const;
     bool better_to_wait(const job_record& job, uint32_t task,
                         const target_record& best, unsigned held,
                         time_point now) const;
@@ -440,8 +444,7 @@
             continue;
         }
         last = &t;
-        const auto run = time_for(job.expected[task].high, t.speed);
-        if (now + run + 2 * t.offer.one_way_delay <= job.deadline)
+        if (in_time(job, task, t, now))
         {
             return last;
         }
@@ -478,20 +481,47 @@
                        });
 }
 
+// Whether nearly every such task started now at a target ends in time.
+bool dispatcher::state::in_time(const job_record& job, uint32_t task,
+                                const target_record& t, time_point now)
+{
+    const auto run = time_for(job.expected[task].high, t.speed);
+    return now + run + 2 * t.offer.one_way_delay <= job.deadline;
+}
+
+// Whether a target that is busy now would still end the task in time.
+bool dispatcher::state::others_in_time(const job_record& job, uint32_t task,
+                                       time_point now) const
+{
+    return std::any_of(targets.begin(), targets.end(),
+                       [&](const auto& it)
+                       {
+                           const auto& t = it.second;
+                           return t.grant > 0 &&
+                                  t.serves(job.request.service) &&
+                                  in_time(job, task, t, now) &&
+                                  health.state(it.first, now) ==
+                                      health_state::healthy;
+                       });
+}
+
+// The target for the next task of a job; null to wait for a better one.
 target_record* dispatcher::state::choose(const job_record& job, uint32_t task,
                                          unsigned held, queue_order order,
                                          time_point now)
 {
-    if (!is_dearest(job, now))
-    {
-        return slowest_in_time(job, task, order, now);
-    }
-    auto* best = fastest(job, now);
-    if (best != nullptr && better_to_wait(job, task, *best, held, now))
+    const bool dearest = is_dearest(job, now);
+    auto* best =
+        dearest ? fastest(job, now) : slowest_in_time(job, task, order, now);
+    if (best == nullptr)
     {
         return nullptr;
     }
-    return best;
+    const bool risky =
+        !in_time(job, task, *best, now) && others_in_time(job, task, now);
+    const bool wait =
+        risky || (dearest && better_to_wait(job, task, *best, held, now));
+    return wait ? nullptr : best;
 }
 
 assignment dispatcher::state::start(job_record& job, target_record& t,
--- a/tools/experiment/main.cpp
+++ b/tools/experiment/main.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <cstdint>
 #include <cstdio>
 #include <exception>
 #include <filesystem>
@@ -27,6 +28,7 @@
     std::string version;
     std::string scenario;
     std::string site;
+    uint64_t seed = 0;
     bool quick = false;
 };
 
@@ -49,8 +51,9 @@
 report run_all(const settings& s)
 {
     report out;
-    for (const auto& place : all_sites())
+    for (auto place : all_sites())
     {
+        place.seed += s.seed;
         std::size_t number = 0;
         for (const auto& sc : all_scenarios(s.quick))
         {
@@ -115,7 +118,8 @@
         "scenario", options::value(&s.scenario),
         "only scenarios with this in the name")(
         "version", options::value(&s.version),
-        "only versions with this in the name")(
+        "only versions with this in the name")("seed", options::value(&s.seed),
+                                               "added to the sites' seeds")(
         "quick", options::bool_switch(&s.quick), "shorter runs");
     options::variables_map given;
     options::store(options::parse_command_line(argc, argv, known), given);
