--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -28,6 +28,7 @@
 constexpr duration longest_retry_after = 10s;
 constexpr duration no_target_retry_after = 500ms;
 constexpr double least_speed_share = 0.05; // for the longest waits
+constexpr double least_even_share = 0.5;   // of an entry under contention
 constexpr double speed_steps = 8;          // steps of speed in a factor of e
 constexpr duration order_margin = 200ms;   // slack that patience order leaves
 constexpr double admission_margin = 0.1;   // of the wait, but the shortest
@@ -190,6 +191,10 @@
     fastest_group fastest_targets(const service_name& service) const;
     target_record* slowest_in_time(const job_record& job, uint32_t task,
                                    queue_order order, time_point now);
+    static bool in_time(const job_record& job, uint32_t task,
+                        const target_record& t, time_point now);
+    bool others_in_time(const job_record& job, uint32_t task,
+                        time_point now) const;
     bool better_to_wait(const job_record& job, uint32_t task,
                         const target_record& best, unsigned held,
                         time_point now) const;
@@ -227,11 +232,13 @@
 }
 
 // Speed of the slots that this entry may count on: those it has, or its even
-// share of the target.
+// share of all targets. While tasks wait it has asked for all that it can
+// get, and only part of the even share is sure.
 double dispatcher::state::total_speed(const service_name& service,
                                       time_point now) const
 {
-    double sum = 0;
+    double granted = 0;
+    double all = 0;
     for (const auto& [agent, t] : targets)
     {
         if (!t.serves(service) ||
@@ -240,11 +247,12 @@
         {
             continue;
         }
-        const double even =
-            static_cast<double>(t.offer.slots) / std::max(options.entries, 1U);
-        sum += std::max(even, static_cast<double>(t.grant)) * t.speed;
+        granted += t.grant * t.speed;
+        all += t.offer.slots * t.speed;
     }
-    return sum;
+    const double even = all / std::max(options.entries, 1U);
+    const double least = queue.size() > 0 ? least_even_share * even : even;
+    return std::max(granted, least);
 }
 
 double dispatcher::state::mean_speed(const service_name& service) const
@@ -436,8 +444,7 @@
             continue;
         }
         last = &t;
-        const auto run = time_for(job.expected[task].high, t.speed);
-        if (now + run + 2 * t.offer.one_way_delay <= job.deadline)
+        if (in_time(job, task, t, now))
         {
             return last;
         }
@@ -474,20 +481,47 @@
                        });
 }
 
+// Whether nearly every such task started now at a target ends in time.
+bool dispatcher::state::in_time(const job_record& job, uint32_t task,
+                                const target_record& t, time_point now)
+{
+    const auto run = time_for(job.expected[task].high, t.speed);
+    return now + run + 2 * t.offer.one_way_delay <= job.deadline;
+}
+
+// Whether a target that is busy now would still end the task in time.
+bool dispatcher::state::others_in_time(const job_record& job, uint32_t task,
+                                       time_point now) const
+{
+    return std::any_of(targets.begin(), targets.end(),
+                       [&](const auto& it)
+                       {
+                           const auto& t = it.second;
+                           return t.grant > 0 &&
+                                  t.serves(job.request.service) &&
+                                  in_time(job, task, t, now) &&
+                                  health.state(it.first, now) ==
+                                      health_state::healthy;
+                       });
+}
+
+// The target for the next task of a job; null to wait for a better one.
 target_record* dispatcher::state::choose(const job_record& job, uint32_t task,
                                          unsigned held, queue_order order,
                                          time_point now)
 {
-    if (!is_dearest(job, now))
-    {
-        return slowest_in_time(job, task, order, now);
-    }
-    auto* best = fastest(job, now);
-    if (best != nullptr && better_to_wait(job, task, *best, held, now))
+    const bool dearest = is_dearest(job, now);
+    auto* best =
+        dearest ? fastest(job, now) : slowest_in_time(job, task, order, now);
+    if (best == nullptr)
     {
         return nullptr;
     }
-    return best;
+    const bool risky =
+        !in_time(job, task, *best, now) && others_in_time(job, task, now);
+    const bool wait =
+        risky || (dearest && better_to_wait(job, task, *best, held, now));
+    return wait ? nullptr : best;
 }
 
 assignment dispatcher::state::start(job_record& job, target_record& t,
