cli: the agatebank command line

Cause: operators and callers need the interface of the entries by hand and from scripts. Ruled out: one try at one entry; a client whose entry dies would not learn its outcome. Every call is safe to repeat, so the next entry is asked. Change: inventory, rules, target, job, status, timeline, config and token commands with tables or JSON, and stable exit codes. job submit keeps the reserved id in a file, synced, before the job is sent.

--- /dev/null
+++ b/packages/cli/include/agatebank/cli/text_table.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief Lays out rows in columns for people.
+///
+/// @code
+/// text_table table({"TARGET", "SLOTS"});
+/// table.add({"t-1", "8"});
+/// out << table.to_string();
+/// @endcode
+class text_table
+{
+  public:
+    // construction
+    explicit text_table(std::vector<std::string> header);
+
+    // modifiers
+    /// @param row as many cells as the header
+    void add(std::vector<std::string> row);
+
+    // lookup
+    std::string to_string() const;
+
+  private:
+    std::vector<std::vector<std::string>> rows_;
+};
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/cli/src/change_call.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <agatebank/cli/cli_command.hpp>
+
+#include <string>
+
+namespace agatebank::detail
+{
+
+/// @brief Adds the options that every change has.
+void add_change_options(boost::program_options::options_description& options);
+
+/// @brief How a change is to be made.
+struct change_arguments
+{
+    bool dry_run = false;
+    std::string required_version; ///< empty: any
+    uint64_t in_force_wait_ms = 0;
+};
+
+/// @brief Reads the options of @ref add_change_options.
+change_arguments read_change_arguments(const cli_context& context);
+
+/// @brief Sends a change of the configuration, waits until it is in force and
+/// prints the outcome.
+/// @param call method, path, body and content type
+cli_exit_code send_change(const cli_context& context,
+                          const change_arguments& arguments, http_call call);
+
+} // namespace agatebank::detail
--- /dev/null
+++ b/packages/cli/src/cli_output.cpp
@@ -0,0 +1,153 @@
+#include "cli_output.hpp"
+
+#include <agatebank/core/json_reader.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace agatebank::detail
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr unsigned status_client_error = 400;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_outcome_unknown = 504;
+
+void print_conflict(std::ostream& err, const json& conflict)
+{
+    for (const auto& record : conflict.value("changes", json::array()))
+    {
+        err << "  version " << cell(record, "version") << " by "
+            << cell(record, "changed_by") << ": " << cell(record, "summary")
+            << "\n";
+    }
+    for (const auto& item : conflict.value("difference", json::array()))
+    {
+        err << "  " << cell(item, "path") << ": " << cell(item, "before")
+            << " -> " << cell(item, "after") << "\n";
+    }
+}
+
+cli_exit_code to_exit_code(unsigned status)
+{
+    switch (status)
+    {
+    case status_unavailable:
+        return cli_exit_code::unreachable;
+    case status_outcome_unknown:
+        return cli_exit_code::outcome_unknown;
+    default:
+        return cli_exit_code::refused;
+    }
+}
+
+} // namespace
+
+cli_exit_code report(const cli_context& context, const failure& f)
+{
+    context.environment.err << "agatebank: " << f.to_string() << "\n";
+    if (f.code == errc::settings_unreadable)
+    {
+        return cli_exit_code::usage;
+    }
+    const bool refused = f.code == errc::configuration_invalid ||
+                         f.code == errc::request_malformed;
+    return refused ? cli_exit_code::refused : cli_exit_code::unreachable;
+}
+
+cli_exit_code report_problem(const cli_context& context,
+                             const http_response& response)
+{
+    auto& env = context.environment;
+    if (context.json)
+    {
+        env.out << response.body << "\n";
+    }
+    const auto problem = json::parse(response.body, nullptr, false);
+    if (!problem.is_object())
+    {
+        env.err << "agatebank: HTTP status " << response.status << "\n";
+        return to_exit_code(response.status);
+    }
+    env.err << "agatebank: " << cell(problem, "step") << ": "
+            << cell(problem, "title") << " (" << cell(problem, "code") << " "
+            << cell(problem, "number") << ")";
+    const auto detail = cell(problem, "detail");
+    env.err << (detail.empty() ? "" : ": " + detail)
+            << "; run: " << cell(problem, "run") << "\n";
+    print_conflict(env.err, problem.value("conflict", json::object()));
+    return to_exit_code(response.status);
+}
+
+cli_exit_code
+print_response(const cli_context& context, const http_response& response,
+               const std::function<cli_exit_code(const json&)>& print)
+{
+    if (response.status >= status_client_error)
+    {
+        return report_problem(context, response);
+    }
+    const auto body = parse_json(response.body, "cli.read", "entry");
+    if (!body)
+    {
+        return report(context, body.error());
+    }
+    if (context.json)
+    {
+        context.environment.out << response.body << "\n";
+    }
+    return print(*body);
+}
+
+cli_exit_code
+call_and_print(const cli_context& context, const http_call& call,
+               const std::function<cli_exit_code(const json&)>& print)
+{
+    const auto answer = context.entries.call(call);
+    return answer ? print_response(context, *answer, print)
+                  : report(context, answer.error());
+}
+
+result<std::string> read_input(const cli_context& context,
+                               const std::string& name)
+{
+    using iterator = std::istreambuf_iterator<char>;
+    if (name == "-")
+    {
+        return std::string(iterator(context.environment.in), iterator());
+    }
+    std::ifstream file(name, std::ios::binary);
+    std::string text{iterator(file), iterator()};
+    if (!file.is_open() || file.bad())
+    {
+        return fail(errc::settings_unreadable, "cli.read_file", name);
+    }
+    return text;
+}
+
+std::string cell(const json& object, const char* name)
+{
+    const auto it = object.find(name);
+    if (it == object.end() || it->is_null())
+    {
+        return {};
+    }
+    return it->is_string() ? it->get<std::string>() : it->dump();
+}
+
+std::string join(const json& texts)
+{
+    std::string out;
+    for (const auto& text : texts)
+    {
+        out += (out.empty() ? "" : ",") + text.get<std::string>();
+    }
+    return out;
+}
+
+} // namespace agatebank::detail
--- /dev/null
+++ b/packages/cli/src/entry_client.cpp
@@ -0,0 +1,71 @@
+#include <agatebank/cli/entry_client.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+constexpr unsigned status_unavailable = 503;
+
+} // namespace
+
+entry_client::entry_client(event_loop& loop, http_client& http,
+                           std::vector<std::string> entries, std::string token)
+    : loop_(loop)
+    , http_(http)
+    , entries_(std::move(entries))
+    , token_(std::move(token))
+{
+}
+
+result<http_response> entry_client::call(http_call call)
+{
+    if (!token_.empty())
+    {
+        call.headers.push_back({"Authorization", "Bearer " + token_});
+    }
+    const auto path = call.url;
+    result<http_response> last =
+        fail(errc::peer_unreachable, "cli.call", {}, "no entry given");
+    for (std::size_t i = 0; i < entries_.size(); ++i)
+    {
+        const auto index = (first_ + i) % entries_.size();
+        call.url = entries_[index] + path;
+        auto answer = call_one(call);
+        if (answer && answer->status != status_unavailable)
+        {
+            first_ = index;
+            return answer;
+        }
+        // A refusal says more than an entry that is not there.
+        if (answer || !last)
+        {
+            last = std::move(answer);
+        }
+    }
+    return last;
+}
+
+result<http_response> entry_client::call_one(http_call call)
+{
+    std::optional<result<http_response>> got;
+    const auto handle =
+        http_.send(call,
+                   [&](const tl::expected<http_response, http_failure>& answer)
+                   {
+                       got = answer.map_error([](const http_failure& f)
+                                              { return f.reason; });
+                       loop_.quit();
+                   });
+    while (!got)
+    {
+        loop_.run();
+    }
+    return *got;
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/cli/src/job_commands.cpp
@@ -0,0 +1,235 @@
+#include "cli_output.hpp"
+#include "id_file.hpp"
+#include <agatebank/cli/cli_command.hpp>
+#include <agatebank/core/json_reader.hpp>
+
+#include <glib.h>
+
+#include <algorithm>
+#include <iostream>
+
+namespace agatebank
+{
+
+namespace
+{
+
+using nlohmann::json;
+namespace po = boost::program_options;
+
+constexpr uint64_t max_poll_ms = 20000;
+constexpr auto answer_timeout = std::chrono::seconds(10);
+
+std::string decode_answer(const json& answer)
+{
+    if (answer.contains("body"))
+    {
+        return detail::cell(answer, "body");
+    }
+    const auto text = detail::cell(answer, "base64");
+    return text.empty() ? detail::cell(answer, "problem") : "base64:" + text;
+}
+
+void print_job(const cli_context& context, const json& job)
+{
+    auto& out = context.environment.out;
+    out << "submission " << detail::cell(job, "submission") << ": "
+        << detail::cell(job, "state");
+    for (const char* name : {"patience", "price", "response_ms", "run"})
+    {
+        const auto value = detail::cell(job, name);
+        out << (value.empty() ? "" : std::string(", ") + name + " " + value);
+    }
+    out << "\n";
+    if (job.contains("problem"))
+    {
+        const auto& problem = job.at("problem");
+        out << "problem: " << detail::cell(problem, "step") << ": "
+            << detail::cell(problem, "title") << " "
+            << detail::cell(problem, "detail") << "\n";
+    }
+    for (const auto& answer : job.value("answers", json::array()))
+    {
+        out << decode_answer(answer) << "\n";
+    }
+}
+
+cli_exit_code to_exit_code(const json& job)
+{
+    const auto state = detail::cell(job, "state");
+    if (state == "complete")
+    {
+        return cli_exit_code::success;
+    }
+    return state == "running" ? cli_exit_code::unfinished
+                              : cli_exit_code::job_failed;
+}
+
+cli_exit_code show(const cli_context& context, const json& job)
+{
+    if (!context.json)
+    {
+        print_job(context, job);
+    }
+    return to_exit_code(job);
+}
+
+std::string submission_path(const std::string& id, uint64_t wait_ms)
+{
+    char* escaped = g_uri_escape_string(id.c_str(), nullptr, FALSE);
+    std::string out = "/v1/submissions/" + std::string(escaped) +
+                      "?wait_ms=" + std::to_string(wait_ms);
+    g_free(escaped);
+    return out;
+}
+
+// Repeats a call with a long poll until the job is settled or the time is
+// over; the last response is what is printed.
+cli_exit_code poll_job(const cli_context& context, http_call call,
+                       const std::string& id, uint64_t total_ms)
+{
+    constexpr unsigned status_running = 202;
+    uint64_t left_ms = total_ms;
+    result<http_response> answer = fail(errc::peer_unreachable, "job.poll", id);
+    do
+    {
+        const auto wait_ms = std::min(left_ms, max_poll_ms);
+        left_ms -= wait_ms;
+        call.url = submission_path(id, wait_ms);
+        call.timeout = answer_timeout + std::chrono::milliseconds(wait_ms);
+        answer = context.entries.call(call);
+    } while (answer && answer->status == status_running && left_ms > 0);
+    if (!answer)
+    {
+        return detail::report(context, answer.error());
+    }
+    return detail::print_response(
+        context, *answer, [&](const json& job) { return show(context, job); });
+}
+
+result<std::string> reserve(const cli_context& context)
+{
+    http_call call;
+    call.method = "POST";
+    call.url = "/v1/submissions?count=1";
+    const auto answer = context.entries.call(call);
+    if (!answer)
+    {
+        return tl::unexpected(answer.error());
+    }
+    const auto body = json::parse(answer->body, nullptr, false);
+    const json::json_pointer first("/submissions/0");
+    if (!body.is_object() || !body.contains(first))
+    {
+        return fail(errc::request_malformed, "job.reserve", {},
+                    "HTTP status " + std::to_string(answer->status) + ": " +
+                        (body.is_object() ? detail::cell(body, "title") : ""));
+    }
+    return body.at(first).get<std::string>();
+}
+
+// The id kept in the file, or a fresh one that is kept before it is used.
+result<std::string> find_id(const cli_context& context)
+{
+    const auto file = context.text("store-id");
+    if (!file.empty())
+    {
+        auto kept = detail::read_id_file(file);
+        if (!kept.empty())
+        {
+            return kept;
+        }
+    }
+    auto id = reserve(context);
+    if (!id || file.empty())
+    {
+        return id;
+    }
+    const auto written = detail::write_id_file(file, *id);
+    if (!written)
+    {
+        return tl::unexpected(written.error());
+    }
+    return id;
+}
+
+cli_exit_code submit_job(const cli_context& context)
+{
+    const auto body = detail::read_input(context, context.text("FILE"));
+    if (!body)
+    {
+        return detail::report(context, body.error());
+    }
+    const auto id = find_id(context);
+    if (!id)
+    {
+        return detail::report(context, id.error());
+    }
+    http_call call;
+    call.method = "PUT";
+    call.body = *body;
+    return poll_job(context, call, *id, context.number("wait-ms"));
+}
+
+cli_exit_code show_job(const cli_context& context)
+{
+    return poll_job(context, {}, context.text("SUBMISSION"),
+                    context.number("wait-ms"));
+}
+
+cli_exit_code cancel_job(const cli_context& context)
+{
+    http_call call;
+    call.method = "DELETE";
+    call.url = submission_path(context.text("SUBMISSION"), 0);
+    const auto answer = context.entries.call(call);
+    if (!answer)
+    {
+        return detail::report(context, answer.error());
+    }
+    return detail::print_response(context, *answer,
+                                  [&](const json& job)
+                                  {
+                                      if (!context.json)
+                                      {
+                                          print_job(context, job);
+                                      }
+                                      return cli_exit_code::success;
+                                  });
+}
+
+po::options_description wait_option(uint64_t default_ms)
+{
+    po::options_description out;
+    out.add_options()("wait-ms",
+                      po::value<uint64_t>()->default_value(default_ms),
+                      "time to wait for the answer");
+    return out;
+}
+
+} // namespace
+
+std::vector<cli_command> job_commands()
+{
+    auto submit_options = wait_option(60000);
+    submit_options.add_options()(
+        "store-id", po::value<std::string>(),
+        "file that keeps the submission id, written before the job is sent; "
+        "when it has an id, the job is sent again under it");
+    return {
+        {"job submit",
+         "send a job (JSON file, - for standard input) and wait",
+         {"FILE"},
+         submit_options,
+         true,
+         submit_job},
+        {"job show",
+         "print a job",
+         {"SUBMISSION"},
+         wait_option(0),
+         true,
+         show_job},
+        {"job cancel", "cancel a job", {"SUBMISSION"}, {}, true, cancel_job}};
+}
+
+} // namespace agatebank
