--- a/packages/entry/include/agatebank/entry/entry_process.hpp
+++ b/packages/entry/include/agatebank/entry/entry_process.hpp
@@ -65,6 +65,7 @@
     event_collector& events() noexcept;
     const process_identity& identity() const noexcept;
     bool leaving() const noexcept;
+    time_point now() const;
 
   private:
     // wiring
@@ -83,8 +84,8 @@
     void apply_configuration();
 
     // callers
-    result<job_terms>
-    find_terms(const caller_name& caller, const job_document& job) const;
+    result<job_terms> find_terms(const caller_name& caller,
+                                 const job_document& job) const;
 
     // stopping
     void stop_when_idle();
