--- a/packages/entry/tests/unit-submission_service.cpp
+++ b/packages/entry/tests/unit-submission_service.cpp
@@ -53,9 +53,11 @@
                   {
                       return fail(errc::service_unknown, "test");
                   }
-                  return job_terms{{service_name("s")},
-                                   {patience_name("now"),
-                                    std::chrono::seconds(1), price(5)}};
+                  job_terms terms;
+                  terms.service.name = service_name("s");
+                  terms.patience = {patience_name("now"),
+                                    std::chrono::seconds(1), price(5)};
+                  return terms;
               },
               limits)
         , jobs(loop, timers, policy, agents, events,
