Add the bench of latency, processor time, memory and control traffic

Ruled out: timing inside tests; the verdict must not depend on the machine. Change: tools/bench over the harness; make bench. Before: no figure. Conclusion: none yet.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Developer chores over CMake.
 JOBS ?= $(shell nproc)
 
-.PHONY: all install-packages configure build check demo format format-check lint \
-    clean
+.PHONY: all install-packages configure build check demo bench \
+    format format-check lint clean
 
 all: build
 
@@ -27,6 +27,10 @@
 demo: build
 	@scripts/demo.sh $(EXAMPLE)
 
+## bench: measure latency, processor time, memory and control traffic
+bench: build
+	@build/tools/bench/bench --example examples/pall-cloth $(BENCH_ARGS)
+
 ## format: format all sources
 format:
 	@scripts/format.sh
--- /dev/null
+++ b/tools/bench/main.cpp
@@ -0,0 +1,79 @@
+#include "scenarios.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <cstdio>
+#include <exception>
+#include <iostream>
+
+namespace
+{
+
+using namespace agatebank;
+namespace po = boost::program_options;
+
+void print(const std::vector<bench_row>& rows)
+{
+    for (const auto& it : rows)
+    {
+        std::printf("| %s | %.2f | %s | %s |\n", it.what.c_str(), it.value,
+                    it.unit.c_str(), it.target.c_str());
+    }
+    std::fflush(stdout);
+}
+
+// Runs the scenarios; `scale` also runs the idle ones at several sizes.
+void run(const bench_sizes& sizes, bool scale)
+{
+    std::printf("| what | measured | unit | target |\n|---|---|---|---|\n");
+    print(measure_latency(sizes));
+    print(measure_jobs(sizes));
+    print(measure_idle(sizes, 3, 10));
+    if (!scale)
+    {
+        return;
+    }
+    for (const unsigned entries : {1U, 2U, 4U, 8U})
+    {
+        print(measure_idle(sizes, entries, 10));
+    }
+    for (const unsigned agents : {50U, 100U})
+    {
+        print(measure_idle(sizes, 1, agents));
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    bench_sizes sizes;
+    bool scale = false;
+    po::options_description options("bench options");
+    options.add_options()("help", "print this help")(
+        "example", po::value(&sizes.example)->required(),
+        "directory of the example")("jobs", po::value(&sizes.jobs),
+                                    "jobs of the throughput scenario")(
+        "requests", po::value(&sizes.latency_requests),
+        "requests of the latency scenario")(
+        "scale", po::bool_switch(&scale),
+        "also measure idle processes at several sizes");
+    try
+    {
+        po::variables_map values;
+        po::store(po::parse_command_line(argc, argv, options), values);
+        if (values.count("help") != 0)
+        {
+            std::cout << options;
+            return 0;
+        }
+        po::notify(values);
+        run(sizes, scale);
+        return 0;
+    }
+    catch (const std::exception& e)
+    {
+        std::cerr << "bench: " << e.what() << "\n";
+        return 1;
+    }
+}
--- a/tools/harness/include/agatebank/harness/cluster.hpp
+++ b/tools/harness/include/agatebank/harness/cluster.hpp
@@ -92,6 +92,8 @@
     std::string entry_url(std::size_t i) const;
     std::string platform_url() const;
     std::string target_url(const std::string& target);
+    /// @brief The agent beside a target.
+    std::string agent_url(const std::string& target);
     job_caller& caller() noexcept;
     ledger read_ledger() const;
     const std::string& directory() const noexcept;
--- a/tools/harness/src/cluster.cpp
+++ b/tools/harness/src/cluster.cpp
@@ -457,6 +457,11 @@
     return url_of(target_ports_.at(name));
 }
 
+std::string cluster::agent_url(const std::string& name)
+{
+    return url_of(agent_ports_.at(name));
+}
+
 job_caller& cluster::caller() noexcept
 {
     return caller_;
