core: probe targets in doubt with small jobs of the longest wait

Cause: when the fastest target fails at once, each probe and each start before the ejection took a job of the dearest class or one of up to 120 tasks, whose other answers nobody used. Change: at a target that is suspect or being probed only jobs of at most four tasks and of the longest wait offered lately go, or any job after 3 s. Seen failing: without the limit of 3 s, and without ejection.

--- a/packages/core/include/agatebank/core/offered_load.hpp
+++ b/packages/core/include/agatebank/core/offered_load.hpp
@@ -23,6 +23,8 @@
     /// @brief Work a second per second, of waits shorter than @p wait.
     /// @complexity O(n) for n different waits
     double rate_below(duration wait, time_point now) const;
+    /// @brief Whether a longer wait was offered lately.
+    bool has_longer(duration wait, time_point now) const;
     /// @brief Whether no shorter wait was offered lately.
     bool is_shortest(duration wait, time_point now) const;
 
--- a/packages/core/include/agatebank/core/target_health.hpp
+++ b/packages/core/include/agatebank/core/target_health.hpp
@@ -61,6 +61,9 @@
     health_state state(agent_incarnation agent, time_point now) const;
     /// @brief Whether one more start may be sent. @complexity O(log n)
     bool may_start(agent_incarnation agent, time_point now) const;
+    /// @brief Since when a target that is not healthy waits for a start that
+    /// decides: the end of its period or of its latest start.
+    time_point in_doubt_since(agent_incarnation agent) const;
     /// @brief Targets that are ejected or being probed.
     std::size_t ejected() const noexcept
     {
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -33,7 +33,9 @@
 constexpr duration order_margin = 200ms;   // slack that patience order leaves
 constexpr double admission_margin = 0.1;   // of the wait, but the shortest
 constexpr int equal_speed_steps = 2;       // taken for the same speed
-constexpr unsigned kept_credits = 1;       // of the fastest targets
+constexpr std::size_t most_probe_tasks = 4;
+constexpr duration probe_patience = 3s; // until any job may be the probe
+constexpr unsigned kept_credits = 1;    // of the fastest targets
 constexpr unsigned least_credits_to_keep = 4;
 constexpr unsigned max_held_jobs = 32; // looked past in one round
 
@@ -169,7 +171,9 @@
 
     // targets
     void update_ready(target_record& t);
-    bool may_start(const target_record& t, const service_name& service,
+    bool may_start(const target_record& t, const job_record& job,
+                   time_point now) const;
+    bool may_probe(const job_record& job, agent_incarnation agent,
                    time_point now) const;
     double total_speed(const service_name& service, time_point now) const;
     double mean_speed(const service_name& service) const;
@@ -222,13 +226,35 @@
     }
 }
 
-bool dispatcher::state::may_start(const target_record& t,
-                                  const service_name& service,
+bool dispatcher::state::may_start(const target_record& t, const job_record& job,
                                   time_point now) const
 {
-    return t.serves(service) && t.has_room(service) &&
-           pacer.may_start(t.offer.agent, now) &&
-           (!options.ejection || health.may_start(t.offer.agent, now));
+    const auto agent = t.offer.agent;
+    if (!t.serves(job.request.service) || !t.has_room(job.request.service) ||
+        !pacer.may_start(agent, now))
+    {
+        return false;
+    }
+    if (!options.ejection || health.state(agent, now) == health_state::healthy)
+    {
+        return true;
+    }
+    return health.may_start(agent, now) && may_probe(job, agent, now);
+}
+
+// A start at a target in doubt risks the whole job: small jobs of the longest
+// wait that is offered go first, and any job when none of these has come.
+bool dispatcher::state::may_probe(const job_record& job,
+                                  agent_incarnation agent, time_point now) const
+{
+    if (now - health.in_doubt_since(agent) > probe_patience)
+    {
+        return true;
+    }
+    const auto& offered = services.at(job.request.service).offered;
+    return !job.request.never_delay &&
+           job.expected.size() <= most_probe_tasks &&
+           !offered.has_longer(job.request.wait, now);
 }
 
 // Speed of the slots that this entry may count on: those it has, or its even
@@ -392,7 +418,7 @@
     for (auto it = ready.rbegin(); it != ready.rend(); ++it)
     {
         auto& t = targets.at(it->second);
-        if (may_start(t, job.request.service, now))
+        if (may_start(t, job, now))
         {
             return &t;
         }
@@ -438,8 +464,7 @@
     for (const auto& [step, agent] : ready)
     {
         auto& t = targets.at(agent);
-        if (!may_start(t, job.request.service, now) ||
-            (keep && step >= top.least_step))
+        if (!may_start(t, job, now) || (keep && step >= top.least_step))
         {
             continue;
         }
--- a/packages/core/src/offered_load.cpp
+++ b/packages/core/src/offered_load.cpp
@@ -1,5 +1,6 @@
 #include <agatebank/core/offered_load.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace agatebank
@@ -47,6 +48,13 @@
     return sum;
 }
 
+bool offered_load::has_longer(duration wait, time_point now) const
+{
+    return std::any_of(by_wait_.upper_bound(wait), by_wait_.end(),
+                       [&](const auto& it)
+                       { return it.second.at(now) >= negligible_rate; });
+}
+
 bool offered_load::is_shortest(duration wait, time_point now) const
 {
     return rate_below(wait, now) < negligible_rate;
--- a/packages/core/src/target_health.cpp
+++ b/packages/core/src/target_health.cpp
@@ -149,6 +149,17 @@
     return it == records_.end() || it->second.in_flight == 0;
 }
 
+time_point health_monitor::in_doubt_since(agent_incarnation agent) const
+{
+    const auto it = records_.find(agent);
+    if (it == records_.end())
+    {
+        return {};
+    }
+    const auto& r = it->second;
+    return r.ejected ? r.ejected_until : r.silent_since;
+}
+
 std::size_t health_monitor::max_ejected() const
 {
     return static_cast<std::size_t>(static_cast<double>(records_.size()) *
--- a/packages/core/tests/unit-dispatcher.cpp
+++ b/packages/core/tests/unit-dispatcher.cpp
@@ -319,3 +319,47 @@
                  100ms, start + 1s);
     CHECK(d.assign(start + 1s).size() == 1);
 }
+
+TEST_CASE("dispatcher: a target that fails is ejected, probed and comes back")
+{
+    dispatch_options options;
+    options.learned_run_times = false;
+    dispatcher d(options);
+    const agent_incarnation bad(3);
+    for (uint64_t i = 1; i <= 3; ++i)
+    {
+        d.put_target(offer(i), start);
+        d.set_grant(agent_incarnation(i), 4);
+    }
+    uint64_t key = 0;
+    // Sends one job after the other; the bad target fails them, or answers.
+    const auto run_jobs =
+        [&](int jobs, std::size_t tasks, bool fails, time_point now)
+    {
+        std::size_t at_bad = 0;
+        for (int i = 0; i < jobs; ++i)
+        {
+            d.admit(job(key, tasks), now);
+            for (const auto& it : d.assign(now))
+            {
+                at_bad += it.agent == bad;
+                d.on_outcome(it.task, it.agent,
+                             it.agent == bad && fails ? task_outcome::failed
+                                                      : task_outcome::answered,
+                             100ms, now);
+            }
+            d.remove_job(job_key(key++));
+        }
+        return at_bad;
+    };
+    CHECK(run_jobs(20, 1, true, start) == 3);
+    CHECK(d.is_ejected(bad, start));
+    CHECK(run_jobs(5, 10, true, start) == 0);
+    // period over: a small job of the longest wait would be the probe
+    CHECK(run_jobs(5, 10, true, start + 2s) == 0);
+    CHECK(run_jobs(5, 1, true, start + 2s) == 1);
+    CHECK(d.is_ejected(bad, start + 2s));
+    // none came for a while: any job is
+    CHECK(run_jobs(5, 10, false, start + 20s) > 4);
+    CHECK_FALSE(d.is_ejected(bad, start + 20s));
+}
