--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Developer chores over CMake.
 JOBS ?= $(shell nproc)
 
-.PHONY: all install-packages configure build check format format-check lint \
-    clean
+.PHONY: all install-packages configure build check experiment format \
+    format-check lint clean
 
 all: build
 
@@ -34,6 +34,10 @@
 lint: build
 	@JOBS=$(JOBS) scripts/lint.sh
 
+## experiment: rerun the load experiment; writes docs/measurements
+experiment: build
+	@build/tools/experiment/experiment --out docs/measurements
+
 ## clean: remove the build directory
 clean:
 	@cmake -E rm -rf build build-configure.log
--- a/packages/core/include/agatebank/core/demand_reporter.hpp
+++ b/packages/core/include/agatebank/core/demand_reporter.hpp
@@ -20,6 +20,15 @@
 class demand_reporter
 {
   public:
+    // construction
+    /// @param waste_weight from 0 to 1: the more waste weighs, the longer a
+    /// decrease waits
+    explicit demand_reporter(double waste_weight = 0.5)
+        : decrease_delay_(static_cast<int64_t>(
+              waste_weight * static_cast<double>(longest_delay.count())))
+    {
+    }
+
     // modifiers
     /// @brief Whether to send this demand now; if so it counts as sent.
     /// @param grant the grant the entry acts on; only one that takes credits
@@ -33,7 +42,7 @@
             high_at_ = now;
         }
         const bool more = queued > 2 * queued_;
-        const bool less = now - high_at_ > decrease_delay;
+        const bool less = now - high_at_ > decrease_delay_;
         credits_ = std::max(credits_, grant.credits);
         if (!more && !less && grant.credits == credits_)
         {
@@ -48,8 +57,9 @@
   private:
     /// Beyond it a longer queue asks for nothing more.
     static constexpr uint32_t largest_queue = 64;
-    static constexpr duration decrease_delay = std::chrono::milliseconds(1500);
+    static constexpr duration longest_delay = std::chrono::seconds(3);
 
+    duration decrease_delay_;
     uint32_t queued_ = 0;
     uint32_t credits_ = 0; ///< largest since the last confirmed grant
     time_point high_at_;
--- a/packages/core/include/agatebank/core/dispatcher.hpp
+++ b/packages/core/include/agatebank/core/dispatcher.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <agatebank/core/configuration.hpp>
 #include <agatebank/core/ids.hpp>
 #include <agatebank/core/run_fate.hpp>
 #include <agatebank/core/units.hpp>
@@ -101,6 +102,8 @@
     uint64_t seed = 1;    ///< of the jitter
     unsigned entries = 3; ///< that share the targets
     double max_ejected_share = 0.34;
+    bool retry_back_off = true;
+    policy_weights weights;
 };
 
 /// @brief The decisions of one entry: admission, order, choice of target and
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -27,6 +27,7 @@
 constexpr duration shortest_retry_after = 100ms;
 constexpr duration longest_retry_after = 10s;
 constexpr duration no_target_retry_after = 500ms;
+constexpr duration shortest_ejection = 250ms;
 constexpr double least_speed_share = 0.05; // for the longest waits
 constexpr double least_even_share = 0.5;   // of an entry under contention
 constexpr double speed_steps = 8;          // steps of speed in a factor of e
@@ -119,6 +120,18 @@
 // Order of the targets with free credits: slowest first.
 using ready_key = std::pair<int, agent_incarnation>;
 
+// The more waste weighs, the longer a target that failed is left alone.
+health_options health_options_of(const dispatch_options& o)
+{
+    health_options out;
+    out.max_ejected_share = o.max_ejected_share;
+    out.first_period = duration(static_cast<int64_t>(
+        2 * o.weights.waste * static_cast<double>(out.first_period.count())));
+    out.first_period = std::max(out.first_period, shortest_ejection);
+    out.seed = o.seed;
+    return out;
+}
+
 work sum_of(const std::vector<run_time_prediction>& tasks)
 {
     work sum{};
@@ -148,7 +161,7 @@
     explicit state(dispatch_options o)
         : options(o)
         , times(o.learned_run_times)
-        , health({.max_ejected_share = o.max_ejected_share, .seed = o.seed})
+        , health(health_options_of(o))
         , pacer(o.seed + 1)
         , jitter(o.seed + 2)
     {
@@ -817,7 +830,10 @@
         return;
     }
     state_->health.on_not_run(agent);
-    state_->pacer.on_refusal(agent, now);
+    if (state_->options.retry_back_off)
+    {
+        state_->pacer.on_refusal(agent, now);
+    }
     state_->update_ready(it->second);
     const auto job = state_->jobs.find(task.job);
     if (job == state_->jobs.end())
--- a/tools/experiment/main.cpp
+++ b/tools/experiment/main.cpp
@@ -30,12 +30,14 @@
     std::string site;
     uint64_t seed = 0;
     bool quick = false;
+    bool variants_only = false;
 };
 
 struct report
 {
     std::vector<run_measures> runs;
     std::vector<std::pair<std::string, std::string>> plots; // file, SVG
+    std::vector<run_measures> variants;
 };
 
 bool wanted(const std::string& filter, const std::string& name)
@@ -83,6 +85,28 @@
     return out;
 }
 
+// One mechanism changed at a time, at the first site.
+void run_variants(const settings& s, report& out)
+{
+    auto place = all_sites().front();
+    place.seed += s.seed;
+    for (const auto& sc : all_scenarios(s.quick))
+    {
+        if (!sc.compares_variants || !wanted(s.scenario, sc.name))
+        {
+            continue;
+        }
+        for (const auto& version : all_variants())
+        {
+            if (wanted(s.version, version.name))
+            {
+                const auto run = simulate(place, sc, version);
+                out.variants.push_back(measure(place, sc, version, run));
+            }
+        }
+    }
+}
+
 bool write_file(const std::filesystem::path& path, const std::string& text)
 {
     std::ofstream os(path);
@@ -101,6 +125,12 @@
                      "Written by `make experiment`; the columns are explained "
                      "in `README.md`.\n" +
                          to_markdown(r.runs));
+    ok &= write_file(folder / "variants.csv", to_csv(r.variants));
+    ok &= write_file(folder / "variants.md",
+                     "# One mechanism changed at a time\n\n"
+                     "Written by `make experiment`; the columns are explained "
+                     "in `README.md`.\n" +
+                         to_markdown(r.variants));
     for (const auto& [name, svg] : r.plots)
     {
         ok &= write_file(folder / name, svg);
@@ -120,7 +150,9 @@
         "version", options::value(&s.version),
         "only versions with this in the name")("seed", options::value(&s.seed),
                                                "added to the sites' seeds")(
-        "quick", options::bool_switch(&s.quick), "shorter runs");
+        "variants", options::bool_switch(&s.variants_only),
+        "only the variants")("quick", options::bool_switch(&s.quick),
+                             "shorter runs");
     options::variables_map given;
     options::store(options::parse_command_line(argc, argv, known), given);
     options::notify(given);
@@ -129,10 +161,14 @@
         std::cout << known;
         return 0;
     }
-    const auto r = run_all(s);
+    auto r = s.variants_only ? report{} : run_all(s);
+    if (s.variants_only || !s.out.empty())
+    {
+        run_variants(s, r);
+    }
     if (s.out.empty())
     {
-        std::cout << to_markdown(r.runs);
+        std::cout << to_markdown(r.runs) << to_markdown(r.variants);
         return 0;
     }
     return write_report(s, r) ? 0 : 1;
--- a/tools/experiment/policies.cpp
+++ b/tools/experiment/policies.cpp
@@ -339,39 +339,100 @@
     return std::make_unique<Policy>(options);
 }
 
-} // namespace
+policy_version naive_version()
+{
+    policy_version out;
+    out.name = "naive";
+    out.make = make_policy<naive_policy>;
+    return out;
+}
+
+policy_version two_choices_version()
+{
+    policy_version out;
+    out.name = "two-choices";
+    out.queue = agent_queue::unbounded;
+    out.make = make_policy<two_choices_policy>;
+    return out;
+}
+
+policy_version fifo_credits_version()
+{
+    policy_version out;
+    out.name = "fifo-credits";
+    out.uses_credits = true;
+    out.queue = agent_queue::bounded;
+    out.make = make_policy<fifo_credits_policy>;
+    return out;
+}
 
 policy_version design_version()
 {
-    return {"design", true, agent_queue::bounded,      0,
-            true,     {},   make_policy<design_policy>};
+    auto out = fifo_credits_version();
+    out.name = "design";
+    out.make = make_policy<design_policy>;
+    return out;
 }
 
+using change = void (*)(policy_version&);
+
+policy_version changed(policy_version version, const std::string& name,
+                       change apply)
+{
+    version.name += ", " + name;
+    apply(version);
+    return version;
+}
+
+} // namespace
+
 std::vector<policy_version> all_versions()
 {
+    return {naive_version(), two_choices_version(), fifo_credits_version(),
+            design_version()};
+}
+
+std::vector<policy_version> all_variants()
+{
+    const auto design = design_version();
+    const auto two = two_choices_version();
+    using version = policy_version;
     return {
-        {"naive",
-         false,
-         agent_queue::none,
-         0,
-         true,
-         {},
-         make_policy<naive_policy>},
-        {"two-choices",
-         false,
-         agent_queue::unbounded,
-         0,
-         true,
-         {},
-         make_policy<two_choices_policy>},
-        {"fifo-credits",
-         true,
-         agent_queue::bounded,
-         0,
-         true,
-         {},
-         make_policy<fifo_credits_policy>},
-        design_version(),
+        design,
+        changed(design, "queue allowance 1",
+                [](version& v) { v.queue_allowance = 1; }),
+        changed(design, "queue allowance 2",
+                [](version& v) { v.queue_allowance = 2; }),
+        changed(design, "no admission control",
+                [](version& v) { v.options.admission_control = false; }),
+        changed(design, "declared run times",
+                [](version& v) { v.options.learned_run_times = false; }),
+        changed(design, "no ejection",
+                [](version& v) { v.options.ejection = false; }),
+        changed(design, "no cancellation",
+                [](version& v) { v.cancels = false; }),
+        changed(design, "no deadline at agents",
+                [](version& v) { v.carries_deadline = false; }),
+        changed(design, "no back-off",
+                [](version& v) { v.options.retry_back_off = false; }),
+        changed(design, "response only",
+                [](version& v) {
+                    v.options.weights = {1, 0};
+                }),
+        changed(design, "waste only",
+                [](version& v) {
+                    v.options.weights = {0, 1};
+                }),
+        two,
+        changed(two, "queue of 2 at agents",
+                [](version& v)
+                {
+                    v.queue = agent_queue::bounded;
+                    v.queue_allowance = 2;
+                }),
+        changed(two, "no deadline at agents",
+                [](version& v) { v.carries_deadline = false; }),
+        changed(two, "no cancellation", [](version& v) { v.cancels = false; }),
     };
 }
 
--- a/tools/experiment/policies.hpp
+++ b/tools/experiment/policies.hpp
@@ -52,7 +52,8 @@
     bool uses_credits = false;
     agent_queue queue = agent_queue::none;
     uint32_t queue_allowance = 0;
-    bool cancels = true; ///< tells agents that nobody waits any more
+    bool cancels = true;          ///< tells agents that nobody waits any more
+    bool carries_deadline = true; ///< agents refuse a start past it
     dispatch_options options;
     /// makes the policy of one entry
     std::unique_ptr<entry_policy> (*make)(const dispatch_options&) = nullptr;
@@ -61,7 +62,7 @@
 /// @brief naive, power of two choices, first in first out with credits, and
 /// the design's.
 std::vector<policy_version> all_versions();
-/// @brief The design's version alone.
-policy_version design_version();
+/// @brief Versions with one mechanism switched off or changed.
+std::vector<policy_version> all_variants();
 
 } // namespace agatebank::experiment
--- a/tools/experiment/scenarios.hpp
+++ b/tools/experiment/scenarios.hpp
@@ -44,6 +44,7 @@
     fault_kind fault = fault_kind::none;
     duration fault_from{};
     duration fault_to{};
+    bool compares_variants = false;
 };
 
 std::vector<site> all_sites();
--- a/tools/experiment/simulation.cpp
+++ b/tools/experiment/simulation.cpp
@@ -142,6 +142,10 @@
 
     // faults
     bool fault_is_on() const;
+    bool is_stale(const held_start& start) const
+    {
+        return version_.carries_deadline && start.deadline <= clock_.now();
+    }
     void cancel_wave();
     void lose_entry(unsigned e);
     void lose_agent(unsigned a);
@@ -194,6 +198,8 @@
             offer.one_way_delay = site_.between_processes;
             entries_[e].policy->put_target(offer, clock_.now());
             agents_[a]->credits.add_entry(entry_id(e));
+            entries_[e].reporters.insert_or_assign(
+                a, demand_reporter(options.weights.waste));
         }
     }
 }
@@ -482,7 +488,7 @@
     }
     const auto held = ++agent.unfinished[start.entry];
     agent.credits.set_running(entry_id(start.entry), held);
-    if (start.deadline <= clock_.now())
+    if (is_stale(start))
     {
         refuse(a, start);
     }
@@ -545,7 +551,8 @@
     const auto run_time =
         duration(static_cast<int64_t>(static_cast<double>(size.count()) /
                                       agent.speed * (slow ? slow_factor : 1)));
-    const auto until_deadline = start.deadline - clock_.now();
+    const auto until_deadline =
+        std::max(start.deadline - clock_.now(), duration::zero());
     if (on && scenario_.fault == fault_kind::hang && a == 0)
     {
         clock_.after(until_deadline,
@@ -601,7 +608,7 @@
     {
         const auto next = agent.queue.front();
         agent.queue.pop_front();
-        if (next.deadline <= clock_.now())
+        if (is_stale(next))
         {
             refuse(a, next);
         }
