core: a burst of short waits is not taken to last

Cause: in a burst the forecast of shorter waits followed the last 5 s for the whole wait of 40 s, so 47 % of class later were refused that had room. Change: offered_load keeps the rate of the last seconds and of the last minute; the forecast uses the first for 5 s and the second for the rest of the wait.

--- a/packages/core/include/agatebank/core/offered_load.hpp
+++ b/packages/core/include/agatebank/core/offered_load.hpp
@@ -8,11 +8,13 @@
 namespace agatebank
 {
 
-/// @brief Rate of the work that callers offer, by the wait they pay for.
+/// @brief The work that callers offer, by the wait they pay for.
 ///
 /// Admission keeps the capacity that shorter waits are expected to need from
 /// longer waits, so that under overload the longest waits are refused first.
-/// The rate is an exponentially weighted average over a few seconds.
+/// The expectation follows the rate of the last seconds for a few seconds and
+/// the rate of the last minutes after them, so that a burst is not taken to
+/// last. Both are exponentially weighted averages.
 class offered_load
 {
   public:
@@ -20,7 +22,8 @@
     void add(duration wait, work amount, time_point now);
 
     // lookup
-    /// @brief Work a second per second, of waits shorter than @p wait.
+    /// @brief Mean work a second per second that waits shorter than @p wait
+    /// are expected to offer during @p wait.
     /// @complexity O(n) for n different waits
     double rate_below(duration wait, time_point now) const;
     /// @brief Whether a longer wait was offered lately.
@@ -31,10 +34,14 @@
   private:
     struct average
     {
-        double rate = 0;
+        double recent = 0;
+        double lasting = 0;
+        time_point first;
         time_point updated;
 
-        double at(time_point now) const;
+        void add(double amount_s, time_point now);
+        double recent_at(time_point now) const;
+        double lasting_at(time_point now) const;
     };
 
     std::map<duration, average> by_wait_;
--- a/packages/core/src/offered_load.cpp
+++ b/packages/core/src/offered_load.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-constexpr double window_s = 5;
+constexpr double recent_window_s = 5;
+constexpr double lasting_window_s = 60;
 constexpr double negligible_rate = 0.001;
 constexpr std::size_t max_waits = 64;
 
@@ -20,9 +21,28 @@
 
 } // namespace
 
-double offered_load::average::at(time_point now) const
+void offered_load::average::add(double amount_s, time_point now)
 {
-    return rate * std::exp(-seconds(now - updated) / window_s);
+    const double passed = seconds(now - updated);
+    recent = recent * std::exp(-passed / recent_window_s) +
+             amount_s / recent_window_s;
+    lasting = lasting * std::exp(-passed / lasting_window_s) +
+              amount_s / lasting_window_s;
+    updated = now;
+}
+
+double offered_load::average::recent_at(time_point now) const
+{
+    return recent * std::exp(-seconds(now - updated) / recent_window_s);
+}
+
+// Corrected for the time before the first work, which would count as idle.
+double offered_load::average::lasting_at(time_point now) const
+{
+    const double age = std::max(seconds(now - first), recent_window_s);
+    const double seen = 1 - std::exp(-age / lasting_window_s);
+    return lasting * std::exp(-seconds(now - updated) / lasting_window_s) /
+           seen;
 }
 
 void offered_load::add(duration wait, work amount, time_point now)
@@ -30,20 +50,28 @@
     if (by_wait_.size() >= max_waits && by_wait_.count(wait) == 0)
     {
         std::erase_if(by_wait_, [&](const auto& it)
-                      { return it.second.at(now) < negligible_rate; });
+                      { return it.second.recent_at(now) < negligible_rate; });
+    }
+    const auto [it, is_new] = by_wait_.try_emplace(wait);
+    if (is_new)
+    {
+        it->second.first = now;
+        it->second.updated = now;
     }
-    auto& it = by_wait_[wait];
-    it.rate = it.at(now) + seconds(amount) / window_s;
-    it.updated = now;
+    it->second.add(seconds(amount), now);
 }
 
 double offered_load::rate_below(duration wait, time_point now) const
 {
+    const double wait_s = seconds(wait);
+    const double soon =
+        std::min(1.0, recent_window_s / std::max(wait_s, 0.001));
     double sum = 0;
     for (auto it = by_wait_.begin(); it != by_wait_.end() && it->first < wait;
          ++it)
     {
-        sum += it->second.at(now);
+        sum += soon * it->second.recent_at(now) +
+               (1 - soon) * it->second.lasting_at(now);
     }
     return sum;
 }
@@ -52,12 +80,15 @@
 {
     return std::any_of(by_wait_.upper_bound(wait), by_wait_.end(),
                        [&](const auto& it)
-                       { return it.second.at(now) >= negligible_rate; });
+                       { return it.second.recent_at(now) >= negligible_rate; });
 }
 
 bool offered_load::is_shortest(duration wait, time_point now) const
 {
-    return rate_below(wait, now) < negligible_rate;
+    return std::none_of(by_wait_.begin(), by_wait_.lower_bound(wait),
+                        [&](const auto& it) {
+                            return it.second.recent_at(now) >= negligible_rate;
+                        });
 }
 
 } // namespace agatebank
--- a/packages/core/tests/unit-work_backlog.cpp
+++ b/packages/core/tests/unit-work_backlog.cpp
@@ -73,11 +73,26 @@
     }
     CHECK(load.rate_below(2s, now) == 0);
     CHECK(load.rate_below(3s, now) == Approx(3).epsilon(0.05));
+    CHECK(load.rate_below(60s, now) == Approx(3).epsilon(0.05));
     CHECK(load.is_shortest(2s, now));
+    CHECK(load.has_longer(1s, now));
+    CHECK_FALSE(load.has_longer(2s, now));
     CHECK_FALSE(load.is_shortest(3s, now));
     CHECK(load.is_shortest(3s, now + 60s));
 }
 
+TEST_CASE("offered_load: a burst is not taken to last")
+{
+    offered_load load;
+    auto now = start;
+    for (int i = 0; i < 660; ++i, now += 100ms)
+    {
+        load.add(2s, i < 600 ? 300ms : 1500ms, now);
+    }
+    CHECK(load.rate_below(3s, now) > 9);
+    CHECK(load.rate_below(60s, now) < 6);
+}
+
 TEST_CASE("retry_pacer: pauses grow, are bounded, and end with a run")
 {
     retry_pacer pacer(1);
