--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Developer chores over CMake.
 JOBS ?= $(shell nproc)
 
-.PHONY: all install-packages configure build check demo bench \
+.PHONY: all install-packages configure build check demo bench experiment \
     format format-check lint clean
 
 all: build
@@ -43,6 +43,10 @@
 lint: build
 	@JOBS=$(JOBS) scripts/lint.sh
 
+## experiment: rerun the load experiment; writes docs/measurements
+experiment: build
+	@build/tools/experiment/experiment --out docs/measurements
+
 ## clean: remove the build directory
 clean:
 	@cmake -E rm -rf build build-configure.log
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -27,13 +27,16 @@
 constexpr duration shortest_retry_after = 100ms;
 constexpr duration longest_retry_after = 10s;
 constexpr duration no_target_retry_after = 500ms;
+constexpr duration shortest_ejection = 250ms;
 constexpr double least_speed_share = 0.05; // for the longest waits
 constexpr double least_even_share = 0.5;   // of an entry under contention
 constexpr double speed_steps = 8;          // steps of speed in a factor of e
 constexpr duration order_margin = 200ms;   // slack that patience order leaves
 constexpr double admission_margin = 0.1;   // of the wait, but the shortest
 constexpr int equal_speed_steps = 2;       // taken for the same speed
-constexpr unsigned kept_credits = 1;       // of the fastest targets
+constexpr std::size_t most_probe_tasks = 4;
+constexpr duration probe_patience = 3s; // until any job may be the probe
+constexpr unsigned kept_credits = 1;    // of the fastest targets
 constexpr unsigned least_credits_to_keep = 4;
 constexpr unsigned max_held_jobs = 32; // looked past in one round
 
@@ -117,6 +120,18 @@
 // Order of the targets with free credits: slowest first.
 using ready_key = std::pair<int, agent_incarnation>;
 
+// The more waste weighs, the longer a target that failed is left alone.
+health_options health_options_of(const dispatch_options& o)
+{
+    health_options out;
+    out.max_ejected_share = o.max_ejected_share;
+    out.first_period = duration(static_cast<int64_t>(
+        2 * o.weights.waste * static_cast<double>(out.first_period.count())));
+    out.first_period = std::max(out.first_period, shortest_ejection);
+    out.seed = o.seed;
+    return out;
+}
+
 work sum_of(const std::vector<run_time_prediction>& tasks)
 {
     work sum{};
@@ -146,7 +161,7 @@
     explicit state(dispatch_options o)
         : options(o)
         , times(o.learned_run_times)
-        , health({.max_ejected_share = o.max_ejected_share, .seed = o.seed})
+        , health(health_options_of(o))
         , pacer(o.seed + 1)
         , jitter(o.seed + 2)
     {
@@ -169,7 +184,9 @@
 
     // targets
     void update_ready(target_record& t);
-    bool may_start(const target_record& t, const service_name& service,
+    bool may_start(const target_record& t, const job_record& job,
+                   time_point now) const;
+    bool may_probe(const job_record& job, agent_incarnation agent,
                    time_point now) const;
     double total_speed(const service_name& service, time_point now) const;
     double mean_speed(const service_name& service) const;
@@ -222,13 +239,35 @@
     }
 }
 
-bool dispatcher::state::may_start(const target_record& t,
-                                  const service_name& service,
+bool dispatcher::state::may_start(const target_record& t, const job_record& job,
                                   time_point now) const
 {
-    return t.serves(service) && t.has_room(service) &&
-           pacer.may_start(t.offer.agent, now) &&
-           (!options.ejection || health.may_start(t.offer.agent, now));
+    const auto agent = t.offer.agent;
+    if (!t.serves(job.request.service) || !t.has_room(job.request.service) ||
+        !pacer.may_start(agent, now))
+    {
+        return false;
+    }
+    if (!options.ejection || health.state(agent, now) == health_state::healthy)
+    {
+        return true;
+    }
+    return health.may_start(agent, now) && may_probe(job, agent, now);
+}
+
+// A start at a target in doubt risks the whole job: small jobs of the longest
+// wait that is offered go first, and any job when none of these has come.
+bool dispatcher::state::may_probe(const job_record& job,
+                                  agent_incarnation agent, time_point now) const
+{
+    if (now - health.in_doubt_since(agent) > probe_patience)
+    {
+        return true;
+    }
+    const auto& offered = services.at(job.request.service).offered;
+    return !job.request.never_delay &&
+           job.expected.size() <= most_probe_tasks &&
+           !offered.has_longer(job.request.wait, now);
 }
 
 // Speed of the slots that this entry may count on: those it has, or its even
@@ -392,7 +431,7 @@
     for (auto it = ready.rbegin(); it != ready.rend(); ++it)
     {
         auto& t = targets.at(it->second);
-        if (may_start(t, job.request.service, now))
+        if (may_start(t, job, now))
         {
             return &t;
         }
@@ -438,8 +477,7 @@
     for (const auto& [step, agent] : ready)
     {
         auto& t = targets.at(agent);
-        if (!may_start(t, job.request.service, now) ||
-            (keep && step >= top.least_step))
+        if (!may_start(t, job, now) || (keep && step >= top.least_step))
         {
             continue;
         }
@@ -792,7 +830,10 @@
         return;
     }
     state_->health.on_not_run(agent);
-    state_->pacer.on_refusal(agent, now);
+    if (state_->options.retry_back_off)
+    {
+        state_->pacer.on_refusal(agent, now);
+    }
     state_->update_ready(it->second);
     const auto job = state_->jobs.find(task.job);
     if (job == state_->jobs.end())
