--- a/tests/process/small_cluster.cpp
+++ b/tests/process/small_cluster.cpp
@@ -10,6 +10,7 @@
 
 constexpr const char* operator_token = "test-operator";
 constexpr const char* caller_token = "test-caller";
+constexpr const char* other_caller_token = "test-other-caller";
 const std::vector<std::string> domains{"sapporo", "asahikawa", "kushiro"};
 
 std::string sha256_of(const std::string& text)
@@ -55,7 +56,9 @@
         {"callers",
          {{{"name", "desk"},
            {"token_sha256", sha256_of(caller_token)},
-           {"max_queued_tasks", o.max_queued_tasks}}}},
+           {"max_queued_tasks", o.max_queued_tasks}},
+          {{"name", "other"},
+           {"token_sha256", sha256_of(other_caller_token)}}}},
         {"operators",
          {{{"name", "aoki"}, {"token_sha256", sha256_of(operator_token)}}}}}
         .dump();
@@ -63,10 +66,17 @@
 
 } // namespace
 
+std::string other_token()
+{
+    return other_caller_token;
+}
+
 cluster_options make_small(const small_options& options)
 {
     cluster_options out;
-    out.entry_domains = domains;
+    out.entry_domains.assign(domains.begin(),
+                             domains.begin() +
+                                 static_cast<std::ptrdiff_t>(options.entries));
     for (std::size_t i = 0; i < options.targets; ++i)
     {
         cluster_target t;
--- a/tests/process/small_cluster.hpp
+++ b/tests/process/small_cluster.hpp
@@ -16,6 +16,7 @@
 /// targets in three failure domains.
 struct small_options
 {
+    std::size_t entries = 3;
     std::size_t targets = 3;
     unsigned slots = 8;
     bool relays = false;
@@ -23,6 +24,9 @@
     unsigned max_queued_tasks = 0;
 };
 
+/// @brief Token of a second caller of every small cluster.
+std::string other_token();
+
 /// @brief Options of a cluster with the service "echo" and the patience
 /// classes "now" (3 s) and "later" (60 s).
 cluster_options make_small(const small_options& options = {});
--- /dev/null
+++ b/tests/process/steady_load.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "small_cluster.hpp"
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief Shape of a load.
+struct load_options
+{
+    std::size_t in_flight = 30; ///< jobs at once
+    std::size_t tasks = 2;      ///< of each job
+    int64_t min_run_ms = 20;
+    int64_t max_run_ms = 120;
+    std::string patience = "later";
+    uint64_t seed = 7;
+};
+
+/// @brief Keeps a number of jobs in flight through the entries that say they
+/// are ready, as the platform's balancer would choose them.
+class steady_load
+{
+  public:
+    // construction
+    steady_load(trial& t, load_options options = {});
+
+    // modifiers
+    void start();
+    /// @brief Sends no more jobs and runs until the last reply is there.
+    void finish(duration timeout = std::chrono::seconds(60));
+
+    // lookup
+    std::size_t complete() const noexcept;
+    std::size_t failed() const noexcept;
+    std::size_t refused() const noexcept;
+    /// @brief Replies that did not arrive, and jobs marked failed, as text.
+    const std::vector<std::string>& complaints() const noexcept;
+
+  private:
+    void poll_ready();
+    std::optional<std::size_t> choose_entry();
+    void begin_job();
+    void submit(std::size_t entry, const std::string& id,
+                const job_request& job);
+    void take(std::size_t entry, const std::string& id, const job_request& job,
+              const caller_reply& reply);
+    void end_job();
+
+    trial& trial_;
+    load_options options_;
+    std::mt19937_64 random_;
+    std::vector<bool> ready_;
+    std::vector<watch> timers_;
+    std::map<uint64_t, watch> retries_;
+    std::vector<std::string> complaints_;
+    uint64_t next_job_ = 0;
+    uint64_t next_retry_ = 0;
+    std::size_t open_ = 0;
+    std::size_t complete_ = 0;
+    std::size_t failed_ = 0;
+    std::size_t refused_ = 0;
+    bool running_ = false;
+};
+
+} // namespace agatebank
--- a/tests/process/unit-double_start.cpp
+++ b/tests/process/unit-double_start.cpp
@@ -54,7 +54,7 @@
          t.settle();
          CHECK(t.verdict.count("complete") == entries + 1);
      }},
-    {"after the caller hung up",
+    {"after a wait that was too short",
      [](trial& t, const std::string& id, const job_request& job)
      {
          t.submit_now(0, id, job, 1ms);
@@ -64,6 +64,159 @@
      }},
 };
 
+// ----- faults between the submission and its resubmission -----
+
+void freeze_past_timeouts(trial& t, const std::string& process)
+{
+    t.nodes.process(process).signal(SIGSTOP);
+    run_for(t.loop, 5s);
+}
+
+const resubmission_case faults[] = {
+    {"issuing entry killed",
+     [](trial& t, const std::string& id, const job_request& job)
+     {
+         t.submit(0, id, job);
+         REQUIRE(t.wait_starts(1));
+         t.nodes.process("entry-1").kill();
+         t.submit(1, id, job);
+         t.submit(2, id, job);
+         t.settle();
+     }},
+    {"issuing entry killed and started again",
+     [](trial& t, const std::string& id, const job_request& job)
+     {
+         t.submit(0, id, job);
+         REQUIRE(t.wait_starts(1));
+         t.nodes.process("entry-1").kill();
+         t.nodes.start("entry-1");
+         REQUIRE(t.nodes.wait_ready(0, 30s));
+         submit_everywhere(t, id, job);
+         t.settle();
+     }},
+    {"issuing entry frozen past every timeout, then thawed",
+     [](trial& t, const std::string& id, const job_request& job)
+     {
+         t.submit(0, id, job, 60s);
+         REQUIRE(t.wait_starts(1));
+         freeze_past_timeouts(t, "entry-1");
+         t.submit(1, id, job);
+         t.submit(2, id, job);
+         run_for(t.loop, 1s);
+         t.nodes.process("entry-1").signal(SIGCONT);
+         run_for(t.loop, 1s);
+         submit_everywhere(t, id, job);
+         t.settle(90s);
+     }},
+    {"agent frozen past every timeout, then thawed",
+     [](trial& t, const std::string& id, const job_request& job)
+     {
+         t.submit(0, id, job, 60s);
+         REQUIRE(t.wait_starts(1));
+         for (const auto* name : {"agent-t-1", "agent-t-2", "agent-t-3"})
+         {
+             t.nodes.process(name).signal(SIGSTOP);
+         }
+         run_for(t.loop, 5s);
+         for (const auto* name : {"agent-t-1", "agent-t-2", "agent-t-3"})
+         {
+             t.nodes.process(name).signal(SIGCONT);
+         }
+         submit_everywhere(t, id, job);
+         t.settle(90s);
+     }},
+    {"agent restarted between start and answer",
+     [](trial& t, const std::string& id, const job_request& job)
+     {
+         t.submit(0, id, job);
+         REQUIRE(t.wait_starts(tasks));
+         t.nodes.process("agent-t-1").kill();
+         t.nodes.start("agent-t-1");
+         submit_everywhere(t, id, job);
+         t.settle();
+     }},
+    {"link between entry and agents silent",
+     [](trial& t, const std::string& id, const job_request& job)
+     {
+         t.submit(0, id, job);
+         REQUIRE(t.wait_starts(1));
+         for (auto* relay : t.nodes.relays_of_entry(0))
+         {
+             relay->forget();
+         }
+         submit_everywhere(t, id, job);
+         t.settle();
+         CHECK(t.verdict.count("complete") == entries + 1);
+     }},
+    {"links cut while the start is on its way",
+     [](trial& t, const std::string& id, const job_request& job)
+     {
+         t.submit(0, id, job);
+         run_for(t.loop, 5ms);
+         for (auto* relay : t.nodes.relays_of_entry(0))
+         {
+             relay->cut();
+         }
+         submit_everywhere(t, id, job);
+         t.settle();
+         CHECK(t.verdict.count("complete") == entries + 1);
+     }},
+    {"a start held on the way arrives late",
+     [](trial& t, const std::string& id, const job_request& job)
+     {
+         for (auto* relay : t.nodes.relays_of_agent("t-1"))
+         {
+             relay->hold(true);
+         }
+         t.submit(0, id, job);
+         run_for(t.loop, 1s);
+         submit_everywhere(t, id, job);
+         run_for(t.loop, 2s);
+         for (auto* relay : t.nodes.relays_of_agent("t-1"))
+         {
+             relay->hold(false);
+         }
+         t.settle();
+     }},
+};
+
+// ----- ids that must not start anything -----
+
+std::string forge(std::string id)
+{
+    id.back() = id.back() == '0' ? '1' : '0';
+    return id;
+}
+
+// The next sequence number under the code of the reserved one.
+std::string forge_sequence(std::string id)
+{
+    const auto at = id.find('-', id.find('-') + 1) - 1;
+    id[at] = id[at] == '0' ? '1' : '0';
+    return id;
+}
+
+struct refused_case
+{
+    const char* name;
+    std::function<std::string(const std::string&)> change;
+};
+
+const refused_case refused_ids[] = {
+    {"forged code", forge},
+    {"forged sequence", forge_sequence},
+    {"not an id",
+     [](const std::string&)
+     {
+         return std::string("abc");
+     }},
+    {"unknown incarnation",
+     [](const std::string& id)
+     {
+         return "0123456789abcdef" + id.substr(16);
+     }},
+};
+
 } // namespace
 
 TEST_CASE("a resubmission starts nothing twice", "[double_start]")
@@ -81,3 +234,73 @@
         }
     }
 }
+
+TEST_CASE("a fault before a resubmission starts nothing twice",
+          "[double_start]")
+{
+    for (const auto& row : faults)
+    {
+        SECTION(row.name)
+        {
+            small_options o;
+            o.relays = true;
+            trial t(make_small(o));
+            const auto id = t.reserve(0);
+            row.run(t, id, make_job(row.name, tasks, run_ms));
+            run_for(t.loop, 2s);
+            CHECK(t.nodes.read_ledger().starts_of(id).size() <= tasks);
+            t.check();
+        }
+    }
+}
+
+TEST_CASE("an id that is not the caller's starts nothing", "[double_start]")
+{
+    trial t(make_small());
+    const auto id = t.reserve(0);
+    for (const auto& row : refused_ids)
+    {
+        SECTION(row.name)
+        {
+            const auto job = make_job(row.name, tasks, run_ms);
+            for (std::size_t i = 0; i < entries; ++i)
+            {
+                const auto r = t.submit_now(i, row.change(id), job);
+                CHECK(r.status / 100 == 4);
+                CHECK(r.run == "not-run");
+            }
+            t.check();
+            CHECK(t.nodes.read_ledger().starts().empty());
+        }
+    }
+    SECTION("another caller's id")
+    {
+        job_caller other(t.loop, other_token());
+        const auto job = make_job("foreign", tasks, run_ms);
+        for (std::size_t i = 0; i < entries; ++i)
+        {
+            const auto r = other.submit_now(t.nodes.entry_url(i), id, job, 10s);
+            CHECK(r.status / 100 == 4);
+            CHECK(r.run == "not-run");
+        }
+        CHECK(t.nodes.read_ledger().starts().empty());
+    }
+}
+
+TEST_CASE("an id used again with another body starts nothing", "[double_start]")
+{
+    trial t(make_small());
+    const auto id = t.reserve(0);
+    const auto first = make_job("first", tasks, run_ms);
+    t.submit(0, id, first);
+    REQUIRE(t.wait_starts(1));
+    for (std::size_t i = 0; i < entries; ++i)
+    {
+        const auto r = t.submit_now(i, id, make_job("second", tasks, run_ms));
+        CHECK(r.status == 409);
+    }
+    t.settle();
+    t.check();
+    CHECK(t.nodes.read_ledger().times_of("second#0").empty());
+    CHECK(t.nodes.read_ledger().starts_of(id).size() == tasks);
+}
--- /dev/null
+++ b/tests/process/unit-graceful_stop.cpp
@@ -0,0 +1,76 @@
+// A planned stop cuts off no request in flight.
+#include "steady_load.hpp"
+
+#include <csignal>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// time in which a stopped process must have ended
+constexpr auto stop_time = 15s;
+
+void stop_and_restart(trial& t, const std::string& name)
+{
+    INFO("stopping " + name);
+    auto& p = t.nodes.process(name);
+    p.signal(SIGTERM);
+    const auto code = p.wait(stop_time);
+    REQUIRE(code.has_value());
+    CHECK(*code == 0);
+    t.nodes.start(name);
+}
+
+// Waits until a replaced process takes part again.
+void wait_whole(trial& t)
+{
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        REQUIRE(t.nodes.wait_ready(i, 30s));
+        REQUIRE(t.nodes.wait_targets(i, 3, 30s));
+    }
+}
+
+struct stop_case
+{
+    const char* name;
+    std::vector<std::string> processes;
+};
+
+const stop_case cases[] = {
+    {"an entry", {"entry-1"}},
+    {"an agent", {"agent-t-1"}},
+    {"a target", {"target-t-1"}},
+    {"a target, then its agent", {"target-t-2", "agent-t-2"}},
+    {"all of them, one at a time",
+     {"entry-1", "agent-t-1", "target-t-1", "entry-2", "agent-t-2",
+      "target-t-2", "entry-3", "agent-t-3", "target-t-3"}},
+};
+
+} // namespace
+
+TEST_CASE("SIGTERM under load loses no answer", "[graceful_stop]")
+{
+    for (const auto& row : cases)
+    {
+        SECTION(row.name)
+        {
+            trial t(make_small());
+            steady_load load(t);
+            load.start();
+            run_for(t.loop, 1s);
+            for (const auto& name : row.processes)
+            {
+                stop_and_restart(t, name);
+                wait_whole(t);
+            }
+            run_for(t.loop, 500ms);
+            load.finish();
+            CHECK(to_lines(load.complaints()).empty());
+            CHECK(load.complete() > 100);
+            t.check();
+        }
+    }
+}
--- a/tools/harness/include/agatebank/harness/tcp_relay.hpp
+++ b/tools/harness/include/agatebank/harness/tcp_relay.hpp
@@ -32,6 +32,8 @@
     void cut();
     /// @brief Every open connection goes silent for good; none is closed.
     void forget();
+    /// @brief While held, bytes are kept back; they are passed on after.
+    void hold(bool held);
     /// @brief While blocked, new connections are accepted and stay silent.
     void block(bool blocked);
 
@@ -50,6 +52,7 @@
     uint16_t upstream_port_;
     uint16_t port_ = 0;
     bool blocked_ = false;
+    bool held_ = false;
     uint64_t next_id_ = 0;
     std::map<uint64_t, std::shared_ptr<passage>> passages_;
 };
--- a/tools/harness/src/tcp_relay.cpp
+++ b/tools/harness/src/tcp_relay.cpp
@@ -1,6 +1,8 @@
 #include <agatebank/harness/tcp_relay.hpp>
 
 #include <stdexcept>
+#include <utility>
+#include <vector>
 
 namespace agatebank
 {
@@ -19,6 +21,7 @@
     object_ptr<GSocketConnection> near;
     object_ptr<GSocketConnection> far;
     object_ptr<GCancellable> cancellable{g_cancellable_new()};
+    bool held = false;
 
     struct pump
     {
@@ -28,6 +31,20 @@
         bytes_ptr chunk;
     };
 
+    std::vector<std::unique_ptr<pump>> kept_back;
+
+    void hold(bool on)
+    {
+        held = on;
+        if (!held)
+        {
+            for (auto& one : std::exchange(kept_back, {}))
+            {
+                write(std::move(one));
+            }
+        }
+    }
+
     static void start(const std::shared_ptr<passage>& p)
     {
         run(p, p->near.get(), p->far.get());
@@ -66,6 +83,17 @@
             one->owner->close();
             return;
         }
+        if (one->owner->held)
+        {
+            auto& kept = one->owner->kept_back;
+            kept.push_back(std::move(one));
+            return;
+        }
+        write(std::move(one));
+    }
+
+    static void write(std::unique_ptr<pump> one)
+    {
         auto* raw = one.release();
         gsize n = 0;
         const void* bytes = g_bytes_get_data(raw->chunk.get(), &n);
@@ -98,12 +126,13 @@
     }
 
     // Stops passing bytes on; the connections stay open.
-    void forget() const
+    void forget()
     {
         g_cancellable_cancel(cancellable.get());
+        kept_back.clear();
     }
 
-    void close() const
+    void close()
     {
         forget();
         for (const auto* c : {&near, &far})
@@ -163,6 +192,7 @@
         p->close();
         return TRUE;
     }
+    p->hold(self->held_);
     passage::start(p);
     return TRUE;
 }
@@ -184,6 +214,15 @@
     }
 }
 
+void tcp_relay::hold(bool held)
+{
+    held_ = held;
+    for (const auto& it : passages_)
+    {
+        it.second->hold(held);
+    }
+}
+
 void tcp_relay::block(bool blocked)
 {
     blocked_ = blocked;
