--- a/tests/process/small_cluster.cpp
+++ b/tests/process/small_cluster.cpp
@@ -51,6 +51,7 @@
         {"services", {{{"name", "echo"}, {"required_labels", {"echo"}}}}},
         {"patience",
          {{{"name", "now"}, {"wait_ms", 3000}, {"price_per_task", 10}},
+          {{"name", "soon"}, {"wait_ms", 10000}, {"price_per_task", 5}},
           {{"name", "later"}, {"wait_ms", 60000}, {"price_per_task", 1}}}},
         {"weights", {{"response", 0.5}, {"waste", 0.5}}},
         {"callers",
--- a/tests/process/small_cluster.hpp
+++ b/tests/process/small_cluster.hpp
@@ -28,7 +28,7 @@
 std::string other_token();
 
 /// @brief Options of a cluster with the service "echo" and the patience
-/// classes "now" (3 s) and "later" (60 s).
+/// classes "now" (3 s), "soon" (10 s) and "later" (60 s).
 cluster_options make_small(const small_options& options = {});
 
 /// @brief A job whose echoes are unique by @p name.
