--- a/tools/experiment/simulation.cpp
+++ b/tools/experiment/simulation.cpp
@@ -43,7 +43,8 @@
 
 struct agent_model
 {
-    agent_model(uint32_t slots, uint32_t allowance) : credits(slots, allowance)
+    agent_model(uint32_t slots, uint32_t allowance, uint64_t salt)
+        : credits(slots, allowance, salt)
     {
     }
 
@@ -169,7 +170,7 @@
     for (const double speed : site_.speeds)
     {
         agents_.push_back(std::make_unique<agent_model>(
-            site_.slots, version_.queue_allowance));
+            site_.slots, version_.queue_allowance, agents_.size() + 1));
         agents_.back()->speed = speed;
     }
 }
@@ -348,7 +349,8 @@
         }
         const auto demand = entry.policy->demand(agent_id(a), clock_.now());
         const auto version = entry.grants[a].version;
-        if (entry.reporters[a].should_send(demand, version))
+        if (entry.reporters[a].should_send(demand, entry.grants[a],
+                                           clock_.now()))
         {
             ++result_.messages.control;
             clock_.after(site_.between_processes, [this, a, e, demand, version]
