core: sums over targets in a table of their own, renewed every 20 ms

Cause: each decision looked at every target several times; the processor time per start was 2.3 us with 10 targets but 44 us with 50 and 126 us with 200. Change: target_table keeps speeds, credits and busy starts by service and speed group, adjusted with each start and renewed when a grant or target changes or after 20 ms; the slack is computed once a round and lowered with each start.

--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -5,11 +5,10 @@
 #include <agatebank/core/retry_pacer.hpp>
 #include <agatebank/core/run_time_estimator.hpp>
 #include <agatebank/core/target_health.hpp>
+#include <agatebank/core/target_table.hpp>
 #include <agatebank/core/work_backlog.hpp>
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <map>
 #include <numeric>
 #include <set>
@@ -30,7 +29,6 @@
 constexpr duration shortest_ejection = 250ms;
 constexpr double least_speed_share = 0.05; // for the longest waits
 constexpr double least_even_share = 0.5;   // of an entry under contention
-constexpr double speed_steps = 8;          // steps of speed in a factor of e
 constexpr duration order_margin = 200ms;   // slack that patience order leaves
 constexpr double admission_margin = 0.1;   // of the wait, but the shortest
 constexpr int equal_speed_steps = 2;       // taken for the same speed
@@ -40,58 +38,6 @@
 constexpr unsigned least_credits_to_keep = 4;
 constexpr unsigned max_held_jobs = 32; // looked past in one round
 
-// A start that has not been reported.
-struct start_record
-{
-    service_name service;
-    std::optional<duration> declared;
-    work expected{};
-};
-
-struct target_record
-{
-    target_offer offer;
-    unsigned grant = 0;
-    int speed_step = 0; // logarithmic
-    double speed = 1;
-    std::map<task_ref, start_record> in_flight;
-    std::map<service_name, unsigned> in_flight_of;
-
-    bool serves(const service_name& service) const
-    {
-        return offer.accepts_work &&
-               std::find(offer.services.begin(), offer.services.end(),
-                         service) != offer.services.end();
-    }
-
-    // Credits of this entry that only a service may use: its share of the
-    // reserved slots, rounded up.
-    unsigned reserved_credits(const slot_reservation& r) const
-    {
-        const auto slots = std::max(offer.slots, 1U);
-        return std::min(grant, (grant * r.slots + slots - 1) / slots);
-    }
-
-    unsigned running(const service_name& service) const
-    {
-        const auto it = in_flight_of.find(service);
-        return it == in_flight_of.end() ? 0 : it->second;
-    }
-
-    // Free credits that are not kept for another service.
-    bool has_room(const service_name& service) const
-    {
-        auto used = static_cast<unsigned>(in_flight.size());
-        for (const auto& r : offer.reserved)
-        {
-            const auto kept = reserved_credits(r);
-            const auto busy = running(r.service);
-            used += r.service != service && kept > busy ? kept - busy : 0;
-        }
-        return used < grant;
-    }
-};
-
 struct job_record
 {
     job_request request;
@@ -112,14 +58,11 @@
 // The fastest targets of a service.
 struct fastest_group
 {
-    int least_step = std::numeric_limits<int>::min() / 2;
+    int least_step = 0;
     unsigned credits = 0;
     unsigned free = 0;
 };
 
-// Order of the targets with free credits: slowest first.
-using ready_key = std::pair<int, agent_incarnation>;
-
 // The more waste weighs, the longer a target that failed is left alone.
 health_options health_options_of(const dispatch_options& o)
 {
@@ -164,6 +107,7 @@
         , health(health_options_of(o))
         , pacer(o.seed + 1)
         , jitter(o.seed + 2)
+        , targets(times, health, o.ejection)
     {
     }
 
@@ -172,26 +116,20 @@
     health_monitor health;
     retry_pacer pacer;
     random_jitter jitter;
-    std::map<agent_incarnation, target_record> targets;
-    std::set<ready_key> ready; // targets with a free credit
+    target_table targets;
     std::unordered_map<job_key, job_record> jobs;
     std::set<std::pair<time_point, job_key>> deadlines; // of unsettled jobs
     std::map<caller_name, std::size_t> waiting_of;
     std::map<service_name, service_record> services;
     job_queue queue;
     work in_flight_work{};
-    std::size_t in_flight = 0;
 
     // targets
-    void update_ready(target_record& t);
     bool may_start(const target_record& t, const job_record& job,
                    time_point now) const;
     bool may_probe(const job_record& job, agent_incarnation agent,
                    time_point now) const;
-    double total_speed(const service_name& service, time_point now) const;
-    double mean_speed(const service_name& service) const;
-    duration longest_delay(const service_name& service) const;
-    bool share_targets(const service_name& a, const service_name& b) const;
+    double total_speed(const service_name& service) const;
 
     // admission
     duration run_bound(const job_record& job) const;
@@ -208,37 +146,25 @@
     fastest_group fastest_targets(const service_name& service) const;
     target_record* slowest_in_time(const job_record& job, uint32_t task,
                                    queue_order order, time_point now);
-    static bool in_time(const job_record& job, uint32_t task,
-                        const target_record& t, time_point now);
+    bool in_time(const job_record& job, uint32_t task, double speed,
+                 time_point now) const;
     bool others_in_time(const job_record& job, uint32_t task,
                         time_point now) const;
     bool better_to_wait(const job_record& job, uint32_t task,
-                        const target_record& best, unsigned held,
-                        time_point now) const;
+                        const target_record& best, unsigned held) const;
     bool is_dearest(const job_record& job, time_point now) const;
     assignment start(job_record& job, target_record& t, time_point now);
-    queue_order order_of(const service_name& service, time_point now) const;
+    duration slack_of(const service_name& service, time_point now) const;
+    queue_order order_of(const service_name& service, duration slack) const;
     void assign_service(const service_name& service, time_point now,
                         std::vector<assignment>& out);
-    bool end_start(task_ref task, target_record& t, start_record& ended);
+    std::optional<unreported_start> end_start(task_ref task,
+                                              agent_incarnation agent);
     void settle(task_ref task);
 };
 
 // ----- targets -----
 
-void dispatcher::state::update_ready(target_record& t)
-{
-    const auto agent = t.offer.agent;
-    ready.erase({t.speed_step, agent});
-    t.speed = times.speed(agent);
-    t.speed_step =
-        static_cast<int>(std::lround(std::log(t.speed) * speed_steps));
-    if (t.offer.accepts_work && t.in_flight.size() < t.grant)
-    {
-        ready.insert({t.speed_step, agent});
-    }
-}
-
 bool dispatcher::state::may_start(const target_record& t, const job_record& job,
                                   time_point now) const
 {
@@ -273,62 +199,12 @@
 // Speed of the slots that this entry may count on: those it has, or its even
 // share of all targets. While tasks wait it has asked for all that it can
 // get, and only part of the even share is sure.
-double dispatcher::state::total_speed(const service_name& service,
-                                      time_point now) const
+double dispatcher::state::total_speed(const service_name& service) const
 {
-    double granted = 0;
-    double all = 0;
-    for (const auto& [agent, t] : targets)
-    {
-        if (!t.serves(service) ||
-            (options.ejection &&
-             health.state(agent, now) != health_state::healthy))
-        {
-            continue;
-        }
-        granted += t.grant * t.speed;
-        all += t.offer.slots * t.speed;
-    }
-    const double even = all / std::max(options.entries, 1U);
+    const auto& v = targets.view(service);
+    const double even = v.slots_speed / std::max(options.entries, 1U);
     const double least = queue.size() > 0 ? least_even_share * even : even;
-    return std::max(granted, least);
-}
-
-double dispatcher::state::mean_speed(const service_name& service) const
-{
-    double sum = 0;
-    double slots = 0;
-    for (const auto& [agent, t] : targets)
-    {
-        if (t.serves(service))
-        {
-            sum += t.offer.slots * t.speed;
-            slots += t.offer.slots;
-        }
-    }
-    return slots > 0 ? sum / slots : 1;
-}
-
-duration dispatcher::state::longest_delay(const service_name& service) const
-{
-    duration longest{};
-    for (const auto& [agent, t] : targets)
-    {
-        if (t.serves(service))
-        {
-            longest = std::max(longest, t.offer.one_way_delay);
-        }
-    }
-    return longest;
-}
-
-bool dispatcher::state::share_targets(const service_name& a,
-                                      const service_name& b) const
-{
-    return a == b ||
-           std::any_of(targets.begin(), targets.end(),
-                       [&](const auto& it)
-                       { return it.second.serves(a) && it.second.serves(b); });
+    return std::max(v.granted_speed, least);
 }
 
 // ----- admission -----
@@ -345,10 +221,10 @@
         mean = std::max(mean, it.mean);
         high = std::max(high, it.high);
     }
-    const double speed = mean_speed(job.request.service);
-    return 2 * longest_delay(job.request.service) +
-           std::min(time_for(high, speed),
-                    std::max(time_for(mean, speed), job.request.wait / 2));
+    const auto& v = targets.view(job.request.service);
+    return 2 * v.longest_delay + std::min(time_for(high, v.mean_speed),
+                                          std::max(time_for(mean, v.mean_speed),
+                                                   job.request.wait / 2));
 }
 
 // How much too late the last task of a job would begin; nothing when in time.
@@ -359,9 +235,10 @@
 {
     work ahead = in_flight_work + sum_of(job.expected);
     double taken = 0;
+    const auto& sharing = targets.view(job.request.service).sharing;
     for (const auto& [service, record] : services)
     {
-        if (share_targets(service, job.request.service))
+        if (sharing.count(service) != 0)
         {
             ahead += record.waiting.ahead_of(job.place);
             taken += job.request.never_delay
@@ -388,9 +265,10 @@
                                        time_point now) const
 {
     const auto extra = sum_of(job.expected);
+    const auto& sharing = targets.view(job.request.service).sharing;
     for (const auto& [service, record] : services)
     {
-        if (share_targets(service, job.request.service) &&
+        if (sharing.count(service) != 0 &&
             !record.waiting.fits(job.place, extra, in_flight_work, speed, now))
         {
             return false;
@@ -428,12 +306,13 @@
 
 target_record* dispatcher::state::fastest(const job_record& job, time_point now)
 {
+    const auto& ready = targets.ready();
     for (auto it = ready.rbegin(); it != ready.rend(); ++it)
     {
-        auto& t = targets.at(it->second);
-        if (may_start(t, job, now))
+        auto* t = targets.find(it->second);
+        if (may_start(*t, job, now))
         {
-            return &t;
+            return t;
         }
     }
     return nullptr;
@@ -444,19 +323,17 @@
 dispatcher::state::fastest_targets(const service_name& service) const
 {
     fastest_group out;
-    for (const auto& [agent, t] : targets)
+    const auto& groups = targets.view(service).groups;
+    if (groups.empty())
     {
-        if (!t.serves(service) || t.speed_step < out.least_step)
-        {
-            continue;
-        }
-        if (t.speed_step > out.least_step + equal_speed_steps)
-        {
-            out = {t.speed_step - equal_speed_steps, 0, 0};
-        }
-        const auto used = static_cast<unsigned>(t.in_flight.size());
-        out.credits += t.grant;
-        out.free += t.grant > used ? t.grant - used : 0;
+        return out;
+    }
+    out.least_step = groups.rbegin()->first - equal_speed_steps;
+    for (auto it = groups.lower_bound(out.least_step); it != groups.end(); ++it)
+    {
+        const auto& group = it->second;
+        out.credits += group.credits;
+        out.free += group.credits - std::min(group.busy, group.credits);
     }
     return out;
 }
@@ -474,15 +351,15 @@
                       top.credits >= least_credits_to_keep &&
                       top.free <= kept_credits;
     target_record* last = nullptr;
-    for (const auto& [step, agent] : ready)
+    for (const auto& [step, agent] : targets.ready())
     {
-        auto& t = targets.at(agent);
+        auto& t = *targets.find(agent);
         if (!may_start(t, job, now) || (keep && step >= top.least_step))
         {
             continue;
         }
         last = &t;
-        if (in_time(job, task, t, now))
+        if (in_time(job, task, t.speed, now))
         {
             return last;
         }
@@ -493,53 +370,41 @@
 // Whether a faster target, busy now, is expected to end the task sooner than
 // the best free one. held tasks wait for the same already.
 bool dispatcher::state::better_to_wait(const job_record& job, uint32_t task,
-                                       const target_record& best, unsigned held,
-                                       time_point now) const
+                                       const target_record& best,
+                                       unsigned held) const
 {
     const auto mean = job.expected[task].mean;
-    std::map<int, std::pair<unsigned, double>, std::greater<>> busy;
-    for (const auto& [agent, t] : targets)
-    {
-        if (t.speed_step > best.speed_step && t.serves(job.request.service) &&
-            health.state(agent, now) == health_state::healthy)
-        {
-            auto& group = busy[t.speed_step];
-            group.first += static_cast<unsigned>(t.in_flight.size());
-            group.second = t.speed;
-        }
-    }
     const auto here = time_for(mean, best.speed);
-    return std::any_of(busy.begin(), busy.end(),
+    const auto& groups = targets.view(job.request.service).groups;
+    return std::any_of(groups.upper_bound(best.speed_step), groups.end(),
                        [&](const auto& it)
                        {
-                           const auto& [count, speed] = it.second;
-                           const auto there = time_for(mean, speed);
-                           return count > 0 &&
-                                  there + there * (held + 1) / count < here;
+                           const auto& group = it.second;
+                           const auto there = time_for(mean, group.speed);
+                           return group.busy > 0 &&
+                                  there + there * (held + 1) / group.busy <
+                                      here;
                        });
 }
 
-// Whether nearly every such task started now at a target ends in time.
+// Whether nearly every such task started now at this speed ends in time.
 bool dispatcher::state::in_time(const job_record& job, uint32_t task,
-                                const target_record& t, time_point now)
+                                double speed, time_point now) const
 {
-    const auto run = time_for(job.expected[task].high, t.speed);
-    return now + run + 2 * t.offer.one_way_delay <= job.deadline;
+    const auto run = time_for(job.expected[task].high, speed);
+    const auto delay = targets.view(job.request.service).longest_delay;
+    return now + run + 2 * delay <= job.deadline;
 }
 
 // Whether a target that is busy now would still end the task in time.
 bool dispatcher::state::others_in_time(const job_record& job, uint32_t task,
                                        time_point now) const
 {
-    return std::any_of(targets.begin(), targets.end(),
-                       [&](const auto& it)
-                       {
-                           const auto& t = it.second;
-                           return t.grant > 0 &&
-                                  t.serves(job.request.service) &&
-                                  in_time(job, task, t, now) &&
-                                  health.state(it.first, now) ==
-                                      health_state::healthy;
+    const auto& groups = targets.view(job.request.service).groups;
+    return std::any_of(groups.rbegin(), groups.rend(),
+                       [&](const auto& it) {
+                           return it.second.credits > 0 &&
+                                  in_time(job, task, it.second.speed, now);
                        });
 }
 
@@ -556,9 +421,9 @@
         return nullptr;
     }
     const bool risky =
-        !in_time(job, task, *best, now) && others_in_time(job, task, now);
+        !in_time(job, task, best->speed, now) && others_in_time(job, task, now);
     const bool wait =
-        risky || (dearest && better_to_wait(job, task, *best, held, now));
+        risky || (dearest && better_to_wait(job, task, *best, held));
     return wait ? nullptr : best;
 }
 
@@ -571,37 +436,41 @@
     const auto& expected = job.expected[i];
     services[job.request.service].waiting.remove(job.place, expected.mean);
     --waiting_of[job.request.caller];
-    ++in_flight;
     in_flight_work += expected.mean;
     job.in_flight[i] = t.offer.agent;
-    t.in_flight[task] = {job.request.service,
-                         job.request.tasks[i].declared_run_time, expected.mean};
-    ++t.in_flight_of[job.request.service];
+    targets.add_start(t, task,
+                      {job.request.service,
+                       job.request.tasks[i].declared_run_time, expected.mean});
     health.on_start(t.offer.agent, time_for(expected.high, t.speed), now);
     pacer.on_start();
-    update_ready(t);
     return {task, t.offer.agent, job.deadline};
 }
 
+// Time that starts out of the order of latest start may take without breaking
+// a promise.
+duration dispatcher::state::slack_of(const service_name& service,
+                                     time_point now) const
+{
+    const double speed = total_speed(service);
+    const auto it = services.find(service);
+    return speed <= 0 || it == services.end()
+               ? duration::min()
+               : it->second.waiting.slack(in_flight_work, speed, now);
+}
+
 // The shortest waits go first as long as all promises can still be kept by
 // the order of latest start afterwards.
 queue_order dispatcher::state::order_of(const service_name& service,
-                                        time_point now) const
+                                        duration slack) const
 {
-    const double speed = total_speed(service, now);
-    if (speed <= 0)
+    const auto first = queue.first(service, queue_order::patience);
+    if (!first || slack <= order_margin)
     {
         return queue_order::latest_start;
     }
-    duration task{};
-    if (const auto first = queue.first(service, queue_order::patience))
-    {
-        const auto& job = jobs.at(first->job);
-        task = job.expected[*queue.peek(first->job)].mean;
-    }
-    const auto slack =
-        services.at(service).waiting.slack(in_flight_work, speed, now);
-    return slack > order_margin + time_for(task, speed)
+    const auto& job = jobs.at(first->job);
+    const auto task = job.expected[*queue.peek(first->job)].mean;
+    return slack - order_margin > time_for(task, total_speed(service))
                ? queue_order::patience
                : queue_order::latest_start;
 }
@@ -611,9 +480,10 @@
                                        std::vector<assignment>& out)
 {
     unsigned held = 0;
-    auto order = order_of(service, now);
+    auto slack = slack_of(service, now);
+    auto order = order_of(service, slack);
     auto next = queue.first(service, order);
-    while (next && held < max_held_jobs && !ready.empty())
+    while (next && held < max_held_jobs && !targets.ready().empty())
     {
         auto& job = jobs.at(next->job);
         const auto task = queue.peek(next->job);
@@ -624,8 +494,11 @@
             next = queue.after(service, *next, order);
             continue;
         }
+        const auto used =
+            time_for(job.expected[*task].mean, total_speed(service));
         out.push_back(start(job, *target, now));
-        const auto changed = order_of(service, now);
+        slack -= slack == duration::max() ? duration::zero() : used;
+        const auto changed = order_of(service, slack);
         if (changed != order)
         {
             order = changed;
@@ -638,25 +511,22 @@
     }
 }
 
-bool dispatcher::state::end_start(task_ref task, target_record& t,
-                                  start_record& ended)
+// Ends a start that an agent reported. @return nothing when it is unknown
+std::optional<unreported_start>
+dispatcher::state::end_start(task_ref task, agent_incarnation agent)
 {
-    const auto it = t.in_flight.find(task);
-    if (it == t.in_flight.end())
+    auto* t = targets.find(agent);
+    auto ended = t == nullptr ? std::nullopt : targets.end_start(*t, task);
+    if (ended)
     {
-        return false;
-    }
-    ended = std::move(it->second);
-    t.in_flight.erase(it);
-    --t.in_flight_of[ended.service];
-    --in_flight;
-    in_flight_work -= ended.expected;
-    const auto job = jobs.find(task.job);
-    if (job != jobs.end())
-    {
-        job->second.in_flight.erase(task.task.value());
+        in_flight_work -= ended->expected;
+        const auto job = jobs.find(task.job);
+        if (job != jobs.end())
+        {
+            job->second.in_flight.erase(task.task.value());
+        }
     }
-    return true;
+    return ended;
 }
 
 void dispatcher::state::settle(task_ref task)
@@ -679,40 +549,33 @@
 
 void dispatcher::put_target(const target_offer& offer, time_point)
 {
-    auto& t = state_->targets[offer.agent];
-    t.offer = offer;
     state_->health.add(offer.agent);
-    state_->update_ready(t);
+    state_->targets.put(offer);
 }
 
 void dispatcher::set_grant(agent_incarnation agent, unsigned grant)
 {
-    const auto it = state_->targets.find(agent);
-    if (it != state_->targets.end())
-    {
-        it->second.grant = grant;
-        state_->update_ready(it->second);
-    }
+    state_->targets.set_grant(agent, grant);
 }
 
 std::vector<task_ref> dispatcher::remove_target(agent_incarnation agent)
 {
+    const auto* t = state_->targets.find(agent);
+    if (t == nullptr)
+    {
+        return {};
+    }
     std::vector<task_ref> out;
-    const auto it = state_->targets.find(agent);
-    if (it == state_->targets.end())
+    for (const auto& [task, start] : t->in_flight)
     {
-        return out;
+        out.push_back(task);
     }
-    auto& t = it->second;
-    while (!t.in_flight.empty())
+    for (const auto& task : out)
     {
-        start_record ended;
-        out.push_back(t.in_flight.begin()->first);
-        state_->end_start(out.back(), t, ended);
-        state_->settle(out.back());
+        state_->end_start(task, agent);
+        state_->settle(task);
     }
-    state_->ready.erase({t.speed_step, agent});
-    state_->targets.erase(it);
+    state_->targets.remove(agent);
     state_->health.remove(agent);
     state_->pacer.forget(agent);
     state_->times.forget(agent);
@@ -727,7 +590,8 @@
         out.refusal = errc::request_malformed;
         return out;
     }
-    const double speed = state_->total_speed(job.service, now);
+    state_->targets.refresh(now);
+    const double speed = state_->total_speed(job.service);
     if (speed <= 0)
     {
         out.refusal = errc::wait_unattainable;
@@ -798,10 +662,8 @@
                             task_outcome outcome, duration run_time,
                             time_point now)
 {
-    const auto it = state_->targets.find(agent);
-    start_record ended;
-    if (it == state_->targets.end() ||
-        !state_->end_start(task, it->second, ended))
+    const auto ended = state_->end_start(task, agent);
+    if (!ended)
     {
         return;
     }
@@ -809,23 +671,21 @@
     if (outcome == task_outcome::answered)
     {
         state_->health.on_answer(agent, now);
-        state_->times.observe(ended.service, agent, ended.declared, run_time);
+        state_->times.observe(ended->service, agent, ended->declared, run_time);
     }
     else
     {
         state_->health.on_failure(agent, task.job, now);
     }
-    state_->update_ready(it->second);
+    state_->targets.update(*state_->targets.find(agent));
     state_->settle(task);
 }
 
 void dispatcher::on_not_run(task_ref task, agent_incarnation agent,
                             time_point now)
 {
-    const auto it = state_->targets.find(agent);
-    start_record ended;
-    if (it == state_->targets.end() ||
-        !state_->end_start(task, it->second, ended))
+    const auto ended = state_->end_start(task, agent);
+    if (!ended)
     {
         return;
     }
@@ -834,31 +694,31 @@
     {
         state_->pacer.on_refusal(agent, now);
     }
-    state_->update_ready(it->second);
     const auto job = state_->jobs.find(task.job);
     if (job == state_->jobs.end())
     {
         return;
     }
     state_->queue.put_back(task.job, task.task.value());
-    state_->services[ended.service].waiting.add(job->second.place,
-                                                ended.expected);
+    state_->services[ended->service].waiting.add(job->second.place,
+                                                 ended->expected);
     ++state_->waiting_of[job->second.request.caller];
 }
 
 std::vector<assignment> dispatcher::assign(time_point now)
 {
     std::vector<assignment> out;
-    if (state_->queue.size() == 0 || state_->ready.empty())
+    if (state_->queue.size() == 0 || state_->targets.ready().empty())
     {
         return out;
     }
+    state_->targets.refresh(now);
     std::vector<std::pair<queue_position, service_name>> heads;
     for (const auto& service : state_->queue.services())
     {
-        heads.emplace_back(
-            *state_->queue.first(service, state_->order_of(service, now)),
-            service);
+        const auto order =
+            state_->order_of(service, state_->slack_of(service, now));
+        heads.emplace_back(*state_->queue.first(service, order), service);
     }
     std::sort(heads.begin(), heads.end());
     for (const auto& [position, service] : heads)
@@ -886,17 +746,17 @@
 {
     demand_report out;
     out.least_slack = duration::max();
-    const auto it = state_->targets.find(agent);
-    if (it == state_->targets.end())
+    const auto* t = state_->targets.find(agent);
+    if (t == nullptr)
     {
         return out;
     }
-    out.in_flight = static_cast<uint32_t>(it->second.in_flight.size());
-    if (!it->second.offer.accepts_work || is_ejected(agent, now))
+    out.in_flight = static_cast<uint32_t>(t->in_flight.size());
+    if (!t->offer.accepts_work || is_ejected(agent, now))
     {
         return out;
     }
-    for (const auto& service : it->second.offer.services)
+    for (const auto& service : t->offer.services)
     {
         out.queued += static_cast<uint32_t>(state_->queue.size(service));
         const auto first =
@@ -928,7 +788,7 @@
 
 std::size_t dispatcher::in_flight_tasks() const
 {
-    return state_->in_flight;
+    return state_->targets.in_flight();
 }
 
 bool dispatcher::is_ejected(agent_incarnation agent, time_point now) const
--- a/tools/experiment/main.cpp
+++ b/tools/experiment/main.cpp
@@ -1,3 +1,4 @@
+#include "bench.hpp"
 #include "measures.hpp"
 #include "report.hpp"
 
@@ -31,6 +32,7 @@
     uint64_t seed = 0;
     bool quick = false;
     bool variants_only = false;
+    bool bench = false;
 };
 
 struct report
@@ -150,6 +152,8 @@
         "version", options::value(&s.version),
         "only versions with this in the name")("seed", options::value(&s.seed),
                                                "added to the sites' seeds")(
+        "bench", options::bool_switch(&s.bench),
+        "measure the processor time of the decisions instead")(
         "variants", options::bool_switch(&s.variants_only),
         "only the variants")("quick", options::bool_switch(&s.quick),
                              "shorter runs");
@@ -161,6 +165,11 @@
         std::cout << known;
         return 0;
     }
+    if (s.bench)
+    {
+        std::cout << bench_decisions();
+        return 0;
+    }
     auto r = s.variants_only ? report{} : run_all(s);
     if (s.variants_only || !s.out.empty())
     {
