--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -36,7 +36,7 @@
 constexpr duration probe_patience = 3s; // until any job may be the probe
 constexpr unsigned kept_credits = 1;    // of the fastest targets
 constexpr unsigned least_credits_to_keep = 4;
-constexpr unsigned max_held_jobs = 32; // looked past in one round
+constexpr unsigned max_held_jobs = 8; // looked past in one round
 
 struct job_record
 {
