--- a/tools/experiment/policies.cpp
+++ b/tools/experiment/policies.cpp
@@ -429,6 +429,7 @@
                 {
                     v.queue = agent_queue::bounded;
                     v.queue_allowance = 2;
+                    v.storms = true;
                 }),
         changed(two, "no deadline at agents",
                 [](version& v) { v.carries_deadline = false; }),
--- a/tools/experiment/policies.hpp
+++ b/tools/experiment/policies.hpp
@@ -54,6 +54,7 @@
     uint32_t queue_allowance = 0;
     bool cancels = true;          ///< tells agents that nobody waits any more
     bool carries_deadline = true; ///< agents refuse a start past it
+    bool storms = false;          ///< retries without end when targets are full
     dispatch_options options;
     /// makes the policy of one entry
     std::unique_ptr<entry_policy> (*make)(const dispatch_options&) = nullptr;
--- a/tools/experiment/scenarios.hpp
+++ b/tools/experiment/scenarios.hpp
@@ -45,6 +45,12 @@
     duration fault_from{};
     duration fault_to{};
     bool compares_variants = false;
+
+    /// @brief Whether more is offered than the targets can run.
+    bool is_saturated() const
+    {
+        return load.load * load.burst_factor > 1;
+    }
 };
 
 std::vector<site> all_sites();
