--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Developer chores over CMake.
 JOBS ?= $(shell nproc)
 
-.PHONY: all install-packages configure build check demo bench \
+.PHONY: all install-packages configure build check demo soak bench \
     format format-check lint clean
 
 all: build
@@ -31,6 +31,13 @@
 bench: build
 	@build/tools/bench/bench --example examples/pall-cloth $(BENCH_ARGS)
 
+## soak: pairs of faults by a seeded schedule (SEED, ROUNDS)
+SEED ?= 1
+ROUNDS ?= 20
+soak: build
+	@AGATEBANK_SOAK_SEED=$(SEED) AGATEBANK_SOAK_ROUNDS=$(ROUNDS) \
+	    build/tests/process/process_tests "[soak]"
+
 ## format: format all sources
 format:
 	@scripts/format.sh
--- /dev/null
+++ b/tests/process/unit-not_run.cpp
@@ -0,0 +1,236 @@
+// A refusal that says "not run" is true.
+#include "small_cluster.hpp"
+
+#include <csignal>
+#include <functional>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t entries = 3;
+
+void drain_all(trial& t)
+{
+    for (const auto& target : t.nodes.options().targets)
+    {
+        const auto r = t.nodes.admin(
+            0, "POST", "/v1/admin/targets/" + target.name + "/drain");
+        CHECK(r.status / 100 == 2);
+    }
+    run_for(t.loop, 2s);
+}
+
+// Sends many jobs at once through all entries.
+void flood(trial& t, std::size_t jobs, std::size_t tasks, int64_t run_ms,
+           const std::string& patience)
+{
+    for (std::size_t i = 0; i < jobs; ++i)
+    {
+        const auto entry = i % entries;
+        t.submit(entry, t.reserve(entry),
+                 make_job("flood-" + std::to_string(i), tasks, run_ms, false,
+                          patience),
+                 40s);
+    }
+}
+
+struct refusal_case
+{
+    const char* name;
+    small_options options;
+    std::function<void(trial&)> run;
+};
+
+const refusal_case cases[] = {
+    {"more work than the wait allows",
+     {},
+     [](trial& t)
+     {
+         flood(t, 60, 8, 700, "now");
+         t.settle(90s);
+         CHECK(t.verdict.count("complete") > 0);
+         CHECK(t.verdict.count("") + t.verdict.count("failed") > 0);
+     }},
+    {"a quota",
+     {.max_queued_tasks = 20},
+     [](trial& t)
+     {
+         flood(t, 30, 15, 300, "later");
+         t.settle(90s);
+         CHECK(t.verdict.count("complete") > 0);
+         CHECK(t.verdict.count("") > 0);
+     }},
+    {"all targets draining",
+     {},
+     [](trial& t)
+     {
+         drain_all(t);
+         flood(t, 6, 2, 50, "now");
+         t.settle(90s);
+         CHECK(t.verdict.count("complete") == 0);
+         CHECK(t.nodes.read_ledger().starts().empty());
+     }},
+    {"agents drain while work waits for them",
+     {},
+     [](trial& t)
+     {
+         flood(t, 20, 10, 400, "now");
+         drain_all(t);
+         t.settle(90s);
+     }},
+    {"links cut while work waits",
+     {.relays = true},
+     [](trial& t)
+     {
+         flood(t, 20, 10, 300, "now");
+         for (std::size_t i = 0; i < entries; ++i)
+         {
+             for (auto* relay : t.nodes.relays_of_entry(i))
+             {
+                 relay->cut();
+             }
+             run_for(t.loop, 100ms);
+         }
+         t.settle(90s);
+     }},
+    {"agents killed while work runs and waits",
+     {},
+     [](trial& t)
+     {
+         flood(t, 20, 10, 400, "now");
+         REQUIRE(t.wait_starts(10));
+         for (const auto* name : {"agent-t-1", "agent-t-2", "agent-t-3"})
+         {
+             t.nodes.process(name).kill();
+         }
+         t.settle(90s);
+         CHECK(t.verdict.count("failed") > 0);
+     }},
+    {"agents frozen past the wait, then thawed",
+     {},
+     [](trial& t)
+     {
+         flood(t, 12, 10, 400, "now");
+         REQUIRE(t.wait_starts(10));
+         for (const auto* name : {"agent-t-1", "agent-t-2"})
+         {
+             t.nodes.process(name).signal(SIGSTOP);
+         }
+         t.settle(90s);
+         for (const auto* name : {"agent-t-1", "agent-t-2"})
+         {
+             t.nodes.process(name).signal(SIGCONT);
+         }
+         run_for(t.loop, 3s);
+     }},
+    {"an entry leaves",
+     {},
+     [](trial& t)
+     {
+         t.nodes.process("entry-1").signal(SIGTERM);
+         run_for(t.loop, 50ms);
+         for (std::size_t i = 0; i < 5; ++i)
+         {
+             const auto job = make_job("late-" + std::to_string(i), 2, 50);
+             const auto ids = t.nodes.caller().reserve(t.nodes.entry_url(0), 1);
+             t.submit_now(0, ids.empty() ? "none" : ids.front(), job);
+         }
+     }},
+};
+
+struct bad_body
+{
+    const char* name;
+    std::string body;
+    unsigned status;
+};
+
+std::string many_tasks(std::size_t n)
+{
+    return to_body(make_job("many", n, 1));
+}
+
+const bad_body bad_bodies[] = {
+    {"broken JSON", "{\"service\":\"echo\",", 400},
+    {"not an object", "[1,2,3]", 400},
+    {"no tasks", R"({"service":"echo","patience":"now","tasks":[]})", 400},
+    {"unknown field",
+     R"({"service":"echo","patience":"now","tasks":[{}],"x":1})", 400},
+    {"unknown service", R"({"service":"none","patience":"now","tasks":[{}]})",
+     422},
+    {"unknown patience", R"({"service":"echo","patience":"none","tasks":[{}]})",
+     422},
+    {"run time out of range",
+     R"({"service":"echo","patience":"now","tasks":[{"run_time_ms":-1}]})",
+     400},
+    {"deep nesting",
+     R"({"service":"echo","patience":"now","tasks":[{"payload":)" +
+         std::string(5000, '[') + std::string(5000, ']') + "}]}",
+     400},
+    {"invalid UTF-8",
+     "{\"service\":\"echo\",\"patience\":\"now\",\"tasks\":[{\"payload\":"
+     "\"\xff\xfe\"}]}",
+     400},
+    {"too many tasks", many_tasks(5000), 422},
+    {"too large a body", std::string(20U << 20U, ' '), 413},
+};
+
+} // namespace
+
+TEST_CASE("a refusal that says not run is true", "[not_run]")
+{
+    for (const auto& row : cases)
+    {
+        SECTION(row.name)
+        {
+            trial t(make_small(row.options));
+            row.run(t);
+            run_for(t.loop, 1s);
+            t.check();
+        }
+    }
+}
+
+TEST_CASE("a start of unknown fate is not called not run", "[not_run]")
+{
+    trial t(make_small());
+    const auto id = t.reserve(0);
+    const auto job = make_job("unknown", 24, 1500);
+    t.submit(0, id, job);
+    REQUIRE(t.wait_starts(24));
+    t.nodes.process("agent-t-1").kill();
+    const auto r = t.submit_now(1, id, job);
+    CHECK(r.state == "failed");
+    CHECK(r.run == "may-have-run");
+    t.settle();
+    t.check();
+}
+
+TEST_CASE("a malformed job is refused and starts nothing", "[not_run]")
+{
+    trial t(make_small());
+    for (const auto& row : bad_bodies)
+    {
+        INFO(row.name);
+        http_call call;
+        call.method = "PUT";
+        call.url = t.nodes.entry_url(0) + "/v1/submissions/" + t.reserve(0);
+        call.body = row.body;
+        caller_reply reply;
+        bool done = false;
+        t.nodes.caller().send(call,
+                              [&](const caller_reply& r)
+                              {
+                                  reply = r;
+                                  done = true;
+                              });
+        REQUIRE(run_until(t.loop, 20s, [&] { return done; }));
+        CHECK(reply.status == row.status);
+        CHECK(reply.run == "not-run");
+    }
+    run_for(t.loop, 500ms);
+    CHECK(t.nodes.read_ledger().starts().empty());
+}
--- /dev/null
+++ b/tests/process/unit-own_answer.cpp
@@ -0,0 +1,93 @@
+// Each caller receives the whole answer to its own request.
+#include "steady_load.hpp"
+
+#include <functional>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct disturbance
+{
+    const char* name;
+    std::function<void(trial&)> run;
+};
+
+void disorder(trial& t)
+{
+    for (const auto* target : {"t-1", "t-2", "t-3"})
+    {
+        t.nodes.target_mode(
+            target, {{"straggler_share", 0.2}, {"straggler_factor", 8}});
+    }
+}
+
+const disturbance disturbances[] = {
+    {"answers out of order",
+     [](trial& t)
+     {
+         run_for(t.loop, 4s);
+     }},
+    {"agents restarted on the same ports",
+     [](trial& t)
+     {
+         for (const auto* name : {"agent-t-1", "agent-t-2", "agent-t-3"})
+         {
+             run_for(t.loop, 1s);
+             t.nodes.process(name).kill();
+             t.nodes.start(name);
+         }
+         run_for(t.loop, 2s);
+     }},
+    {"entries restarted on the same ports",
+     [](trial& t)
+     {
+         for (const auto* name : {"entry-1", "entry-2", "entry-3"})
+         {
+             run_for(t.loop, 1s);
+             t.nodes.process(name).kill();
+             t.nodes.start(name);
+         }
+         run_for(t.loop, 2s);
+     }},
+    {"links forgotten and replaced",
+     [](trial& t)
+     {
+         for (std::size_t i = 0; i < 3; ++i)
+         {
+             for (auto* relay : t.nodes.relays_of_entry(i))
+             {
+                 relay->forget();
+             }
+             run_for(t.loop, 2s);
+         }
+     }},
+};
+
+} // namespace
+
+TEST_CASE("no answer crosses", "[own_answer]")
+{
+    for (const auto& row : disturbances)
+    {
+        SECTION(row.name)
+        {
+            small_options o;
+            o.relays = true;
+            trial t(make_small(o));
+            disorder(t);
+            load_options shape;
+            shape.in_flight = 100;
+            shape.tasks = 3;
+            shape.max_run_ms = 80;
+            steady_load load(t, shape);
+            load.start();
+            row.run(t);
+            load.finish(120s);
+            CHECK(load.complete() > 200);
+            t.check();
+        }
+    }
+}
--- a/tools/demo/demo_plan.cpp
+++ b/tools/demo/demo_plan.cpp
@@ -173,6 +173,7 @@
     plan.cluster.operator_token = demo.at("operator_token");
     plan.caller_tokens = demo.at("callers").get<std::vector<std::string>>();
     plan.cluster.caller_token = plan.caller_tokens.front();
+    plan.cluster.import = false;
     plan.currency = demo.at("currency");
     for (const auto& it : rules.at("patience"))
     {
--- a/tools/demo/main.cpp
+++ b/tools/demo/main.cpp
@@ -20,6 +20,9 @@
 
 using namespace agatebank;
 
+constexpr auto command_timeout = std::chrono::seconds(30);
+constexpr auto ready_timeout = std::chrono::seconds(30);
+
 struct options
 {
     std::string example;
@@ -49,6 +52,40 @@
     return o;
 }
 
+// Runs the command line and shows what it prints.
+void run_command(event_loop& loop, const cluster& nodes,
+                 std::vector<std::string> words)
+{
+    words.insert(words.begin(), program_path("agatebank"));
+    words.insert(words.end(), {"--entry", nodes.entry_url(0), "--token-file",
+                               nodes.bootstrap_token_file()});
+    child_process p(loop, words, nodes.directory() + "/command.out");
+    const auto code = p.wait(command_timeout);
+    if (!code || *code != 0)
+    {
+        throw std::runtime_error(words[1] + " failed: " + p.output());
+    }
+    std::cout << "agatebank " << words[1] << ' ' << words[2] << ": done"
+              << std::endl;
+}
+
+void prepare(event_loop& loop, cluster& nodes, const demo_plan& plan)
+{
+    if (!nodes.wait_ready(0, ready_timeout))
+    {
+        throw std::runtime_error("the entry did not become ready");
+    }
+    run_command(loop, nodes, {"inventory", "import", plan.inventory_file});
+    run_command(loop, nodes, {"rules", "apply", plan.rules_file});
+    for (std::size_t i = 0; i < plan.cluster.entry_domains.size(); ++i)
+    {
+        if (!nodes.wait_targets(i, plan.cluster.targets.size(), ready_timeout))
+        {
+            throw std::runtime_error("targets did not become ready");
+        }
+    }
+}
+
 int run(const options& o)
 {
     const auto plan = read_plan(o.example, o.seed);
@@ -58,6 +95,7 @@
               << plan.cluster.entry_domains.size() << " entries and "
               << plan.cluster.targets.size() << " agents with targets"
               << std::endl;
+    prepare(loop, nodes, plan);
     demo_run demo(loop, nodes, plan);
     demo.run(std::cout);
     const auto starts = nodes.read_ledger();
--- a/tools/harness/include/agatebank/harness/cluster.hpp
+++ b/tools/harness/include/agatebank/harness/cluster.hpp
@@ -95,6 +95,8 @@
     /// @brief The agent beside a target.
     std::string agent_url(const std::string& target);
     job_caller& caller() noexcept;
+    /// @brief File with the token of the first import.
+    std::string bootstrap_token_file() const;
     ledger read_ledger() const;
     const std::string& directory() const noexcept;
     const cluster_options& options() const noexcept;
--- a/tools/harness/src/cluster.cpp
+++ b/tools/harness/src/cluster.cpp
@@ -462,6 +462,13 @@
     return url_of(agent_ports_.at(name));
 }
 
+std::string cluster::bootstrap_token_file() const
+{
+    const std::string file = directory_ + "/bootstrap-token";
+    std::ofstream(file) << bootstrap_token << '\n';
+    return file;
+}
+
 job_caller& cluster::caller() noexcept
 {
     return caller_;
