Process tests: mend what their first runs showed of themselves

The slot check of a target no longer covers cases that kill its agent: the orphaned tasks run on unknown to the next agent. It stays in all others.

--- a/tests/process/small_cluster.cpp
+++ b/tests/process/small_cluster.cpp
@@ -157,6 +157,11 @@
 {
     const auto starts = nodes.read_ledger();
     CHECK(to_lines(verdict.breaches(starts)).empty());
+}
+
+void trial::check_slots()
+{
+    const auto starts = nodes.read_ledger();
     CHECK(starts.over_slots(nodes.options().targets.front().slots).empty());
 }
 
--- a/tests/process/small_cluster.hpp
+++ b/tests/process/small_cluster.hpp
@@ -66,6 +66,10 @@
                      duration timeout = std::chrono::seconds(30));
     /// @brief Checks the invariants that hold in every case.
     void check();
+    /// @brief Checks that no target ran more tasks than its slots. Tasks of
+    /// an agent that was killed run on unknown to the next one, so this holds
+    /// only while agents live.
+    void check_slots();
 };
 
 } // namespace agatebank
--- a/tests/process/unit-double_start.cpp
+++ b/tests/process/unit-double_start.cpp
@@ -231,6 +231,7 @@
             row.run(t, id, job);
             CHECK(t.nodes.read_ledger().starts_of(id).size() == tasks);
             t.check();
+            t.check_slots();
         }
     }
 }
--- a/tests/process/unit-graceful_stop.cpp
+++ b/tests/process/unit-graceful_stop.cpp
@@ -71,6 +71,7 @@
             CHECK(to_lines(load.complaints()).empty());
             CHECK(load.complete() > 100);
             t.check();
+            t.check_slots();
         }
     }
 }
--- a/tests/process/unit-leaving_target.cpp
+++ b/tests/process/unit-leaving_target.cpp
@@ -102,6 +102,7 @@
             CHECK(starts_after(t.nodes.read_ledger(),
                                left_us + duration(leaving_time).count()) == 0);
             t.check();
+            t.check_slots();
         }
     }
 }
--- a/tools/harness/src/cluster.cpp
+++ b/tools/harness/src/cluster.cpp
@@ -18,6 +18,7 @@
 constexpr auto start_timeout = std::chrono::seconds(60);
 constexpr auto probe_period = std::chrono::milliseconds(50);
 constexpr auto probe_timeout = std::chrono::seconds(2);
+constexpr auto admin_timeout = std::chrono::seconds(30);
 constexpr const char* loopback = "127.0.0.1";
 constexpr const char* bootstrap_token = "bootstrap-operator";
 constexpr const char* keep_variable = "AGATEBANK_KEEP_FILES";
@@ -392,7 +393,7 @@
                             const std::string& path, const json& body)
 {
     return operator_.call_now(method, entry_url(entry) + path,
-                              body.is_null() ? "" : body.dump());
+                              body.is_null() ? "" : body.dump(), admin_timeout);
 }
 
 uint64_t cluster::version(std::size_t entry)
