core, platform, cli: a cheap difference, parse once, clearer refusals

Cause: a trial with real entries and 1,600 targets: a change compared the documents as JSON text; every poll parsed the same document; the command line asked each entry in turn while the platform was down (28 s), gave 'malformed' for a missing token, and a conflict on a required version said 'no difference'; timeline did not take a whole submission id. Ruled out: comparing by text hash, which does not tell what differs. Change: differences compare values and print only what differs; the store keeps the parsed document of the last ETag; platform errors are final for the command line; a refusal keeps its own code.

--- a/packages/admin/src/admin_api.cpp
+++ b/packages/admin/src/admin_api.cpp
@@ -99,6 +99,14 @@
     return out;
 }
 
+// Events name a submission by the first two fields of its id.
+std::string to_event_submission(const std::string& id)
+{
+    const auto first = id.find('-');
+    return first == std::string::npos ? id
+                                      : id.substr(0, id.find('-', first + 1));
+}
+
 bool is_change_id(const std::string& text)
 {
     return text.size() <= max_change_id_characters &&
@@ -435,7 +443,8 @@
         return;
     }
     event_filter filter;
-    filter.submission = call.request.parameter("submission");
+    filter.submission =
+        to_event_submission(call.request.parameter("submission"));
     filter.target = call.request.parameter("target");
     filter.from_us = from->value_or(filter.from_us);
     filter.to_us = to->value_or(filter.to_us);
--- a/packages/admin/tests/unit-admin_api.cpp
+++ b/packages/admin/tests/unit-admin_api.cpp
@@ -477,7 +477,7 @@
     CHECK(status["processes"].size() == 3);
     const auto events = json::parse(
         f.call("GET", "/v1/admin/timeline?target=t-1&from_us=5&to_us=9&"
-                      "submission=1-2")
+                      "submission=1-2-3-4")
             .body)["events"];
     CHECK(events[0]["kind"] == "run_began");
     CHECK(f.last_filter.target == "t-1");
--- a/packages/cli/include/agatebank/cli/entry_client.hpp
+++ b/packages/cli/include/agatebank/cli/entry_client.hpp
@@ -32,7 +32,7 @@
     result<http_response> call(http_call call);
 
   private:
-    result<http_response> call_one(http_call call);
+    result<http_response> call_one(const http_call& call);
 
     event_loop& loop_;
     http_client& http_;
--- a/packages/cli/src/cli_output.cpp
+++ b/packages/cli/src/cli_output.cpp
@@ -46,18 +46,48 @@
     }
 }
 
+// Errors of settings, configuration and requests are final; the others come
+// from processes that cannot serve now.
+cli_exit_code to_exit_code(std::error_code ec)
+{
+    constexpr int first_request_error = 300;
+    constexpr int first_task_error = 400;
+    if (ec == errc::settings_unreadable)
+    {
+        return cli_exit_code::usage;
+    }
+    const bool unavailable =
+        ec == errc::not_ready || ec == errc::process_leaving;
+    const bool refused =
+        ec == errc::configuration_invalid ||
+        (ec.value() >= first_request_error && ec.value() < first_task_error);
+    return refused && !unavailable ? cli_exit_code::refused
+                                   : cli_exit_code::unreachable;
+}
+
 } // namespace
 
 cli_exit_code report(const cli_context& context, const failure& f)
 {
     context.environment.err << "agatebank: " << f.to_string() << "\n";
-    if (f.code == errc::settings_unreadable)
+    return to_exit_code(f.code);
+}
+
+failure to_failure(const http_response& response, const std::string& step)
+{
+    const auto problem = json::parse(response.body, nullptr, false);
+    if (!problem.is_object() || !problem.contains("number"))
     {
-        return cli_exit_code::usage;
+        return {make_error_code(errc::request_malformed),
+                step,
+                {},
+                "HTTP status " + std::to_string(response.status)};
     }
-    const bool refused = f.code == errc::configuration_invalid ||
-                         f.code == errc::request_malformed;
-    return refused ? cli_exit_code::refused : cli_exit_code::unreachable;
+    const auto number = problem.value("number", 0);
+    return {{number, error_category()},
+            cell(problem, "step"),
+            cell(problem, "peer"),
+            cell(problem, "detail")};
 }
 
 cli_exit_code report_problem(const cli_context& context,
--- a/packages/cli/src/cli_output.hpp
+++ b/packages/cli/src/cli_output.hpp
@@ -14,6 +14,9 @@
 /// @brief Prints a failure as one line. @return its exit code
 cli_exit_code report(const cli_context& context, const failure& f);
 
+/// @brief The failure that a problem document of an entry tells.
+failure to_failure(const http_response& response, const std::string& step);
+
 /// @brief Prints a problem document of an entry. @return its exit code
 cli_exit_code report_problem(const cli_context& context,
                              const http_response& response);
--- a/packages/cli/src/entry_client.cpp
+++ b/packages/cli/src/entry_client.cpp
@@ -1,5 +1,7 @@
 #include <agatebank/cli/entry_client.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <optional>
 #include <utility>
 
@@ -10,6 +12,17 @@
 {
 
 constexpr unsigned status_unavailable = 503;
+constexpr int first_platform_error = 500;
+
+// Whether another entry may serve the call; every entry uses the same
+// platform, so its errors are final.
+bool may_serve_elsewhere(const http_response& response)
+{
+    const auto problem = nlohmann::json::parse(response.body, nullptr, false);
+    return response.status == status_unavailable &&
+           (!problem.is_object() ||
+            problem.value("number", 0) < first_platform_error);
+}
 
 } // namespace
 
@@ -36,7 +49,7 @@
         const auto index = (first_ + i) % entries_.size();
         call.url = entries_[index] + path;
         auto answer = call_one(call);
-        if (answer && answer->status != status_unavailable)
+        if (answer && !may_serve_elsewhere(*answer))
         {
             first_ = index;
             return answer;
@@ -50,7 +63,7 @@
     return last;
 }
 
-result<http_response> entry_client::call_one(http_call call)
+result<http_response> entry_client::call_one(const http_call& call)
 {
     std::optional<result<http_response>> got;
     const auto handle =
--- a/packages/cli/src/job_commands.cpp
+++ b/packages/cli/src/job_commands.cpp
@@ -121,9 +121,7 @@
     const json::json_pointer first("/submissions/0");
     if (!body.is_object() || !body.contains(first))
     {
-        return fail(errc::request_malformed, "job.reserve", {},
-                    "HTTP status " + std::to_string(answer->status) + ": " +
-                        (body.is_object() ? detail::cell(body, "title") : ""));
+        return tl::unexpected(detail::to_failure(*answer, "job.reserve"));
     }
     return body.at(first).get<std::string>();
 }
--- a/packages/cli/tests/unit-run_cli.cpp
+++ b/packages/cli/tests/unit-run_cli.cpp
@@ -449,6 +449,30 @@
     }
 }
 
+TEST_CASE("run_cli: a job without a valid token is refused")
+{
+    event_loop loop;
+    fake_entry entry(loop);
+    entry.answers["POST /v1/submissions"] =
+        problem(401, errc::unauthorised, run_fate::not_run);
+    const auto got = run_at(entry, {"job", "submit", "-"}, "{}");
+    CHECK(got.code == cli_exit_code::refused);
+    CHECK(contains(got.err, "a valid bearer token is required"));
+}
+
+TEST_CASE("run_cli: the platform's errors are final")
+{
+    event_loop loop;
+    fake_entry first(loop);
+    fake_entry second(loop);
+    first.answers["POST /v1/admin/targets/t-1/stop"] =
+        problem(503, errc::platform_refused, run_fate::not_run);
+    const auto got = run(
+        {"target", "stop", "t-1", "--entry", first.url, "--entry", second.url});
+    CHECK(got.code == cli_exit_code::unreachable);
+    CHECK(second.requests.empty());
+}
+
 TEST_CASE("run_cli: no job is sent when its id cannot be kept")
 {
     event_loop loop;
--- a/packages/core/src/configuration_difference.cpp
+++ b/packages/core/src/configuration_difference.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <string_view>
+#include <unordered_map>
 
 namespace agatebank
 {
@@ -11,45 +13,85 @@
 namespace
 {
 
-using item_map = std::map<std::string, std::string>;
+using item_list = std::vector<item_difference>;
+
+const std::string& name_of(const inventory_row& row)
+{
+    return row.target.value();
+}
 
 template <class Rule>
-void add_rules(item_map& out, const std::string& path,
-               const std::vector<Rule>& rules)
+const std::string& name_of(const Rule& rule)
 {
-    for (const auto& r : rules)
-    {
-        out[path + r.name.value()] = to_json(r).dump();
-    }
+    return rule.name.value();
 }
 
-item_map to_items(const configuration& c)
+// Adds what differs between two lists of named items. Items are turned into
+// text only when they differ.
+template <class T>
+void add_differences(item_list& out, const std::string& path,
+                     const std::vector<T>& before, const std::vector<T>& after)
 {
-    item_map out;
-    for (const auto& row : c.inventory)
+    std::unordered_map<std::string_view, const T*> old_items;
+    for (const auto& item : before)
     {
-        out["/inventory/" + row.target.value()] = to_json(row).dump();
+        old_items.emplace(name_of(item), &item);
     }
-    add_rules(out, "/rules/services/", c.rules.services);
-    add_rules(out, "/rules/patience/", c.rules.patience);
-    add_rules(out, "/rules/callers/", c.rules.callers);
-    add_rules(out, "/rules/operators/", c.rules.operators);
-    out["/rules/weights"] = to_json(c.rules.weights).dump();
-    for (const auto& [target, state] : c.target_states)
+    for (const auto& item : after)
     {
-        if (state != target_state::active)
+        const auto it = old_items.find(name_of(item));
+        if (it == old_items.end())
+        {
+            out.push_back({path + name_of(item), {}, to_json(item).dump()});
+            continue;
+        }
+        if (*it->second != item)
         {
-            out["/target_states/" + target.value()] =
-                nlohmann::json(to_word(state)).dump();
+            out.push_back({path + name_of(item), to_json(*it->second).dump(),
+                           to_json(item).dump()});
         }
+        old_items.erase(it);
     }
-    return out;
+    for (const auto& [name, item] : old_items)
+    {
+        out.push_back({path + std::string(name), to_json(*item).dump(), {}});
+    }
+}
+
+void add_weights(item_list& out, const policy_weights& before,
+                 const policy_weights& after)
+{
+    if (before != after)
+    {
+        out.push_back(
+            {"/rules/weights", to_json(before).dump(), to_json(after).dump()});
+    }
+}
+
+using state_map = std::map<target_name, target_state>;
+
+// The JSON text of a state that is not the usual one.
+std::string find_state(const state_map& states, const target_name& target)
+{
+    const auto it = states.find(target);
+    return it == states.end() || it->second == target_state::active
+               ? std::string()
+               : nlohmann::json(to_word(it->second)).dump();
 }
 
-std::string find_or_empty(const item_map& items, const std::string& path)
+void add_states(item_list& out, const state_map& before, const state_map& after)
 {
-    const auto it = items.find(path);
-    return it == items.end() ? std::string() : it->second;
+    auto all = before;
+    all.insert(after.begin(), after.end());
+    for (const auto& item : all)
+    {
+        const auto was = find_state(before, item.first);
+        const auto is = find_state(after, item.first);
+        if (was != is)
+        {
+            out.push_back({"/target_states/" + item.first.value(), was, is});
+        }
+    }
 }
 
 nlohmann::json to_value(const std::string& text)
@@ -99,24 +141,16 @@
 std::vector<item_difference> difference(const configuration& before,
                                         const configuration& after)
 {
-    const auto old_items = to_items(before);
-    const auto new_items = to_items(after);
-    std::vector<item_difference> out;
-    for (const auto& [path, text] : old_items)
-    {
-        const auto now = find_or_empty(new_items, path);
-        if (now != text)
-        {
-            out.push_back({path, text, now});
-        }
-    }
-    for (const auto& [path, text] : new_items)
-    {
-        if (old_items.count(path) == 0)
-        {
-            out.push_back({path, {}, text});
-        }
-    }
+    item_list out;
+    const auto& was = before.rules;
+    const auto& is = after.rules;
+    add_differences(out, "/inventory/", before.inventory, after.inventory);
+    add_differences(out, "/rules/services/", was.services, is.services);
+    add_differences(out, "/rules/patience/", was.patience, is.patience);
+    add_differences(out, "/rules/callers/", was.callers, is.callers);
+    add_differences(out, "/rules/operators/", was.operators, is.operators);
+    add_weights(out, was.weights, is.weights);
+    add_states(out, before.target_states, after.target_states);
     std::sort(out.begin(), out.end(),
               [](const auto& a, const auto& b) { return a.path < b.path; });
     return out;
--- a/packages/platform/include/agatebank/platform/configuration_store.hpp
+++ b/packages/platform/include/agatebank/platform/configuration_store.hpp
@@ -113,6 +113,8 @@
         std::optional<config_version> unknown_write;
     };
 
+    result<std::shared_ptr<const configuration>>
+    parse(const table_value& value);
     void begin();
     void read();
     void on_read(const result<std::optional<table_value>>& value);
@@ -139,6 +141,8 @@
     log_sink log_;
     paced_reader reader_;
     std::mt19937_64 random_;
+    std::shared_ptr<const configuration> latest_; ///< that was read
+    std::string latest_etag_;
     std::deque<pending_change> changes_; ///< the first is being made
     http_call_handle call_;
     watch timer_;
--- a/packages/platform/src/configuration_store.cpp
+++ b/packages/platform/src/configuration_store.cpp
@@ -15,21 +15,11 @@
 
 using document_ptr = std::shared_ptr<const configuration>;
 
-result<document_ptr> parse_value(const table_value& value,
-                                 const std::string& key)
-{
-    auto parsed = parse_configuration(value.body, "table key " + key);
-    if (!parsed)
-    {
-        return tl::unexpected(parsed.error());
-    }
-    return std::make_shared<const configuration>(std::move(*parsed));
-}
-
 std::string describe(const configuration_conflict& c)
 {
     return "version " + std::to_string(c.version.value()) + " by " +
-           c.changed_by + ", change " + c.change_id + ": " + summarise(c.items);
+           c.changed_by + ", change " + c.change_id +
+           (c.changes.empty() ? "" : ": " + c.changes.back().summary);
 }
 
 change_failure make_conflict(config_version base, const configuration& current,
@@ -79,11 +69,28 @@
             }
             else
             {
-                done(parse_value(**value, options_.key));
+                done(parse(**value));
             }
         });
 }
 
+// Polls mostly find the version that the poll before them found.
+result<document_ptr> configuration_store::parse(const table_value& value)
+{
+    if (latest_ && latest_etag_ == value.etag)
+    {
+        return latest_;
+    }
+    auto parsed = parse_configuration(value.body, "table key " + options_.key);
+    if (!parsed)
+    {
+        return tl::unexpected(parsed.error());
+    }
+    latest_ = std::make_shared<const configuration>(std::move(*parsed));
+    latest_etag_ = value.etag;
+    return latest_;
+}
+
 void configuration_store::change(configuration_change change,
                                  change_completion done)
 {
@@ -132,7 +139,7 @@
         check_and_write(configuration{}, std::nullopt);
         return;
     }
-    const auto current = parse_value(**value, options_.key);
+    const auto current = parse(**value);
     if (!current)
     {
         give_up({current.error(), std::nullopt});
--- a/packages/platform/tests/unit-configuration_store.cpp
+++ b/packages/platform/tests/unit-configuration_store.cpp
@@ -492,6 +492,33 @@
     CHECK(racers[0].conflicts + racers[1].conflicts > 0);
 }
 
+TEST_CASE("configuration_store: an unchanged document is parsed once")
+{
+    event_loop loop;
+    fake_table fake(loop);
+    fake.set(make_document(2));
+    entry_fixture entry(loop, fake, fast_options(1));
+    const auto load = [&]
+    {
+        std::shared_ptr<const configuration> out;
+        entry.store.load(
+            [&](const auto& r)
+            {
+                out = *r;
+                loop.quit();
+            });
+        loop.run();
+        return out;
+    };
+    const auto first = load();
+    CHECK(load() == first);
+    fake.set(make_document(3));
+    const auto second = load();
+    CHECK(second != first);
+    CHECK(second->version == config_version(3));
+    CHECK(entry.store.reads_sent() == 3);
+}
+
 TEST_CASE("configuration_store: reads are paced")
 {
     event_loop loop;
