--- a/tools/harness/src/tcp_relay.cpp
+++ b/tools/harness/src/tcp_relay.cpp
@@ -1,6 +1,8 @@
 #include <agatebank/harness/tcp_relay.hpp>
 
 #include <stdexcept>
+#include <utility>
+#include <vector>
 
 namespace agatebank
 {
@@ -19,6 +21,7 @@
     object_ptr<GSocketConnection> near;
     object_ptr<GSocketConnection> far;
     object_ptr<GCancellable> cancellable{g_cancellable_new()};
+    bool held = false;
 
     struct pump
     {
@@ -28,6 +31,49 @@
         bytes_ptr chunk;
     };
 
+    std::vector<std::unique_ptr<pump>> kept_back;
+
+    void hold(bool on)
+    {
+        held = on;
+        if (!held)
+        {
+            for (auto& one : std::exchange(kept_back, {}))
+            {
+                write(std::move(one));
+            }
+        }
+    }
+
+    // A frozen upstream may not answer, so the loop does not wait for it.
+    static void connect(const std::shared_ptr<passage>& p, uint16_t port)
+    {
+        const object_ptr<GSocketClient> client(g_socket_client_new());
+        g_socket_client_set_enable_proxy(client.get(), FALSE);
+        g_socket_client_connect_to_host_async(
+            client.get(), loopback, port, p->cancellable.get(), on_connected,
+            new std::shared_ptr<passage>(p));
+    }
+
+    static void on_connected(GObject* source, GAsyncResult* res, gpointer data)
+    {
+        const std::unique_ptr<std::shared_ptr<passage>> holder(
+            static_cast<std::shared_ptr<passage>*>(data));
+        const auto& p = *holder;
+        p->far.reset(g_socket_client_connect_to_host_finish(
+            G_SOCKET_CLIENT(source), res, nullptr));
+        if (p->stopped())
+        {
+            return;
+        }
+        if (!p->far)
+        {
+            p->close();
+            return;
+        }
+        start(p);
+    }
+
     static void start(const std::shared_ptr<passage>& p)
     {
         run(p, p->near.get(), p->far.get());
@@ -66,6 +112,17 @@
             one->owner->close();
             return;
         }
+        if (one->owner->held)
+        {
+            auto& kept = one->owner->kept_back;
+            kept.push_back(std::move(one));
+            return;
+        }
+        write(std::move(one));
+    }
+
+    static void write(std::unique_ptr<pump> one)
+    {
         auto* raw = one.release();
         gsize n = 0;
         const void* bytes = g_bytes_get_data(raw->chunk.get(), &n);
@@ -98,12 +155,13 @@
     }
 
     // Stops passing bytes on; the connections stay open.
-    void forget() const
+    void forget()
     {
         g_cancellable_cancel(cancellable.get());
+        kept_back.clear();
     }
 
-    void close() const
+    void close()
     {
         forget();
         for (const auto* c : {&near, &far})
@@ -154,16 +212,8 @@
     {
         return TRUE;
     }
-    const object_ptr<GSocketClient> client(g_socket_client_new());
-    g_socket_client_set_enable_proxy(client.get(), FALSE);
-    p->far.reset(g_socket_client_connect_to_host(
-        client.get(), loopback, self->upstream_port_, nullptr, nullptr));
-    if (!p->far)
-    {
-        p->close();
-        return TRUE;
-    }
-    passage::start(p);
+    p->hold(self->held_);
+    passage::connect(p, self->upstream_port_);
     return TRUE;
 }
 
@@ -184,6 +234,15 @@
     }
 }
 
+void tcp_relay::hold(bool held)
+{
+    held_ = held;
+    for (const auto& it : passages_)
+    {
+        it.second->hold(held);
+    }
+}
+
 void tcp_relay::block(bool blocked)
 {
     blocked_ = blocked;
