agent: loopback tests of the process and of every way a target can fail

Cause: the process had one loopback test. Change: fake entry and fake target in the test; broken connection, lost and restarted entry, leaving target, graceful stop, cancel, events, and a raw target that closes, halves, hangs or answers garbage at every point. Ruled out: a blocking read in the raw target; it stops the only thread.

--- a/packages/agent/tests/agent_fixture.hpp
+++ b/packages/agent/tests/agent_fixture.hpp
@@ -78,7 +78,11 @@
         else if (const auto* grant = std::get_if<slot_grant>(&m))
         {
             credits = grant->credits;
-            link->send(demand_update{0, 0, 0, grant->version});
+            grant_version = grant->version;
+            if (confirms)
+            {
+                confirm();
+            }
         }
         else if (const auto* batch = std::get_if<start_reports>(&m))
         {
@@ -109,6 +113,11 @@
         return o;
     }
 
+    void confirm()
+    {
+        link->send(demand_update{0, 0, 0, grant_version});
+    }
+
     void send_orders(const std::vector<start_order>& orders)
     {
         link->send(start_orders{orders});
@@ -144,6 +153,8 @@
     target_report target;
     config_version version;
     uint32_t credits = 0;
+    uint64_t grant_version = 0;
+    bool confirms = true;
     unsigned connections = 0;
     std::vector<start_report> reports;
     std::vector<gather_reply> gathered;
--- a/packages/agent/tests/unit-agent_process.cpp
+++ b/packages/agent/tests/unit-agent_process.cpp
@@ -4,6 +4,18 @@
 
 using namespace agatebank;
 
+namespace
+{
+
+constexpr duration short_time = std::chrono::milliseconds(300);
+
+int number(errc e)
+{
+    return static_cast<int>(e);
+}
+
+} // namespace
+
 TEST_CASE("agent_process: a start runs once and its report is delivered")
 {
     agent_fixture f;
@@ -24,6 +36,297 @@
     CHECK(f.until([&] { return f.agent->statistics().tracked == 0; }));
     entry.send_orders({entry.order(1)});
     REQUIRE(f.until([&] { return entry.reports.size() == 5; }));
-    CHECK(entry.reports.back().error == static_cast<int>(errc::start_stale));
+    CHECK(entry.reports.back().error == number(errc::start_stale));
     CHECK(f.target.starts.size() == 2);
 }
+
+TEST_CASE("agent_process: never more at once than slots, none lost")
+{
+    for (const uint32_t allowance : {0U, 1U, 2U})
+    {
+        SECTION("queue of " + std::to_string(allowance))
+        {
+            agent_fixture f;
+            f.entry().configuration.queue_allowance = allowance;
+            f.target.hold = true;
+            f.start(2);
+            auto& entry = f.entry();
+            std::vector<start_order> orders;
+            for (uint64_t n = 1; n <= 6; ++n)
+            {
+                orders.push_back(entry.order(n));
+            }
+            entry.send_orders(orders);
+            REQUIRE(
+                f.until([&] { return entry.reports.size() == 4 - allowance; }));
+            CHECK(f.until([&] { return f.target.starts.size() == 2; }));
+            CHECK(f.agent->statistics().queued == allowance);
+            CHECK(entry.reports[0].error == number(errc::start_refused));
+            f.target.hold = false;
+            f.target.release();
+            REQUIRE(f.until([&] { return entry.reports.size() == 6; }));
+            CHECK(f.target.starts.size() == 2 + allowance);
+            CHECK(f.target.most_at_once == 2);
+        }
+    }
+}
+
+TEST_CASE("agent_process: a broken connection loses and repeats nothing")
+{
+    agent_fixture f;
+    f.target.hold = true;
+    f.start();
+    auto& entry = f.entry();
+    entry.send_orders({entry.order(1)});
+    REQUIRE(f.until([&] { return f.target.starts.size() == 1; }));
+    entry.link.reset();
+    f.target.release();
+    REQUIRE(f.until([&] { return entry.connections == 2 && entry.link; }));
+    entry.send_orders({entry.order(1)});
+    REQUIRE(f.until([&] { return !entry.reports.empty(); }));
+    CHECK(entry.report_of(1)->body == "echo p1");
+    CHECK(f.target.starts.size() == 1);
+}
+
+TEST_CASE("agent_process: a lost entry's answers are gathered, the rest fenced")
+{
+    agent_fixture f(2);
+    f.entry().configuration.queue_allowance = 2;
+    f.entry(1).configuration.queue_allowance = 2;
+    f.target.hold = true;
+    f.start(2);
+    auto& lost = f.entry();
+    auto& other = f.entry(1);
+    const auto job = lost.order(1).submission;
+    lost.send_orders({lost.order(1), lost.order(2), lost.order(3)});
+    REQUIRE(f.until([&] { return f.target.starts.size() == 2; }));
+    f.target.held.front()();
+    REQUIRE(f.until([&] { return f.target.starts.size() == 3; }));
+    lost.send_orders({lost.order(4)});
+    REQUIRE(f.until([&] { return f.agent->statistics().queued == 1; }));
+
+    other.link->send(gather_query{1, job});
+    REQUIRE(f.until([&] { return other.gathered.size() == 1; }));
+    CHECK(other.gathered[0].running == 2);
+    REQUIRE(other.gathered[0].held.size() == 2);
+    CHECK(other.gathered[0].held[0].report.kind == report_kind::answered);
+    CHECK(other.gathered[0].held[1].report.kind == report_kind::not_run);
+
+    lost.send_orders({lost.order(5)});
+    REQUIRE(f.until([&] { return lost.report_of(5) != nullptr; }));
+    CHECK(lost.report_of(5)->error == number(errc::entry_lost));
+
+    // Restarted on the same address, as another incarnation.
+    lost.incarnation = 200;
+    lost.link.reset();
+    REQUIRE(f.until([&] { return lost.connections == 2 && lost.link; }));
+    f.target.hold = false;
+    f.target.release();
+    REQUIRE(f.until([&] { return f.agent->statistics().running == 0; }));
+    other.link->send(gather_query{2, job});
+    REQUIRE(f.until([&] { return other.gathered.size() == 2; }));
+    CHECK(other.gathered[1].running == 0);
+    CHECK(other.gathered[1].held.size() == 5);
+    CHECK(f.target.starts.size() == 3);
+    lost.reports.clear();
+    lost.send_orders({lost.order(1)});
+    REQUIRE(f.until([&] { return lost.reports.size() == 1; }));
+    CHECK(lost.reports[0].kind == report_kind::answered);
+    CHECK(f.target.starts.size() == 4);
+}
+
+TEST_CASE("agent_process: a target that leaves gets nothing new")
+{
+    struct row
+    {
+        const char* name;
+        std::function<void(agent_fixture&)> leave;
+    };
+    const auto configured = [](auto edit)
+    {
+        return [edit](agent_fixture& f)
+        {
+            auto c = f.entry().configuration;
+            c.version = config_version(2);
+            edit(c);
+            f.entry().link->send(c);
+        };
+    };
+    const row rows[] = {
+        {"goodbye",
+         [](agent_fixture& f)
+         {
+             f.call("DELETE", "");
+         }},
+        {"silent for 2 s",
+         [](agent_fixture&) {
+         }},
+        {"draining",
+         configured([](auto& c) { c.state = target_state::draining; })},
+        {"stopped",
+         configured([](auto& c) { c.state = target_state::stopped; })},
+        {"removed", configured([](auto& c) { c.in_inventory = false; })},
+        {"agent stops",
+         [](agent_fixture& f)
+         {
+             f.agent->begin_stop([] {});
+         }},
+    };
+    for (const auto& r : rows)
+    {
+        SECTION(r.name)
+        {
+            agent_fixture f;
+            f.entry().configuration.queue_allowance = 2;
+            f.target.hold = true;
+            f.start(1);
+            auto& entry = f.entry();
+            entry.send_orders({entry.order(1), entry.order(2)});
+            REQUIRE(f.until([&] { return f.target.starts.size() == 1; }));
+            r.leave(f);
+            REQUIRE(f.until([&] { return !entry.target.accepts_work; }));
+            CHECK(f.until([&] { return entry.credits == 0; }));
+            entry.send_orders({entry.order(3)});
+            REQUIRE(f.until([&] { return entry.report_of(3) != nullptr; }));
+            CHECK(entry.report_of(2)->kind == report_kind::not_run);
+            CHECK(entry.report_of(3)->kind == report_kind::not_run);
+            f.target.release();
+            REQUIRE(f.until([&] { return entry.report_of(1) != nullptr; }));
+            CHECK(entry.report_of(1)->kind == report_kind::answered);
+            CHECK(f.target.starts.size() == 1);
+        }
+    }
+}
+
+TEST_CASE("agent_process: a graceful stop delivers what runs")
+{
+    struct row
+    {
+        const char* name;
+        bool acknowledges;
+    };
+    const row rows[] = {{"reports acknowledged", true},
+                        {"entry never acknowledges", false}};
+    for (const auto& r : rows)
+    {
+        SECTION(r.name)
+        {
+            agent_fixture f;
+            f.settings.limits.stop_delivery = short_time;
+            f.target.hold = true;
+            f.start();
+            auto& entry = f.entry();
+            entry.send_orders({entry.order(1)});
+            REQUIRE(f.until([&] { return f.target.starts.size() == 1; }));
+            bool stopped = false;
+            f.agent->begin_stop([&] { stopped = true; });
+            entry.send_orders({entry.order(2)});
+            REQUIRE(f.until([&] { return entry.report_of(2) != nullptr; }));
+            CHECK(entry.report_of(2)->error == number(errc::process_leaving));
+            f.run_for(2 * short_time);
+            CHECK_FALSE(stopped);
+            f.target.release();
+            REQUIRE(f.until([&] { return entry.report_of(1) != nullptr; }));
+            if (r.acknowledges)
+            {
+                CHECK_FALSE(stopped);
+                entry.link->send(acknowledgement{start_sequence(3)});
+            }
+            CHECK(f.until([&] { return stopped; }));
+            CHECK((f.agent->statistics().unacknowledged == 0) ==
+                  r.acknowledges);
+        }
+    }
+}
+
+TEST_CASE("agent_process: an idle agent leaves once its credits are given up")
+{
+    agent_fixture f;
+    f.settings.limits.stop_delivery = std::chrono::seconds(30);
+    f.start();
+    auto& entry = f.entry();
+    REQUIRE(f.until([&] { return entry.credits == 2; }));
+    entry.confirms = false;
+    bool stopped = false;
+    f.agent->begin_stop([&] { stopped = true; });
+    // A start that was on its way when the agent began to leave.
+    entry.send_orders({entry.order(1)});
+    REQUIRE(f.until([&] { return entry.report_of(1) != nullptr; }));
+    entry.link->send(acknowledgement{start_sequence(2)});
+    f.run_for(short_time);
+    CHECK_FALSE(stopped);
+    entry.confirm();
+    CHECK(f.until([&] { return stopped; }));
+}
+
+TEST_CASE("agent_process: a cancelled start does not begin")
+{
+    agent_fixture f;
+    f.entry().configuration.queue_allowance = 1;
+    f.target.hold = true;
+    f.start(1);
+    auto& entry = f.entry();
+    entry.send_orders({entry.order(1), entry.order(2)});
+    REQUIRE(f.until([&] { return f.agent->statistics().queued == 1; }));
+    entry.link->send(cancel_starts{{start_sequence(2), start_sequence(3)}});
+    entry.send_orders({entry.order(3)});
+    REQUIRE(f.until([&] { return entry.report_of(3) != nullptr; }));
+    f.target.release();
+    REQUIRE(f.until([&] { return entry.report_of(1) != nullptr; }));
+    CHECK(entry.report_of(2)->error == number(errc::cancelled));
+    CHECK(entry.report_of(3)->error == number(errc::cancelled));
+    CHECK(f.target.starts.size() == 1);
+}
+
+TEST_CASE("agent_process: events tell a start's way, version is in heartbeats")
+{
+    agent_fixture f;
+    f.entry().configuration.version = config_version(9);
+    f.start();
+    auto& entry = f.entry();
+    entry.send_orders({entry.order(1)});
+    REQUIRE(f.until([&] { return !entry.reports.empty(); }));
+    event_query query;
+    query.filter.submission = "64-1";
+    entry.link->send(query);
+    REQUIRE(f.until([&] { return !entry.events.empty(); }));
+    REQUIRE(entry.events.size() == 3);
+    CHECK(entry.events[0].kind == event_kind::start_accepted);
+    CHECK(entry.events[1].kind == event_kind::run_began);
+    CHECK(entry.events[2].kind == event_kind::run_ended);
+    CHECK(entry.events[2].detail == "answered");
+    CHECK(f.until([&] { return entry.version == config_version(9); }));
+}
+
+TEST_CASE("agent_process: refuses what it cannot serve")
+{
+    agent_fixture f;
+    SECTION("a malformed announcement")
+    {
+        f.start();
+        f.last_status = 0;
+        f.announce_text(R"({"services":["x"],"slots":"many"})");
+        CHECK(f.until([&] { return f.last_status == 400; }));
+        CHECK(f.agent->ready());
+    }
+    SECTION("an entry beyond loopback without a key")
+    {
+        f.settings.entries = {{"192.0.2.1", 8201}};
+        agent_process agent(
+            f.loop, f.clock, f.auth, f.events, [](const log_record&) {},
+            f.settings, [] { return uint64_t{1}; });
+        const auto started = agent.start();
+        REQUIRE(!started);
+        CHECK(started.error().code == errc::key_required);
+    }
+    SECTION("a port in use")
+    {
+        f.settings.http.port = f.target.port;
+        agent_process agent(
+            f.loop, f.clock, f.auth, f.events, [](const log_record&) {},
+            f.settings, [] { return uint64_t{1}; });
+        const auto started = agent.start();
+        REQUIRE(!started);
+        CHECK(started.error().code == errc::address_in_use);
+    }
+}
--- /dev/null
+++ b/packages/agent/tests/unit-task_runner.cpp
@@ -0,0 +1,144 @@
+#include "agent_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace agatebank;
+
+namespace
+{
+
+// A target on raw TCP: reads or not, writes some bytes, closes or hangs.
+struct raw_target
+{
+    bool reads = true;
+    bool hangs = false;
+    std::string bytes;
+    std::array<char, 4096> buf{};
+    unsigned connections = 0;
+    std::vector<object_ptr<GSocketConnection>> open;
+    tcp_listener listener{[this](object_ptr<GSocketConnection> c)
+                          {
+                              serve(std::move(c));
+                          }};
+
+    void serve(object_ptr<GSocketConnection> c)
+    {
+        ++connections;
+        open.push_back(std::move(c));
+        auto* stream = G_IO_STREAM(open.back().get());
+        if (!reads)
+        {
+            reply(stream);
+            return;
+        }
+        g_input_stream_read_async(g_io_stream_get_input_stream(stream),
+                                  buf.data(), buf.size(), G_PRIORITY_DEFAULT,
+                                  nullptr, on_read, this);
+    }
+
+    static void on_read(GObject*, GAsyncResult*, gpointer data)
+    {
+        auto* self = static_cast<raw_target*>(data);
+        self->reply(G_IO_STREAM(self->open.back().get()));
+    }
+
+    void reply(GIOStream* stream) const
+    {
+        gsize n = 0;
+        g_output_stream_write_all(g_io_stream_get_output_stream(stream),
+                                  bytes.data(), bytes.size(), &n, nullptr,
+                                  nullptr);
+        if (!hangs)
+        {
+            g_io_stream_close(stream, nullptr, nullptr);
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("task_runner: each task is sent once, whatever the target does")
+{
+    struct row
+    {
+        const char* name;
+        bool reads;
+        bool hangs;
+        const char* bytes;
+        report_kind kind;
+        errc error;
+    };
+    const row rows[] = {
+        {"whole answer", true, false,
+         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone",
+         report_kind::answered, errc{}},
+        {"closes before it reads", false, false, "", report_kind::failed,
+         errc::target_answer_partial},
+        {"closes after it has read", true, false, "", report_kind::failed,
+         errc::target_answer_partial},
+        {"closes after half the head", true, false, "HTTP/1.1 200 O",
+         report_kind::failed, errc::target_answer_partial},
+        {"closes after half the answer", true, false,
+         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+         report_kind::failed, errc::target_answer_partial},
+        {"closes inside a chunk", true, false,
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+         report_kind::failed, errc::target_answer_partial},
+        {"answer without a length", true, false,
+         "HTTP/1.1 200 OK\r\n\r\nmaybe all", report_kind::failed,
+         errc::target_answer_partial},
+        {"garbage", true, false, "\x01\x02\x03 no HTTP\r\n\r\n",
+         report_kind::failed, errc::target_answer_partial},
+        {"fails fast", true, false,
+         "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", report_kind::failed,
+         errc::target_failed},
+        {"too long an answer", true, false,
+         "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n01234567890123456789",
+         report_kind::failed, errc::message_too_large},
+        {"hangs", true, true, "", report_kind::timed_out, errc::target_timeout},
+        {"hangs in its answer", true, true,
+         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+         report_kind::timed_out, errc::target_timeout},
+    };
+    for (const auto& r : rows)
+    {
+        SECTION(r.name)
+        {
+            raw_target target;
+            target.reads = r.reads;
+            target.hangs = r.hangs;
+            target.bytes = r.bytes;
+            const auto port = target.listener.listen({"127.0.0.1", 0});
+            REQUIRE(port);
+            agent_fixture f;
+            f.settings.limits.max_answer_bytes = 16;
+            f.target.port = *port;
+            f.start();
+            auto& entry = f.entry();
+            auto order = entry.order(1);
+            order.deadline_us = f.loop.now().time_since_epoch().count() +
+                                (r.hangs ? 300'000 : 15'000'000);
+            entry.send_orders({order});
+            REQUIRE(f.until([&] { return !entry.reports.empty(); }));
+            CHECK(entry.reports[0].kind == r.kind);
+            CHECK(entry.reports[0].error == static_cast<int>(r.error));
+            CHECK(entry.reports[0].body ==
+                  (r.kind == report_kind::answered ? "done" : ""));
+            CHECK(target.connections == 1);
+        }
+    }
+}
+
+TEST_CASE("task_runner: a target that cannot be reached has run nothing")
+{
+    agent_fixture f;
+    tcp_listener closed([](object_ptr<GSocketConnection>) {});
+    f.target.port = *closed.listen({"127.0.0.1", 0});
+    closed.close();
+    f.start();
+    auto& entry = f.entry();
+    entry.send_orders({entry.order(1)});
+    REQUIRE(f.until([&] { return !entry.reports.empty(); }));
+    CHECK(entry.reports[0].kind == report_kind::not_run);
+    CHECK(entry.reports[0].error == static_cast<int>(errc::target_unreachable));
+}
