--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Developer chores over CMake.
 JOBS ?= $(shell nproc)
 
-.PHONY: all install-packages configure build check format format-check lint \
-    clean
+.PHONY: all install-packages configure build check demo bench \
+    format format-check lint clean
 
 all: build
 
@@ -22,6 +22,15 @@
 check: build
 	@scripts/check.sh
 
+## demo: run the main job of an example (EXAMPLE=pall-cloth, ticket-office)
+EXAMPLE ?= pall-cloth
+demo: build
+	@scripts/demo.sh $(EXAMPLE)
+
+## bench: measure latency, processor time, memory and control traffic
+bench: build
+	@build/tools/bench/bench --example examples/pall-cloth $(BENCH_ARGS)
+
 ## format: format all sources
 format:
 	@scripts/format.sh
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <numeric>
 #include <set>
@@ -27,8 +28,14 @@
 constexpr duration longest_retry_after = 10s;
 constexpr duration no_target_retry_after = 500ms;
 constexpr double least_speed_share = 0.05; // for the longest waits
+constexpr double least_even_share = 0.5;   // of an entry under contention
 constexpr double speed_steps = 8;          // steps of speed in a factor of e
-constexpr unsigned max_held_jobs = 32;     // looked past in one round
+constexpr duration order_margin = 200ms;   // slack that patience order leaves
+constexpr double admission_margin = 0.1;   // of the wait, but the shortest
+constexpr int equal_speed_steps = 2;       // taken for the same speed
+constexpr unsigned kept_credits = 1;       // of the fastest targets
+constexpr unsigned least_credits_to_keep = 4;
+constexpr unsigned max_held_jobs = 32; // looked past in one round
 
 // A start that has not been reported.
 struct start_record
@@ -99,6 +106,14 @@
     offered_load offered;
 };
 
+// The fastest targets of a service.
+struct fastest_group
+{
+    int least_step = std::numeric_limits<int>::min() / 2;
+    unsigned credits = 0;
+    unsigned free = 0;
+};
+
 // Order of the targets with free credits: slowest first.
 using ready_key = std::pair<int, agent_incarnation>;
 
@@ -158,6 +173,7 @@
                    time_point now) const;
     double total_speed(const service_name& service, time_point now) const;
     double mean_speed(const service_name& service) const;
+    duration longest_delay(const service_name& service) const;
     bool share_targets(const service_name& a, const service_name& b) const;
 
     // admission
@@ -170,15 +186,21 @@
 
     // starts
     target_record* choose(const job_record& job, uint32_t task, unsigned held,
-                          time_point now);
+                          queue_order order, time_point now);
     target_record* fastest(const job_record& job, time_point now);
+    fastest_group fastest_targets(const service_name& service) const;
     target_record* slowest_in_time(const job_record& job, uint32_t task,
-                                   time_point now);
+                                   queue_order order, time_point now);
+    static bool in_time(const job_record& job, uint32_t task,
+                        const target_record& t, time_point now);
+    bool others_in_time(const job_record& job, uint32_t task,
+                        time_point now) const;
     bool better_to_wait(const job_record& job, uint32_t task,
                         const target_record& best, unsigned held,
                         time_point now) const;
     bool is_dearest(const job_record& job, time_point now) const;
     assignment start(job_record& job, target_record& t, time_point now);
+    queue_order order_of(const service_name& service, time_point now) const;
     void assign_service(const service_name& service, time_point now,
                         std::vector<assignment>& out);
     bool end_start(task_ref task, target_record& t, start_record& ended);
@@ -210,11 +232,13 @@
 }
 
 // Speed of the slots that this entry may count on: those it has, or its even
-// share of the target.
+// share of all targets. While tasks wait it has asked for all that it can
+// get, and only part of the even share is sure.
 double dispatcher::state::total_speed(const service_name& service,
                                       time_point now) const
 {
-    double sum = 0;
+    double granted = 0;
+    double all = 0;
     for (const auto& [agent, t] : targets)
     {
         if (!t.serves(service) ||
@@ -223,11 +247,12 @@
         {
             continue;
         }
-        const double even =
-            static_cast<double>(t.offer.slots) / std::max(options.entries, 1U);
-        sum += std::max(even, static_cast<double>(t.grant)) * t.speed;
+        granted += t.grant * t.speed;
+        all += t.offer.slots * t.speed;
     }
-    return sum;
+    const double even = all / std::max(options.entries, 1U);
+    const double least = queue.size() > 0 ? least_even_share * even : even;
+    return std::max(granted, least);
 }
 
 double dispatcher::state::mean_speed(const service_name& service) const
@@ -245,6 +270,19 @@
     return slots > 0 ? sum / slots : 1;
 }
 
+duration dispatcher::state::longest_delay(const service_name& service) const
+{
+    duration longest{};
+    for (const auto& [agent, t] : targets)
+    {
+        if (t.serves(service))
+        {
+            longest = std::max(longest, t.offer.one_way_delay);
+        }
+    }
+    return longest;
+}
+
 bool dispatcher::state::share_targets(const service_name& a,
                                       const service_name& b) const
 {
@@ -256,8 +294,9 @@
 
 // ----- admission -----
 
-// Run time that a job's longest task is allowed for: the high quantile, but
-// not more than half of the wait as long as the expected time fits.
+// Time that a job's longest task is allowed for: the round trip and the high
+// quantile of its run time, but not more than half of the wait as long as the
+// expected run time fits.
 duration dispatcher::state::run_bound(const job_record& job) const
 {
     duration mean{};
@@ -268,7 +307,8 @@
         high = std::max(high, it.high);
     }
     const double speed = mean_speed(job.request.service);
-    return std::min(time_for(high, speed),
+    return 2 * longest_delay(job.request.service) +
+           std::min(time_for(high, speed),
                     std::max(time_for(mean, speed), job.request.wait / 2));
 }
 
@@ -291,7 +331,13 @@
         }
     }
     const double left = std::max(speed - taken, least_speed_share * speed);
-    const auto begins = now + time_for(ahead, left);
+    const auto margin =
+        is_dearest(job, now)
+            ? duration::zero()
+            : duration(static_cast<int64_t>(
+                  admission_margin *
+                  static_cast<double>(job.request.wait.count())));
+    const auto begins = now + time_for(ahead, left) + margin;
     if (begins <= job.place.latest_start)
     {
         return std::nullopt;
@@ -320,8 +366,10 @@
     const auto& service = job.request.service;
     services[service].waiting.add(job.place, sum_of(job.expected));
     waiting_of[job.request.caller] += job.expected.size();
-    queue.add(service, {job.place.delayable, job.place.latest_start, key},
-              longest_first(job.expected));
+    queue.add(
+        service,
+        {job.place.delayable, job.request.wait, job.place.latest_start, key},
+        longest_first(job.expected));
     deadlines.insert({job.deadline, key});
     jobs.emplace(key, std::move(job));
 }
@@ -352,22 +400,51 @@
     return nullptr;
 }
 
+// The fastest targets of a service, of nearly equal speed.
+fastest_group
+dispatcher::state::fastest_targets(const service_name& service) const
+{
+    fastest_group out;
+    for (const auto& [agent, t] : targets)
+    {
+        if (!t.serves(service) || t.speed_step < out.least_step)
+        {
+            continue;
+        }
+        if (t.speed_step > out.least_step + equal_speed_steps)
+        {
+            out = {t.speed_step - equal_speed_steps, 0, 0};
+        }
+        const auto used = static_cast<unsigned>(t.in_flight.size());
+        out.credits += t.grant;
+        out.free += t.grant > used ? t.grant - used : 0;
+    }
+    return out;
+}
+
 // The slowest target on which nearly every such task ends in time; leaves
-// the fast ones to those who pay for them.
+// the fast ones to those who pay for them. While all promises hold, the last
+// free credit of the fastest targets is kept for the shortest wait.
 target_record* dispatcher::state::slowest_in_time(const job_record& job,
-                                                  uint32_t task, time_point now)
-{
+                                                  uint32_t task,
+                                                  queue_order order,
+                                                  time_point now)
+{
+    const auto top = fastest_targets(job.request.service);
+    const bool keep = order == queue_order::patience &&
+                      top.credits >= least_credits_to_keep &&
+                      top.free <= kept_credits;
     target_record* last = nullptr;
     for (const auto& [step, agent] : ready)
     {
         auto& t = targets.at(agent);
-        if (!may_start(t, job.request.service, now))
+        if (!may_start(t, job.request.service, now) ||
+            (keep && step >= top.least_step))
         {
             continue;
         }
         last = &t;
-        const auto run = time_for(job.expected[task].high, t.speed);
-        if (now + run + 2 * t.offer.one_way_delay <= job.deadline)
+        if (in_time(job, task, t, now))
         {
             return last;
         }
@@ -404,19 +481,47 @@
                        });
 }
 
+// Whether nearly every such task started now at a target ends in time.
+bool dispatcher::state::in_time(const job_record& job, uint32_t task,
+                                const target_record& t, time_point now)
+{
+    const auto run = time_for(job.expected[task].high, t.speed);
+    return now + run + 2 * t.offer.one_way_delay <= job.deadline;
+}
+
+// Whether a target that is busy now would still end the task in time.
+bool dispatcher::state::others_in_time(const job_record& job, uint32_t task,
+                                       time_point now) const
+{
+    return std::any_of(targets.begin(), targets.end(),
+                       [&](const auto& it)
+                       {
+                           const auto& t = it.second;
+                           return t.grant > 0 &&
+                                  t.serves(job.request.service) &&
+                                  in_time(job, task, t, now) &&
+                                  health.state(it.first, now) ==
+                                      health_state::healthy;
+                       });
+}
+
+// The target for the next task of a job; null to wait for a better one.
 target_record* dispatcher::state::choose(const job_record& job, uint32_t task,
-                                         unsigned held, time_point now)
+                                         unsigned held, queue_order order,
+                                         time_point now)
 {
-    if (!is_dearest(job, now))
-    {
-        return slowest_in_time(job, task, now);
-    }
-    auto* best = fastest(job, now);
-    if (best != nullptr && better_to_wait(job, task, *best, held, now))
+    const bool dearest = is_dearest(job, now);
+    auto* best =
+        dearest ? fastest(job, now) : slowest_in_time(job, task, order, now);
+    if (best == nullptr)
     {
         return nullptr;
     }
-    return best;
+    const bool risky =
+        !in_time(job, task, *best, now) && others_in_time(job, task, now);
+    const bool wait =
+        risky || (dearest && better_to_wait(job, task, *best, held, now));
+    return wait ? nullptr : best;
 }
 
 assignment dispatcher::state::start(job_record& job, target_record& t,
@@ -440,27 +545,57 @@
     return {task, t.offer.agent, job.deadline};
 }
 
+// The shortest waits go first as long as all promises can still be kept by
+// the order of latest start afterwards.
+queue_order dispatcher::state::order_of(const service_name& service,
+                                        time_point now) const
+{
+    const double speed = total_speed(service, now);
+    if (speed <= 0)
+    {
+        return queue_order::latest_start;
+    }
+    duration task{};
+    if (const auto first = queue.first(service, queue_order::patience))
+    {
+        const auto& job = jobs.at(first->job);
+        task = job.expected[*queue.peek(first->job)].mean;
+    }
+    const auto slack =
+        services.at(service).waiting.slack(in_flight_work, speed, now);
+    return slack > order_margin + time_for(task, speed)
+               ? queue_order::patience
+               : queue_order::latest_start;
+}
+
 void dispatcher::state::assign_service(const service_name& service,
                                        time_point now,
                                        std::vector<assignment>& out)
 {
     unsigned held = 0;
-    auto next = queue.first(service);
+    auto order = order_of(service, now);
+    auto next = queue.first(service, order);
     while (next && held < max_held_jobs && !ready.empty())
     {
         auto& job = jobs.at(next->job);
         const auto task = queue.peek(next->job);
-        auto* target = task ? choose(job, *task, held, now) : nullptr;
+        auto* target = task ? choose(job, *task, held, order, now) : nullptr;
         if (target == nullptr)
         {
             ++held;
-            next = queue.after(service, *next);
+            next = queue.after(service, *next, order);
             continue;
         }
         out.push_back(start(job, *target, now));
-        if (!queue.peek(next->job))
+        const auto changed = order_of(service, now);
+        if (changed != order)
+        {
+            order = changed;
+            next = queue.first(service, order);
+        }
+        else if (!queue.peek(next->job))
         {
-            next = queue.after(service, *next);
+            next = queue.after(service, *next, order);
         }
     }
 }
@@ -680,7 +815,9 @@
     std::vector<std::pair<queue_position, service_name>> heads;
     for (const auto& service : state_->queue.services())
     {
-        heads.emplace_back(*state_->queue.first(service), service);
+        heads.emplace_back(
+            *state_->queue.first(service, state_->order_of(service, now)),
+            service);
     }
     std::sort(heads.begin(), heads.end());
     for (const auto& [position, service] : heads)
@@ -721,7 +858,9 @@
     for (const auto& service : it->second.offer.services)
     {
         out.queued += static_cast<uint32_t>(state_->queue.size(service));
-        if (const auto first = state_->queue.first(service))
+        const auto first =
+            state_->queue.first(service, queue_order::latest_start);
+        if (first)
         {
             out.least_slack =
                 std::min(out.least_slack, first->latest_start - now);
@@ -741,6 +880,11 @@
     return it == state_->waiting_of.end() ? 0 : it->second;
 }
 
+std::size_t dispatcher::waiting_tasks(job_key job) const
+{
+    return state_->queue.size(job);
+}
+
 std::size_t dispatcher::in_flight_tasks() const
 {
     return state_->in_flight;
