agent: cover repeated reports, a restarted entry's queue and kept connections

Change: a report that was sent and not acknowledged must come again on the next connection; a start queued for the earlier incarnation must not run; three tasks take three connections.

--- a/packages/agent/tests/unit-agent_process.cpp
+++ b/packages/agent/tests/unit-agent_process.cpp
@@ -85,6 +85,12 @@
     entry.send_orders({entry.order(1)});
     REQUIRE(f.until([&] { return !entry.reports.empty(); }));
     CHECK(entry.report_of(1)->body == "echo p1");
+
+    // The report was sent and not acknowledged: it comes again unasked.
+    entry.reports.clear();
+    entry.link.reset();
+    REQUIRE(f.until([&] { return !entry.reports.empty(); }));
+    CHECK(entry.report_of(1)->body == "echo p1");
     CHECK(f.target.starts.size() == 1);
 }
 
@@ -116,6 +122,9 @@
     REQUIRE(f.until([&] { return lost.report_of(5) != nullptr; }));
     CHECK(lost.report_of(5)->error == number(errc::entry_lost));
 
+    lost.send_orders({lost.order(6, 2)});
+    REQUIRE(f.until([&] { return f.agent->statistics().queued == 1; }));
+
     // Restarted on the same address, as another incarnation.
     lost.incarnation = 200;
     lost.link.reset();
--- a/packages/agent/tests/unit-task_runner.cpp
+++ b/packages/agent/tests/unit-task_runner.cpp
@@ -142,3 +142,21 @@
     CHECK(entry.reports[0].kind == report_kind::not_run);
     CHECK(entry.reports[0].error == static_cast<int>(errc::target_unreachable));
 }
+
+TEST_CASE("task_runner: a connection is used for one task only")
+{
+    raw_target target;
+    target.hangs = true;
+    target.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    agent_fixture f;
+    f.target.port = *target.listener.listen({"127.0.0.1", 0});
+    f.start();
+    auto& entry = f.entry();
+    for (unsigned n = 1; n <= 3; ++n)
+    {
+        entry.send_orders({entry.order(n)});
+        REQUIRE(f.until([&] { return entry.reports.size() == n; }));
+        CHECK(entry.reports.back().body == "done");
+        CHECK(target.connections == n);
+    }
+}
