Fuzz the wire decoding and the JSON documents; refuse what slipped through

Cause: bytes come in at two places, TCP and UDP messages and documents. Ruled out: checking ranges in each consumer; a schema library.

--- a/packages/core/include/agatebank/core/json_reader.hpp
+++ b/packages/core/include/agatebank/core/json_reader.hpp
@@ -18,7 +18,8 @@
 namespace agatebank
 {
 
-/// @brief Parses JSON text with its nesting bounded.
+/// @brief Parses JSON text with its nesting bounded. A field that stands
+/// twice in one object is refused.
 /// @param step named in the failure
 /// @param peer file or address the text came from
 /// @return errc::request_malformed with the position of the error
--- a/packages/core/src/json_reader.cpp
+++ b/packages/core/src/json_reader.cpp
@@ -1,8 +1,11 @@
 #include <agatebank/core/json_reader.hpp>
 
 #include <cmath>
+#include <functional>
+#include <set>
 #include <stdexcept>
 #include <utility>
+#include <vector>
 
 namespace agatebank
 {
@@ -14,11 +17,52 @@
 
 constexpr std::size_t max_found_characters = 60;
 
-struct depth_exceeded : std::runtime_error
+struct text_refused : std::runtime_error
 {
     using std::runtime_error::runtime_error;
 };
 
+// Refuses, while a text is parsed, what the parser itself would accept.
+class parse_guard
+{
+  public:
+    explicit parse_guard(int max_depth) : max_depth_(max_depth) {}
+
+    bool operator()(int depth, json::parse_event_t event, const json& parsed)
+    {
+        if (depth > max_depth_)
+        {
+            throw text_refused("nested deeper than " +
+                               std::to_string(max_depth_));
+        }
+        if (event == json::parse_event_t::object_start)
+        {
+            names_.emplace_back();
+        }
+        else if (event == json::parse_event_t::object_end)
+        {
+            names_.pop_back();
+        }
+        else if (event == json::parse_event_t::key)
+        {
+            add_name(parsed.get_ref<const std::string&>());
+        }
+        return true;
+    }
+
+  private:
+    void add_name(const std::string& name)
+    {
+        if (!names_.back().insert(name).second)
+        {
+            throw text_refused("the field \"" + name + "\" stands twice");
+        }
+    }
+
+    int max_depth_;
+    std::vector<std::set<std::string>> names_; ///< of the open objects
+};
+
 // Escapes a name for a JSON pointer (RFC 6901).
 std::string escape_pointer(const std::string& name)
 {
@@ -56,18 +100,10 @@
 result<json> parse_json(std::string_view text, const std::string& step,
                         const std::string& peer, int max_depth)
 {
-    const auto check_depth = [max_depth](int depth, json::parse_event_t, json&)
-    {
-        if (depth > max_depth)
-        {
-            throw depth_exceeded("nested deeper than " +
-                                 std::to_string(max_depth));
-        }
-        return true;
-    };
+    parse_guard guard(max_depth);
     try
     {
-        return json::parse(text.begin(), text.end(), check_depth);
+        return json::parse(text.begin(), text.end(), std::ref(guard));
     }
     catch (const std::exception& e)
     {
--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <string>
+#include <type_traits>
 #include <variant>
 #include <vector>
 
@@ -23,6 +24,21 @@
 
 constexpr uint32_t protocol_version = 1;
 
+// Called by cereal in place of its own, which checks no range.
+template <class Archive>
+void load_minimal(const Archive&, target_state& state,
+                  const std::underlying_type_t<target_state>& number)
+{
+    state = cereal::to_enumeration(number, target_state::stopped);
+}
+
+template <class Archive>
+void load_minimal(const Archive&, event_kind& kind,
+                  const std::underlying_type_t<event_kind>& number)
+{
+    kind = cereal::to_enumeration(number, event_kind::gather_ended);
+}
+
 // ----- any process -----
 
 /// @brief Keeps a connection alive and carries what every peer may know.
@@ -95,6 +111,13 @@
     not_run    ///< not started, and this agent never will start it
 };
 
+template <class Archive>
+void load_minimal(const Archive&, report_kind& kind,
+                  const std::underlying_type_t<report_kind>& number)
+{
+    kind = cereal::to_enumeration(number, report_kind::not_run);
+}
+
 /// @brief The final report of one start. Repeated until acknowledged.
 struct start_report
 {
@@ -300,6 +323,13 @@
     cancel
 };
 
+template <class Archive>
+void load_minimal(const Archive&, forward_kind& kind,
+                  const std::underlying_type_t<forward_kind>& number)
+{
+    kind = cereal::to_enumeration(number, forward_kind::cancel);
+}
+
 /// @brief A caller's request on a submission that another entry issued.
 struct forward_request
 {
--- /dev/null
+++ b/tests/fuzz/unit-wire_decoding.cpp
@@ -0,0 +1,121 @@
+#include "allocation_meter.hpp"
+#include "mutation.hpp"
+#include <agatebank/wire/codec.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace agatebank;
+
+namespace
+{
+
+constexpr unsigned seed = 20261204;
+constexpr int rounds_per_file = 3000;
+// An element is at most this much larger in memory than in a message, and a
+// vector doubles as it grows.
+constexpr std::size_t memory_per_byte = 32;
+constexpr std::size_t memory_floor = 256U << 10U;
+
+// Encodes a sample message of every type with the default field values.
+template <std::size_t... Is>
+std::vector<std::string> encode_samples(std::index_sequence<Is...>)
+{
+    return {encode({1, 2}, message(std::in_place_index<Is>))...};
+}
+
+std::vector<std::string> seeds()
+{
+    auto out = encode_samples(
+        std::make_index_sequence<std::variant_size_v<message>>());
+    for (auto& file : read_corpus("wire"))
+    {
+        out.push_back(std::move(file));
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("fuzz: decoding messages and announcements")
+{
+    mutator mutate(seed);
+    std::size_t decoded = 0;
+    std::size_t refused = 0;
+    for (const auto& sample : seeds())
+    {
+        for (int i = 0; i < rounds_per_file; ++i)
+        {
+            const auto bytes = mutate(sample);
+            allocation_meter::reset();
+            const auto m = decode_message(bytes);
+            const auto a = decode_announcement(bytes);
+            const auto largest = allocation_meter::largest();
+            ++(m ? decoded : refused);
+            if (largest > memory_floor + memory_per_byte * bytes.size())
+            {
+                FAIL("allocated " << largest << " for " << bytes.size());
+            }
+            if (m && !decode_message(encode(m->stamp, m->body)))
+            {
+                FAIL("decoded what cannot be encoded again");
+            }
+            if (!m && m.error().code != errc::message_malformed)
+            {
+                FAIL("another error: " << m.error().to_string());
+            }
+        }
+    }
+    // Both ways are taken, or the mutations reach nothing.
+    CHECK(decoded > 1000);
+    CHECK(refused > 1000);
+}
+
+TEST_CASE("fuzz: lengths in messages are not trusted")
+{
+    // A false length behind each message type's number, all bytes 0xff.
+    for (std::size_t kind = 0; kind < std::variant_size_v<message>; ++kind)
+    {
+        auto bytes = encode({1, 2}, message(heartbeat{}));
+        bytes.resize(13); // byte order, stamp
+        bytes.push_back(static_cast<char>(kind));
+        bytes += std::string(3, '\0') + std::string(200, '\xff');
+        allocation_meter::reset();
+        CHECK_FALSE(decode_message(bytes));
+        CHECK(allocation_meter::largest() <= memory_floor);
+    }
+}
+
+TEST_CASE("fuzz: values out of range are refused")
+{
+    struct row
+    {
+        const char* name;
+        message sample;
+        std::size_t from_end; ///< place of the value
+        char value;
+    };
+    start_report report;
+    const row rows[] = {
+        {"bool", target_report{}, 1, 2},
+        {"report kind", start_reports{{report}}, 21, 9},
+        {"target state", agent_configuration{}, 16, 9},
+        {"no such message", heartbeat{}, 36, 99},
+    };
+    for (const auto& row : rows)
+    {
+        SECTION(row.name)
+        {
+            auto bytes = encode({1, 2}, row.sample);
+            REQUIRE(decode_message(bytes));
+            REQUIRE(bytes.size() >= row.from_end);
+            auto& place = bytes[bytes.size() - row.from_end];
+            REQUIRE(place >= 0);
+            REQUIRE(place <= 3);
+            place = row.value;
+            CHECK_FALSE(decode_message(bytes));
+        }
+    }
+}
