--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Developer chores over CMake.
 JOBS ?= $(shell nproc)
 
-.PHONY: all install-packages configure build check demo format format-check lint \
-    clean
+.PHONY: all install-packages configure build check demo bench experiment \
+    format format-check lint clean
 
 all: build
 
@@ -27,6 +27,10 @@
 demo: build
 	@scripts/demo.sh $(EXAMPLE)
 
+## bench: measure latency, processor time, memory and control traffic
+bench: build
+	@build/tools/bench/bench --example examples/pall-cloth $(BENCH_ARGS)
+
 ## format: format all sources
 format:
 	@scripts/format.sh
@@ -39,6 +43,10 @@
 lint: build
 	@JOBS=$(JOBS) scripts/lint.sh
 
+## experiment: rerun the load experiment; writes docs/measurements
+experiment: build
+	@build/tools/experiment/experiment --out docs/measurements
+
 ## clean: remove the build directory
 clean:
 	@cmake -E rm -rf build build-configure.log
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -27,12 +27,16 @@
 constexpr duration shortest_retry_after = 100ms;
 constexpr duration longest_retry_after = 10s;
 constexpr duration no_target_retry_after = 500ms;
+constexpr duration shortest_ejection = 250ms;
 constexpr double least_speed_share = 0.05; // for the longest waits
+constexpr double least_even_share = 0.5;   // of an entry under contention
 constexpr double speed_steps = 8;          // steps of speed in a factor of e
 constexpr duration order_margin = 200ms;   // slack that patience order leaves
 constexpr double admission_margin = 0.1;   // of the wait, but the shortest
 constexpr int equal_speed_steps = 2;       // taken for the same speed
-constexpr unsigned kept_credits = 1;       // of the fastest targets
+constexpr std::size_t most_probe_tasks = 4;
+constexpr duration probe_patience = 3s; // until any job may be the probe
+constexpr unsigned kept_credits = 1;    // of the fastest targets
 constexpr unsigned least_credits_to_keep = 4;
 constexpr unsigned max_held_jobs = 32; // looked past in one round
 
@@ -116,6 +120,18 @@
 // Order of the targets with free credits: slowest first.
 using ready_key = std::pair<int, agent_incarnation>;
 
+// The more waste weighs, the longer a target that failed is left alone.
+health_options health_options_of(const dispatch_options& o)
+{
+    health_options out;
+    out.max_ejected_share = o.max_ejected_share;
+    out.first_period = duration(static_cast<int64_t>(
+        2 * o.weights.waste * static_cast<double>(out.first_period.count())));
+    out.first_period = std::max(out.first_period, shortest_ejection);
+    out.seed = o.seed;
+    return out;
+}
+
 work sum_of(const std::vector<run_time_prediction>& tasks)
 {
     work sum{};
@@ -145,7 +161,7 @@
     explicit state(dispatch_options o)
         : options(o)
         , times(o.learned_run_times)
-        , health({.max_ejected_share = o.max_ejected_share, .seed = o.seed})
+        , health(health_options_of(o))
         , pacer(o.seed + 1)
         , jitter(o.seed + 2)
     {
@@ -168,7 +184,9 @@
 
     // targets
     void update_ready(target_record& t);
-    bool may_start(const target_record& t, const service_name& service,
+    bool may_start(const target_record& t, const job_record& job,
+                   time_point now) const;
+    bool may_probe(const job_record& job, agent_incarnation agent,
                    time_point now) const;
     double total_speed(const service_name& service, time_point now) const;
     double mean_speed(const service_name& service) const;
@@ -190,6 +208,10 @@
     fastest_group fastest_targets(const service_name& service) const;
     target_record* slowest_in_time(const job_record& job, uint32_t task,
                                    queue_order order, time_point now);
+    static bool in_time(const job_record& job, uint32_t task,
+                        const target_record& t, time_point now);
+    bool others_in_time(const job_record& job, uint32_t task,
+                        time_point now) const;
     bool better_to_wait(const job_record& job, uint32_t task,
                         const target_record& best, unsigned held,
                         time_point now) const;
@@ -217,21 +239,45 @@
     }
 }
 
-bool dispatcher::state::may_start(const target_record& t,
-                                  const service_name& service,
+bool dispatcher::state::may_start(const target_record& t, const job_record& job,
                                   time_point now) const
 {
-    return t.serves(service) && t.has_room(service) &&
-           pacer.may_start(t.offer.agent, now) &&
-           (!options.ejection || health.may_start(t.offer.agent, now));
+    const auto agent = t.offer.agent;
+    if (!t.serves(job.request.service) || !t.has_room(job.request.service) ||
+        !pacer.may_start(agent, now))
+    {
+        return false;
+    }
+    if (!options.ejection || health.state(agent, now) == health_state::healthy)
+    {
+        return true;
+    }
+    return health.may_start(agent, now) && may_probe(job, agent, now);
+}
+
+// A start at a target in doubt risks the whole job: small jobs of the longest
+// wait that is offered go first, and any job when none of these has come.
+bool dispatcher::state::may_probe(const job_record& job,
+                                  agent_incarnation agent, time_point now) const
+{
+    if (now - health.in_doubt_since(agent) > probe_patience)
+    {
+        return true;
+    }
+    const auto& offered = services.at(job.request.service).offered;
+    return !job.request.never_delay &&
+           job.expected.size() <= most_probe_tasks &&
+           !offered.has_longer(job.request.wait, now);
 }
 
 // Speed of the slots that this entry may count on: those it has, or its even
-// share of the target.
+// share of all targets. While tasks wait it has asked for all that it can
+// get, and only part of the even share is sure.
 double dispatcher::state::total_speed(const service_name& service,
                                       time_point now) const
 {
-    double sum = 0;
+    double granted = 0;
+    double all = 0;
     for (const auto& [agent, t] : targets)
     {
         if (!t.serves(service) ||
@@ -240,11 +286,12 @@
         {
             continue;
         }
-        const double even =
-            static_cast<double>(t.offer.slots) / std::max(options.entries, 1U);
-        sum += std::max(even, static_cast<double>(t.grant)) * t.speed;
+        granted += t.grant * t.speed;
+        all += t.offer.slots * t.speed;
     }
-    return sum;
+    const double even = all / std::max(options.entries, 1U);
+    const double least = queue.size() > 0 ? least_even_share * even : even;
+    return std::max(granted, least);
 }
 
 double dispatcher::state::mean_speed(const service_name& service) const
@@ -384,7 +431,7 @@
     for (auto it = ready.rbegin(); it != ready.rend(); ++it)
     {
         auto& t = targets.at(it->second);
-        if (may_start(t, job.request.service, now))
+        if (may_start(t, job, now))
         {
             return &t;
         }
@@ -430,14 +477,12 @@
     for (const auto& [step, agent] : ready)
     {
         auto& t = targets.at(agent);
-        if (!may_start(t, job.request.service, now) ||
-            (keep && step >= top.least_step))
+        if (!may_start(t, job, now) || (keep && step >= top.least_step))
         {
             continue;
         }
         last = &t;
-        const auto run = time_for(job.expected[task].high, t.speed);
-        if (now + run + 2 * t.offer.one_way_delay <= job.deadline)
+        if (in_time(job, task, t, now))
         {
             return last;
         }
@@ -474,20 +519,47 @@
                        });
 }
 
+// Whether nearly every such task started now at a target ends in time.
+bool dispatcher::state::in_time(const job_record& job, uint32_t task,
+                                const target_record& t, time_point now)
+{
+    const auto run = time_for(job.expected[task].high, t.speed);
+    return now + run + 2 * t.offer.one_way_delay <= job.deadline;
+}
+
+// Whether a target that is busy now would still end the task in time.
+bool dispatcher::state::others_in_time(const job_record& job, uint32_t task,
+                                       time_point now) const
+{
+    return std::any_of(targets.begin(), targets.end(),
+                       [&](const auto& it)
+                       {
+                           const auto& t = it.second;
+                           return t.grant > 0 &&
+                                  t.serves(job.request.service) &&
+                                  in_time(job, task, t, now) &&
+                                  health.state(it.first, now) ==
+                                      health_state::healthy;
+                       });
+}
+
+// The target for the next task of a job; null to wait for a better one.
 target_record* dispatcher::state::choose(const job_record& job, uint32_t task,
                                          unsigned held, queue_order order,
                                          time_point now)
 {
-    if (!is_dearest(job, now))
-    {
-        return slowest_in_time(job, task, order, now);
-    }
-    auto* best = fastest(job, now);
-    if (best != nullptr && better_to_wait(job, task, *best, held, now))
+    const bool dearest = is_dearest(job, now);
+    auto* best =
+        dearest ? fastest(job, now) : slowest_in_time(job, task, order, now);
+    if (best == nullptr)
     {
         return nullptr;
     }
-    return best;
+    const bool risky =
+        !in_time(job, task, *best, now) && others_in_time(job, task, now);
+    const bool wait =
+        risky || (dearest && better_to_wait(job, task, *best, held, now));
+    return wait ? nullptr : best;
 }
 
 assignment dispatcher::state::start(job_record& job, target_record& t,
@@ -758,7 +830,10 @@
         return;
     }
     state_->health.on_not_run(agent);
-    state_->pacer.on_refusal(agent, now);
+    if (state_->options.retry_back_off)
+    {
+        state_->pacer.on_refusal(agent, now);
+    }
     state_->update_ready(it->second);
     const auto job = state_->jobs.find(task.job);
     if (job == state_->jobs.end())
--- a/tools/experiment/simulation.cpp
+++ b/tools/experiment/simulation.cpp
@@ -43,7 +43,8 @@
 
 struct agent_model
 {
-    agent_model(uint32_t slots, uint32_t allowance) : credits(slots, allowance)
+    agent_model(uint32_t slots, uint32_t allowance, uint64_t salt)
+        : credits(slots, allowance, salt)
     {
     }
 
@@ -141,6 +142,10 @@
 
     // faults
     bool fault_is_on() const;
+    bool is_stale(const held_start& start) const
+    {
+        return version_.carries_deadline && start.deadline <= clock_.now();
+    }
     void cancel_wave();
     void lose_entry(unsigned e);
     void lose_agent(unsigned a);
@@ -169,7 +174,7 @@
     for (const double speed : site_.speeds)
     {
         agents_.push_back(std::make_unique<agent_model>(
-            site_.slots, version_.queue_allowance));
+            site_.slots, version_.queue_allowance, agents_.size() + 1));
         agents_.back()->speed = speed;
     }
 }
@@ -193,6 +198,8 @@
             offer.one_way_delay = site_.between_processes;
             entries_[e].policy->put_target(offer, clock_.now());
             agents_[a]->credits.add_entry(entry_id(e));
+            entries_[e].reporters.insert_or_assign(
+                a, demand_reporter(options.weights.waste));
         }
     }
 }
@@ -348,7 +355,8 @@
         }
         const auto demand = entry.policy->demand(agent_id(a), clock_.now());
         const auto version = entry.grants[a].version;
-        if (entry.reporters[a].should_send(demand, version, clock_.now()))
+        if (entry.reporters[a].should_send(demand, entry.grants[a],
+                                           clock_.now()))
         {
             ++result_.messages.control;
             clock_.after(site_.between_processes, [this, a, e, demand, version]
@@ -480,7 +488,7 @@
     }
     const auto held = ++agent.unfinished[start.entry];
     agent.credits.set_running(entry_id(start.entry), held);
-    if (start.deadline <= clock_.now())
+    if (is_stale(start))
     {
         refuse(a, start);
     }
@@ -543,7 +551,8 @@
     const auto run_time =
         duration(static_cast<int64_t>(static_cast<double>(size.count()) /
                                       agent.speed * (slow ? slow_factor : 1)));
-    const auto until_deadline = start.deadline - clock_.now();
+    const auto until_deadline =
+        std::max(start.deadline - clock_.now(), duration::zero());
     if (on && scenario_.fault == fault_kind::hang && a == 0)
     {
         clock_.after(until_deadline,
@@ -599,7 +608,7 @@
     {
         const auto next = agent.queue.front();
         agent.queue.pop_front();
-        if (next.deadline <= clock_.now())
+        if (is_stale(next))
         {
             refuse(a, next);
         }
