--- a/packages/core/include/agatebank/core/dispatcher.hpp
+++ b/packages/core/include/agatebank/core/dispatcher.hpp
@@ -121,6 +121,13 @@
     dispatcher(const dispatcher&) = delete;
     dispatcher& operator=(const dispatcher&) = delete;
 
+    // rules and membership
+    /// @brief Sets the weights of the rules in force.
+    void set_weights(const policy_weights& weights);
+    /// @brief Sets the number of entries that share the targets, itself
+    /// included.
+    void set_entries(unsigned entries);
+
     // targets
     /// @brief Adds a target or replaces what is known of it.
     void put_target(const target_offer& offer, time_point now);
--- a/packages/core/include/agatebank/core/target_health.hpp
+++ b/packages/core/include/agatebank/core/target_health.hpp
@@ -48,6 +48,8 @@
     explicit health_monitor(health_options options);
 
     // modifiers
+    /// @brief Sets the first ejection period, for ejections to come.
+    void set_first_period(duration period);
     void add(agent_incarnation agent);
     void remove(agent_incarnation agent);
     /// @param high run time at this target that few starts exceed
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -547,6 +547,18 @@
 
 dispatcher::~dispatcher() = default;
 
+void dispatcher::set_weights(const policy_weights& weights)
+{
+    state_->options.weights = weights;
+    state_->health.set_first_period(
+        health_options_of(state_->options).first_period);
+}
+
+void dispatcher::set_entries(unsigned entries)
+{
+    state_->options.entries = entries;
+}
+
 void dispatcher::put_target(const target_offer& offer, time_point)
 {
     state_->health.add(offer.agent);
--- a/packages/core/src/target_health.cpp
+++ b/packages/core/src/target_health.cpp
@@ -22,6 +22,11 @@
 {
 }
 
+void health_monitor::set_first_period(duration period)
+{
+    options_.first_period = period;
+}
+
 void health_monitor::add(agent_incarnation agent)
 {
     records_.try_emplace(agent);
--- a/packages/entry/include/agatebank/entry/job_service.hpp
+++ b/packages/entry/include/agatebank/entry/job_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <agatebank/core/configuration.hpp>
+#include <agatebank/core/demand_reporter.hpp>
 #include <agatebank/core/dispatcher.hpp>
 #include <agatebank/core/event.hpp>
 #include <agatebank/core/submission_id.hpp>
@@ -63,6 +64,10 @@
     /// hold the answers any longer.
     void delivered(const submission_id& id);
 
+    // rules
+    /// @brief Sets the weights of the rules in force.
+    void set_weights(const policy_weights& weights);
+
     // agents
     /// @brief The target of an agent may be used as offered.
     void offer(const target_offer& offer);
@@ -122,7 +127,8 @@
     std::unordered_map<job_key, job> jobs_;
     std::unordered_map<submission_id, job_key> keys_;
     std::unordered_map<submission_id, held_starts> held_;
-    std::map<agent_incarnation, demand_update> demands_;
+    std::map<agent_incarnation, demand_reporter> demands_;
+    double waste_weight_ = 0.5;
     uint64_t last_key_ = 0;
     bool dispatch_pending_ = false;
     bool tick_pending_ = false;
--- a/packages/entry/src/entry_process.cpp
+++ b/packages/entry/src/entry_process.cpp
@@ -75,8 +75,13 @@
             forwarder_.on_up(peer);
             collector_.on_up(peer);
         });
-    entries_.set_version_seen([this](const peer_record& peer)
-                              { query_newer(peer); });
+    entries_.set_version_seen(
+        [this](const peer_record& peer)
+        {
+            policy_.set_entries(static_cast<unsigned>(entries_.live().size()) +
+                                1);
+            query_newer(peer);
+        });
     configuration_.on_change([this] { apply_configuration(); });
     callers_ = std::make_unique<caller_api>(
         http_, dependencies_.incarnation, codec_, submissions_, forwarder_,
@@ -357,6 +362,7 @@
 
 void entry_process::apply_configuration()
 {
+    jobs_.set_weights(configuration_.view().document().rules.weights);
     for (const auto agent : agents_.known())
     {
         send_agent_configuration(agent);
--- a/packages/entry/src/job_service.cpp
+++ b/packages/entry/src/job_service.cpp
@@ -137,6 +137,15 @@
         timers_.schedule(delivered_hold, [this, id] { release(id); });
 }
 
+// ----- rules -----
+
+void job_service::set_weights(const policy_weights& weights)
+{
+    waste_weight_ = weights.waste;
+    demands_.clear();
+    policy_.set_weights(weights);
+}
+
 // ----- agents -----
 
 void job_service::offer(const target_offer& offer)
@@ -147,6 +156,7 @@
 
 void job_service::withdraw(agent_incarnation agent)
 {
+    demands_.erase(agent);
     policy_.set_grant(agent, 0);
 }
 
@@ -284,29 +294,25 @@
     ++counts_.starts;
 }
 
-// Tells an agent this entry's demand when it begins, ends or doubles, and
-// when the grant it acts on has changed.
 void job_service::send_demands()
 {
     const auto now = loop_.now();
     for (const auto agent : agents_.connected())
     {
         const auto demand = policy_.demand(agent, now);
+        const auto& grant = agents_.find(agent)->grant;
+        auto& reporter =
+            demands_.try_emplace(agent, waste_weight_).first->second;
+        if (!reporter.should_send(demand, grant, now))
+        {
+            continue;
+        }
         demand_update update;
         update.queued = demand.queued;
         update.in_flight = demand.in_flight;
         update.least_slack_us = demand.least_slack.count();
-        update.grant_version = agents_.find(agent)->grant.version;
-        auto& last = demands_[agent];
-        const bool more = update.queued > 2 * last.queued;
-        const bool less = 2 * update.queued < last.queued;
-        const bool idle = (update.queued + update.in_flight == 0) !=
-                          (last.queued + last.in_flight == 0);
-        if (more || less || idle || update.grant_version != last.grant_version)
-        {
-            last = update;
-            agents_.send(agent, update);
-        }
+        update.grant_version = grant.version;
+        agents_.send(agent, update);
     }
 }
 
--- a/packages/http/src/http_client.cpp
+++ b/packages/http/src/http_client.cpp
@@ -159,6 +159,10 @@
 
 void cancel(pending_call& p)
 {
+    if (!p.done)
+    {
+        return;
+    }
     p.done = nullptr;
     p.timer.reset();
     g_cancellable_cancel(p.cancellable.get());
