experiment: an agent keeps the slot of a run that it gave up

Change: such slots count as orphans until the run ends. Variant names have no comma, which broke the CSV. A real agent whose target runs on past a timeout must do the same.

--- a/tools/experiment/policies.cpp
+++ b/tools/experiment/policies.cpp
@@ -379,7 +379,7 @@
 policy_version changed(policy_version version, const std::string& name,
                        change apply)
 {
-    version.name += ", " + name;
+    version.name += ": " + name;
     apply(version);
     return version;
 }
--- a/tools/experiment/simulation.cpp
+++ b/tools/experiment/simulation.cpp
@@ -52,6 +52,7 @@
     double speed = 1;
     bool alive = true;
     unsigned running = 0;
+    unsigned abandoned = 0; // running past their deadline
     std::deque<held_start> queue;
     std::map<unsigned, unsigned> unfinished; // by entry
     std::set<unsigned> removed;              // entries given up
@@ -134,6 +135,10 @@
                    uint64_t version);
     void begin_run(unsigned a, const held_start& start);
     void end_run(unsigned a, const held_start& start);
+    void give_up(unsigned a, const held_start& start);
+    void end_abandoned(unsigned a);
+    void begin_queued(unsigned a);
+    void set_orphans(unsigned a);
     void release(unsigned a, const held_start& start);
     void refuse(unsigned a, const held_start& start);
     void report(unsigned a, const held_start& start, task_outcome outcome,
@@ -578,9 +583,7 @@
     const bool in_time = run_time <= until_deadline;
     if (!in_time) // the agent gives up, the target runs on
     {
-        clock_.after(
-            until_deadline, [this, a, start, until_deadline]
-            { report(a, start, task_outcome::timed_out, until_deadline); });
+        clock_.after(until_deadline, [this, a, start] { give_up(a, start); });
     }
     clock_.after(run_time,
                  [this, a, start, run_time, in_time]
@@ -588,11 +591,42 @@
                      if (in_time)
                      {
                          report(a, start, task_outcome::answered, run_time);
+                         end_run(a, start);
+                     }
+                     else
+                     {
+                         end_abandoned(a);
                      }
-                     end_run(a, start);
                  });
 }
 
+// The deadline has passed: the entry hears of it, but the slot stays taken.
+void simulation::give_up(unsigned a, const held_start& start)
+{
+    auto& agent = *agents_[a];
+    if (!agent.alive)
+    {
+        return;
+    }
+    ++agent.abandoned;
+    release(a, start);
+    report(a, start, task_outcome::timed_out, duration::zero());
+}
+
+void simulation::end_abandoned(unsigned a)
+{
+    auto& agent = *agents_[a];
+    if (!agent.alive)
+    {
+        return;
+    }
+    --agent.running;
+    --agent.abandoned;
+    set_orphans(a);
+    rebalance(a);
+    begin_queued(a);
+}
+
 void simulation::end_run(unsigned a, const held_start& start)
 {
     auto& agent = *agents_[a];
@@ -602,6 +636,12 @@
     }
     --agent.running;
     release(a, start);
+    begin_queued(a);
+}
+
+void simulation::begin_queued(unsigned a)
+{
+    auto& agent = *agents_[a];
     while (!agent.queue.empty() && agent.running < site_.slots)
     {
         const auto next = agent.queue.front();
@@ -617,24 +657,28 @@
     }
 }
 
+// Slots taken by starts of removed entries and by abandoned ones.
+void simulation::set_orphans(unsigned a)
+{
+    auto& agent = *agents_[a];
+    uint32_t orphans = agent.abandoned;
+    for (const auto e : agent.removed)
+    {
+        orphans += agent.unfinished[e];
+    }
+    agent.credits.set_orphans(orphans);
+}
+
 // The agent holds a start no more.
 void simulation::release(unsigned a, const held_start& start)
 {
     auto& agent = *agents_[a];
     const auto left = --agent.unfinished[start.entry];
-    if (agent.removed.count(start.entry) != 0)
-    {
-        uint32_t orphans = 0;
-        for (const auto e : agent.removed)
-        {
-            orphans += agent.unfinished[e];
-        }
-        agent.credits.set_orphans(orphans);
-    }
-    else
+    if (agent.removed.count(start.entry) == 0)
     {
         agent.credits.set_running(entry_id(start.entry), left);
     }
+    set_orphans(a);
     rebalance(a);
 }
 
@@ -716,7 +760,7 @@
                          auto& agent = *agents_[a];
                          agent.removed.insert(e);
                          agent.credits.remove_entry(entry_id(e));
-                         agent.credits.set_orphans(agent.unfinished[e]);
+                         set_orphans(a);
                          rebalance(a);
                      }
                  });
