--- a/packages/core/include/agatebank/core/offered_load.hpp
+++ b/packages/core/include/agatebank/core/offered_load.hpp
@@ -14,7 +14,8 @@
 /// longer waits, so that under overload the longest waits are refused first.
 /// The expectation follows the rate of the last seconds for a few seconds and
 /// the rate of the last minutes after them, so that a burst is not taken to
-/// last. Both are exponentially weighted averages.
+/// last. Both are exponentially weighted averages. A wait of zero stands for
+/// what is never delayed.
 class offered_load
 {
   public:
@@ -28,7 +29,8 @@
     double rate_below(duration wait, time_point now) const;
     /// @brief Whether a longer wait was offered lately.
     bool has_longer(duration wait, time_point now) const;
-    /// @brief Whether no shorter wait was offered lately.
+    /// @brief Whether no shorter wait, but what is never delayed, was offered
+    /// lately.
     bool is_shortest(duration wait, time_point now) const;
 
   private:
--- a/packages/core/src/offered_load.cpp
+++ b/packages/core/src/offered_load.cpp
@@ -85,7 +85,8 @@
 
 bool offered_load::is_shortest(duration wait, time_point now) const
 {
-    return std::none_of(by_wait_.begin(), by_wait_.lower_bound(wait),
+    return std::none_of(by_wait_.upper_bound(duration::zero()),
+                        by_wait_.lower_bound(wait),
                         [&](const auto& it) {
                             return it.second.recent_at(now) >= negligible_rate;
                         });
--- a/packages/core/tests/unit-work_backlog.cpp
+++ b/packages/core/tests/unit-work_backlog.cpp
@@ -74,6 +74,7 @@
     CHECK(load.rate_below(2s, now) == 0);
     CHECK(load.rate_below(3s, now) == Approx(3).epsilon(0.05));
     CHECK(load.rate_below(60s, now) == Approx(3).epsilon(0.05));
+    load.add(0s, 300ms, now); // never delayed
     CHECK(load.is_shortest(2s, now));
     CHECK(load.has_longer(1s, now));
     CHECK_FALSE(load.has_longer(2s, now));
