--- a/packages/core/tests/unit-dispatcher.cpp
+++ b/packages/core/tests/unit-dispatcher.cpp
@@ -363,3 +363,59 @@
     CHECK(run_jobs(5, 10, false, start + 20s) > 4);
     CHECK_FALSE(d.is_ejected(bad, start + 20s));
 }
+
+TEST_CASE("dispatcher: the shortest wait takes fast targets, others slow ones")
+{
+    dispatcher d({});
+    const agent_incarnation slow(1);
+    const agent_incarnation middle(2);
+    const agent_incarnation fast(3);
+    const std::map<agent_incarnation, duration> run_times{
+        {slow, 400ms}, {middle, 200ms}, {fast, 100ms}};
+    for (const auto& [agent, run_time] : run_times)
+    {
+        d.put_target(offer(agent.value()), start);
+        d.set_grant(agent, 4);
+    }
+    auto now = start;
+    uint64_t key = 1000;
+    const auto start_of = [&](duration wait)
+    {
+        d.admit(job(key, 1, wait), now);
+        const auto out = d.assign(now);
+        ++key;
+        return out.empty() ? agent_incarnation() : out[0].agent;
+    };
+    for (int i = 0; i < 100; ++i) // teaches the speeds
+    {
+        d.admit(job(2 * i, 1, 20s), now);
+        d.admit(job(2 * i + 1, 12, 60s), now);
+        for (const auto& it : d.assign(now))
+        {
+            d.on_outcome(it.task, it.agent, task_outcome::answered,
+                         run_times.at(it.agent), now);
+        }
+        d.remove_job(job_key(2 * i));
+        d.remove_job(job_key(2 * i + 1));
+        now += 100ms;
+    }
+    REQUIRE(d.speed(fast) > 1.5 * d.speed(middle));
+    REQUIRE(d.speed(middle) > 1.5 * d.speed(slow));
+    CHECK(start_of(20s) == fast);
+    for (int i = 0; i < 2; ++i)
+    {
+        CHECK(start_of(60s) == slow);
+    }
+    CHECK(start_of(20s) == fast);
+    CHECK(start_of(20s) == fast);
+    for (int i = 0; i < 2; ++i)
+    {
+        CHECK(start_of(60s) == slow);
+    }
+    for (int i = 0; i < 4; ++i)
+    {
+        CHECK(start_of(60s) == middle);
+    }
+    CHECK(start_of(60s) == agent_incarnation()); // the last fast one is kept
+    CHECK(start_of(20s) == fast);
+}
