core: longer waits leave a fifth of their wait free

Cause: at 120 % the few refusals of class now come in short spells when the backlog of long waits has no slack left (time line: slack -0.05 to 0.04 s). Change: 0.2 of the wait in place of 0.1.

--- a/packages/core/src/dispatcher_admission.cpp
+++ b/packages/core/src/dispatcher_admission.cpp
@@ -17,7 +17,7 @@
 constexpr duration longest_retry_after = 10s;
 constexpr double least_speed_share = 0.05; // for the longest waits
 constexpr double least_even_share = 0.5;   // of an entry under contention
-constexpr double admission_margin = 0.1;   // of the wait, but the shortest
+constexpr double admission_margin = 0.2;   // of the wait, but the shortest
 
 // Tasks of a job, the longest first, so that the job's end is not delayed by
 // a long task that began last.
