--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Developer chores over CMake.
 JOBS ?= $(shell nproc)
 
-.PHONY: all install-packages configure build check experiment format \
-    format-check lint clean
+.PHONY: all install-packages configure build check demo soak bench experiment \
+    format format-check lint clean
 
 all: build
 
@@ -22,6 +22,22 @@
 check: build
 	@scripts/check.sh
 
+## demo: run the main job of an example (EXAMPLE=pall-cloth, ticket-office)
+EXAMPLE ?= pall-cloth
+demo: build
+	@scripts/demo.sh $(EXAMPLE)
+
+## bench: measure latency, processor time, memory and control traffic
+bench: build
+	@build/tools/bench/bench --example examples/pall-cloth $(BENCH_ARGS)
+
+## soak: pairs of faults by a seeded schedule (SEED, ROUNDS)
+SEED ?= 1
+ROUNDS ?= 20
+soak: build
+	@AGATEBANK_SOAK_SEED=$(SEED) AGATEBANK_SOAK_ROUNDS=$(ROUNDS) \
+	    build/tests/process/process_tests "[soak]"
+
 ## format: format all sources
 format:
 	@scripts/format.sh
--- a/packages/daemon/include/agatebank/daemon/process_runtime.hpp
+++ b/packages/daemon/include/agatebank/daemon/process_runtime.hpp
@@ -52,13 +52,13 @@
     metrics_registry metrics;
 
     log_sink log();
+    void log_info(std::string text);
     /// @brief A random number for ids and jitter.
     static uint64_t random_number();
 
   private:
-    process_runtime(
-        const runtime_settings& settings, std::string key,
-        std::unique_ptr<json_log> log);
+    process_runtime(const runtime_settings& settings, std::string key,
+                    std::unique_ptr<json_log> log);
 
     void on_stop_signal(const stopper& begin_stop);
 
