Harness: give up callers' calls before a cluster ends

Cause: ending the processes runs the loop; replies then reached objects of the test that were gone ("corrupted double-linked list" in a leaving-target run with mechanisms switched off). Change: the cluster cancels every call first; the judge outlives the nodes.

--- a/tests/process/small_cluster.hpp
+++ b/tests/process/small_cluster.hpp
@@ -43,9 +43,9 @@
 struct trial
 {
     event_loop loop;
-    cluster nodes;
     judge verdict;
     std::size_t pending = 0;
+    cluster nodes;
 
     explicit trial(const cluster_options& options) : nodes(loop, options) {}
 
--- a/tools/harness/include/agatebank/harness/job_caller.hpp
+++ b/tools/harness/include/agatebank/harness/job_caller.hpp
@@ -41,6 +41,9 @@
                           const std::string& body = {},
                           duration timeout = std::chrono::seconds(5));
 
+    /// @brief Gives up every call; their callbacks are not called.
+    void cancel_all();
+
     // lookup
     std::size_t in_flight() const noexcept;
 
--- a/tools/harness/src/cluster.cpp
+++ b/tools/harness/src/cluster.cpp
@@ -106,6 +106,11 @@
 
 cluster::~cluster()
 {
+    // Ending the processes runs the loop, when callers may be gone.
+    for (auto* caller : {&caller_, &operator_, &bootstrap_})
+    {
+        caller->cancel_all();
+    }
     processes_.clear();
     relays_.clear();
     if (std::getenv(keep_variable) == nullptr)
--- a/tools/harness/src/job_caller.cpp
+++ b/tools/harness/src/job_caller.cpp
@@ -195,6 +195,11 @@
     return out;
 }
 
+void job_caller::cancel_all()
+{
+    calls_.clear();
+}
+
 std::size_t job_caller::in_flight() const noexcept
 {
     return calls_.size();
