--- a/packages/core/tests/unit-configuration_document.cpp
+++ b/packages/core/tests/unit-configuration_document.cpp
@@ -7,6 +7,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -299,6 +300,69 @@
              });
 }
 
+TEST_CASE("configuration_difference: finds what the naive version finds")
+{
+    // every item as text, whether it differs or not
+    const auto to_items = [](const configuration& c)
+    {
+        std::map<std::string, std::string> out;
+        for (const auto& row : c.inventory)
+        {
+            out["/inventory/" + row.target.value()] = to_json(row).dump();
+        }
+        for (const auto& s : c.rules.services)
+        {
+            out["/rules/services/" + s.name.value()] = to_json(s).dump();
+        }
+        for (const auto& p : c.rules.patience)
+        {
+            out["/rules/patience/" + p.name.value()] = to_json(p).dump();
+        }
+        for (const auto& [target, state] : c.target_states)
+        {
+            if (state != target_state::active)
+            {
+                out["/target_states/" + target.value()] =
+                    "\"" + std::string(to_word(state)) + "\"";
+            }
+        }
+        return out;
+    };
+    rc::prop("difference(a, b) == naive difference",
+             [&]
+             {
+                 const auto a = generate_configuration();
+                 auto b = generate_configuration();
+                 // let the two share some items
+                 for (const auto& row : a.inventory)
+                 {
+                     if (*rc::gen::arbitrary<bool>())
+                     {
+                         b = *replace_inventory({row}).apply(b);
+                     }
+                 }
+                 auto before = to_items(a);
+                 auto after = to_items(b);
+                 std::vector<item_difference> naive;
+                 std::set<std::string> paths;
+                 for (const auto& items : {before, after})
+                 {
+                     for (const auto& item : items)
+                     {
+                         paths.insert(item.first);
+                     }
+                 }
+                 for (const auto& path : paths)
+                 {
+                     if (before[path] != after[path])
+                     {
+                         naive.push_back({path, before[path], after[path]});
+                     }
+                 }
+                 RC_ASSERT(difference(a, b) == naive);
+             });
+}
+
 TEST_CASE("configuration_edit: the history keeps the last changes")
 {
     configuration c;
--- a/packages/platform/tests/unit-configuration_store.cpp
+++ b/packages/platform/tests/unit-configuration_store.cpp
@@ -492,6 +492,37 @@
     CHECK(racers[0].conflicts + racers[1].conflicts > 0);
 }
 
+TEST_CASE("configuration_store: a table that went back is not written")
+{
+    struct row
+    {
+        const char* name;
+        bool empty;
+    };
+    const row rows[] = {{"lower version", false}, {"no document", true}};
+    for (const auto& r : rows)
+    {
+        SECTION(r.name)
+        {
+            event_loop loop;
+            fake_table fake(loop);
+            if (!r.empty)
+            {
+                fake.set(make_document(2));
+            }
+            auto change = make_change("t-1", target_state::stopped, "mine");
+            change.base =
+                std::make_shared<const configuration>(make_document(3));
+            const auto body = fake.body;
+            entry_fixture entry(loop, fake, fast_options(1));
+            const auto got = run_change(loop, entry.store, change);
+            REQUIRE_FALSE(got);
+            CHECK(got.error().reason.code == errc::platform_refused);
+            CHECK(fake.body == body);
+        }
+    }
+}
+
 TEST_CASE("configuration_store: an unchanged document is parsed once")
 {
     event_loop loop;
