--- a/tests/docs/run-blocks.sh
+++ b/tests/docs/run-blocks.sh
@@ -9,7 +9,7 @@
 ran=0
 failed=0
 for file in "$@"; do
-    rm -f "$work"/block-*
+    rm -rf "$work"/block-*
     awk -v dir="$work" '
         /^```sh$/ { n++; out = sprintf("%s/block-%03d", dir, n); next }
         /^```$/ { out = "" }
