--- a/examples/client/safe_submitter.cpp
+++ b/examples/client/safe_submitter.cpp
@@ -20,7 +20,6 @@
 constexpr const char* step_store = "client.store";
 constexpr const char* step_reserve = "client.reserve";
 constexpr const char* step_submit = "client.submit";
-constexpr unsigned status_ok = 200;
 constexpr unsigned status_created = 201;
 constexpr unsigned status_running = 202;
 constexpr unsigned status_busy = 429;
