Look at the agents' demand at most every 10 ms, and until a decrease is told

Cause: every turn of the loop asked the policy for the demand at every agent, which grows with the agents; and a decrease that was due while nothing waited was never told, since no tick came. Ruled out: telling on each report; the policy's notes ask for a call every 10 ms while tasks wait or a decrease is pending. Change: a time since the last look, and a tick while something is due.

--- a/packages/core/include/agatebank/core/demand_reporter.hpp
+++ b/packages/core/include/agatebank/core/demand_reporter.hpp
@@ -54,6 +54,13 @@
         return true;
     }
 
+    // lookup
+    /// @brief Whether a decrease is still to be told.
+    bool owes_decrease(const demand_report& demand) const noexcept
+    {
+        return 2 * std::min(demand.queued, largest_queue) < queued_;
+    }
+
   private:
     /// Beyond it a longer queue asks for nothing more.
     static constexpr uint32_t largest_queue = 64;
--- a/packages/entry/include/agatebank/entry/job_service.hpp
+++ b/packages/entry/include/agatebank/entry/job_service.hpp
@@ -107,6 +107,7 @@
 
     void schedule_dispatch();
     void dispatch();
+    void schedule_tick();
     void send_demands();
     void start(const assignment& a);
     void take_answer(job_key key, task_ref task, const start_report& report);
@@ -132,6 +133,8 @@
     uint64_t last_key_ = 0;
     bool dispatch_pending_ = false;
     bool tick_pending_ = false;
+    bool decrease_due_ = false; ///< an agent is to be told of less demand
+    time_point demands_sent_;
     job_counts counts_;
 };
 
--- a/packages/entry/src/job_service.cpp
+++ b/packages/entry/src/job_service.cpp
@@ -17,8 +17,9 @@
 /// Time for which agents hold the answers after a caller was sent them; the
 /// caller may not have received them.
 constexpr duration delivered_hold = std::chrono::seconds(5);
-/// Period of decisions while tasks wait.
-constexpr duration dispatch_period = std::chrono::milliseconds(20);
+/// Period of decisions while tasks wait, and the shortest time between two
+/// looks at the demand of all agents.
+constexpr duration dispatch_period = std::chrono::milliseconds(10);
 
 job_request to_request(const job_order& order, job_key key)
 {
@@ -261,17 +262,32 @@
         start(it);
     }
     agents_.flush();
-    send_demands();
-    if (policy_.waiting_tasks() > 0 && !tick_pending_)
+    const auto now = loop_.now();
+    const bool demands_due = now - demands_sent_ >= dispatch_period;
+    if (demands_due)
+    {
+        demands_sent_ = now;
+        send_demands();
+    }
+    if (!demands_due || decrease_due_ || policy_.waiting_tasks() > 0)
     {
-        tick_pending_ = true;
-        timers_.schedule(dispatch_period,
-                         [this]
-                         {
-                             tick_pending_ = false;
-                             dispatch();
-                         });
+        schedule_tick();
+    }
+}
+
+void job_service::schedule_tick()
+{
+    if (tick_pending_)
+    {
+        return;
     }
+    tick_pending_ = true;
+    timers_.schedule(dispatch_period,
+                     [this]
+                     {
+                         tick_pending_ = false;
+                         dispatch();
+                     });
 }
 
 void job_service::start(const assignment& a)
@@ -297,6 +313,7 @@
 void job_service::send_demands()
 {
     const auto now = loop_.now();
+    decrease_due_ = false;
     for (const auto agent : agents_.connected())
     {
         const auto demand = policy_.demand(agent, now);
@@ -305,6 +322,7 @@
             demands_.try_emplace(agent, waste_weight_).first->second;
         if (!reporter.should_send(demand, grant, now))
         {
+            decrease_due_ |= reporter.owes_decrease(demand);
             continue;
         }
         demand_update update;
