Refuse restart_unknown until it is built

Cause: the rule was accepted and changed nothing. Ruled out: building it now; it needs proofs of its own. Before: accepted without effect. After: refused.

--- a/packages/core/src/configuration_document.cpp
+++ b/packages/core/src/configuration_document.cpp
@@ -74,6 +74,11 @@
                                       {0, max_slots});
                     f.optional_flag("restart_unknown", rule.restart_unknown);
                 });
+    if (rule.restart_unknown)
+    {
+        errors.add(path + "/restart_unknown", "true",
+                   "false, since such a start is not built yet");
+    }
     return rule;
 }
 
