agent: one connection to an entry that has two addresses; bound each run

Cause: an entry named by two addresses would have had its older connection closed and dialed again for ever, and the older session would have taken the entry as lost. A target that hangs could keep a slot for 10 minutes when the deadline is far or unknown. Ruled out: refusing such settings; the addresses differ and only the hello shows that they are one entry. Change: the newest connection counts, the other address stands by; agent_limits::longest_run is 60 s and bounds every run. A test that a silent connection is replaced.

--- a/packages/agent/include/agatebank/agent/agent_process.hpp
+++ b/packages/agent/include/agatebank/agent/agent_process.hpp
@@ -86,6 +86,7 @@
         std::optional<entry_incarnation> entry;
         std::string name;
         bool introduced = false; ///< the entry's hello came on this link
+        bool standby = false;    ///< its entry is connected at another address
         timer_id loss_timer;
     };
 
@@ -95,6 +96,8 @@
     void on_message(link_id link, message&& m);
     void on_entry_hello(std::size_t at, const entry_hello& m);
     void lose_entry(std::size_t at);
+    void stand_by_for(std::size_t at, entry_incarnation entry);
+    void resume_standby();
     std::optional<std::size_t> session_of(link_id link) const;
     std::optional<std::size_t> session_of(entry_incarnation entry) const;
 
--- a/packages/agent/include/agatebank/agent/agent_settings.hpp
+++ b/packages/agent/include/agatebank/agent/agent_settings.hpp
@@ -26,8 +26,8 @@
     duration held_answers = std::chrono::seconds(60);
     /// how long a gathered submission stays fenced
     duration gather_fence = std::chrono::minutes(30);
-    /// longest run of a task that has no deadline
-    duration longest_run = std::chrono::minutes(10);
+    /// longest run of a task, also when its deadline is later or unknown
+    duration longest_run = std::chrono::seconds(60);
     /// how long a stopping agent waits for acknowledgements
     duration stop_delivery = std::chrono::seconds(5);
     /// longest answer of a target
--- a/packages/agent/include/agatebank/agent/entry_dialer.hpp
+++ b/packages/agent/include/agatebank/agent/entry_dialer.hpp
@@ -40,6 +40,8 @@
     void dial_later(std::size_t entry);
     /// @brief The entry has answered; the back-off starts anew.
     void reset(std::size_t entry);
+    /// @brief Gives up the attempt at one entry.
+    void pause(std::size_t entry);
     /// @brief Gives up all attempts.
     void stop();
 
--- a/packages/agent/src/agent_process.cpp
+++ b/packages/agent/src/agent_process.cpp
@@ -159,6 +159,7 @@
         update_credits();
     }
     dialer_.dial_later(*at);
+    resume_standby();
 }
 
 void agent_process::on_message(link_id link, message&& m)
@@ -188,6 +189,7 @@
         lose_entry(at);
     }
     timers_.cancel(std::exchange(s.loss_timer, timer_id()));
+    stand_by_for(at, entry);
     s.entry = entry;
     s.name = m.self.name;
     s.introduced = true;
@@ -202,6 +204,38 @@
     schedule_flush();
 }
 
+// An entry that the settings name by two addresses has one connection, the
+// newest; the other address is dialed again when that is gone.
+void agent_process::stand_by_for(std::size_t at, entry_incarnation entry)
+{
+    for (std::size_t i = 0; i < sessions_.size(); ++i)
+    {
+        auto& other = sessions_[i];
+        if (i == at || other.entry != entry)
+        {
+            continue;
+        }
+        hub_.close(std::exchange(other.link, link_id()));
+        timers_.cancel(std::exchange(other.loss_timer, timer_id()));
+        dialer_.pause(i);
+        credits_.remove_entry(entry);
+        other.entry.reset();
+        other.introduced = false;
+        other.standby = true;
+    }
+}
+
+void agent_process::resume_standby()
+{
+    for (std::size_t i = 0; i < sessions_.size(); ++i)
+    {
+        if (std::exchange(sessions_[i].standby, false))
+        {
+            dialer_.dial_later(i);
+        }
+    }
+}
+
 // Another incarnation at the entry's address, or too long without one.
 void agent_process::lose_entry(std::size_t at)
 {
--- a/packages/agent/src/entry_dialer.cpp
+++ b/packages/agent/src/entry_dialer.cpp
@@ -77,13 +77,18 @@
     attempts_[entry].failures = 0;
 }
 
+void entry_dialer::pause(std::size_t entry)
+{
+    timers_.cancel(attempts_[entry].timer);
+    attempts_[entry].connecting.reset();
+}
+
 void entry_dialer::stop()
 {
     stopped_ = true;
-    for (auto& a : attempts_)
+    for (std::size_t entry = 0; entry < attempts_.size(); ++entry)
     {
-        timers_.cancel(a.timer);
-        a.connecting.reset();
+        pause(entry);
     }
 }
 
--- a/packages/agent/tests/unit-agent_process.cpp
+++ b/packages/agent/tests/unit-agent_process.cpp
@@ -94,6 +94,37 @@
     CHECK(f.target.starts.size() == 1);
 }
 
+TEST_CASE("agent_process: a silent connection is replaced")
+{
+    agent_fixture f;
+    auto& entry = f.entry();
+    entry.mute = true;
+    const auto hear = f.loop.after(std::chrono::milliseconds(500),
+                                   [&] { entry.mute = false; });
+    f.start();
+    CHECK(entry.connections == 2);
+    CHECK(entry.silent.size() == 1);
+}
+
+TEST_CASE("agent_process: an entry at two addresses has one connection")
+{
+    agent_fixture f(2);
+    f.entry(1).incarnation = f.entry().incarnation;
+    f.connections = 1;
+    f.start();
+    CHECK(f.until([&] { return !f.entry().link != !f.entry(1).link; }));
+    f.run_for(std::chrono::seconds(1));
+    CHECK(f.agent->statistics().entries_connected == 1);
+    CHECK(f.entry().connections + f.entry(1).connections == 2);
+
+    auto& used = f.entry().link ? f.entry() : f.entry(1);
+    used.send_orders({used.order(1)});
+    REQUIRE(f.until([&] { return !used.reports.empty(); }));
+    used.link.reset();
+    CHECK(f.until(
+        [&] { return f.entry().connections + f.entry(1).connections >= 3; }));
+}
+
 TEST_CASE("agent_process: a lost entry's answers are gathered, the rest fenced")
 {
     agent_fixture f(2);
--- a/packages/agent/tests/unit-start_ledger.cpp
+++ b/packages/agent/tests/unit-start_ledger.cpp
@@ -128,6 +128,7 @@
 std::vector<operation> to_operations(const std::vector<uint32_t>& numbers)
 {
     std::vector<operation> out;
+    out.reserve(numbers.size());
     for (const auto n : numbers)
     {
         out.push_back({n % 10, 1 + n / 10 % 8, n / 80 % 12});
