agent: test that the standby address is dialed when the used one is gone

Cause: with resume_standby off the test still passed: the used address was dialed again and counted as the third connection. Change: the test closes the used address for good and awaits the other.

--- a/packages/agent/tests/agent_fixture.hpp
+++ b/packages/agent/tests/agent_fixture.hpp
@@ -41,6 +41,12 @@
         at = {"127.0.0.1", *bound};
     }
 
+    void close()
+    {
+        listener_.close();
+        link.reset();
+    }
+
     void accept(object_ptr<GSocketConnection> c)
     {
         ++connections;
--- a/packages/agent/tests/unit-agent_process.cpp
+++ b/packages/agent/tests/unit-agent_process.cpp
@@ -120,9 +120,10 @@
     auto& used = f.entry().link ? f.entry() : f.entry(1);
     used.send_orders({used.order(1)});
     REQUIRE(f.until([&] { return !used.reports.empty(); }));
-    used.link.reset();
-    CHECK(f.until(
-        [&] { return f.entry().connections + f.entry(1).connections >= 3; }));
+    auto& other = &used == &f.entry() ? f.entry(1) : f.entry();
+    const auto before = other.connections;
+    used.close();
+    CHECK(f.until([&] { return other.connections > before; }));
 }
 
 TEST_CASE("agent_process: a lost entry's answers are gathered, the rest fenced")
