--- a/packages/entry/src/job_service.cpp
+++ b/packages/entry/src/job_service.cpp
@@ -17,8 +17,9 @@
 /// Time for which agents hold the answers after a caller was sent them; the
 /// caller may not have received them.
 constexpr duration delivered_hold = std::chrono::seconds(5);
-/// Period of decisions while tasks wait.
-constexpr duration dispatch_period = std::chrono::milliseconds(20);
+/// Period of decisions while tasks wait, and the shortest time between two
+/// looks at the demand of all agents.
+constexpr duration dispatch_period = std::chrono::milliseconds(10);
 
 job_request to_request(const job_order& order, job_key key)
 {
@@ -137,6 +138,15 @@
         timers_.schedule(delivered_hold, [this, id] { release(id); });
 }
 
+// ----- rules -----
+
+void job_service::set_weights(const policy_weights& weights)
+{
+    waste_weight_ = weights.waste;
+    demands_.clear();
+    policy_.set_weights(weights);
+}
+
 // ----- agents -----
 
 void job_service::offer(const target_offer& offer)
@@ -147,6 +157,7 @@
 
 void job_service::withdraw(agent_incarnation agent)
 {
+    demands_.erase(agent);
     policy_.set_grant(agent, 0);
 }
 
@@ -251,17 +262,32 @@
         start(it);
     }
     agents_.flush();
-    send_demands();
-    if (policy_.waiting_tasks() > 0 && !tick_pending_)
+    const auto now = loop_.now();
+    const bool demands_due = now - demands_sent_ >= dispatch_period;
+    if (demands_due)
+    {
+        demands_sent_ = now;
+        send_demands();
+    }
+    if (!demands_due || decrease_due_ || policy_.waiting_tasks() > 0)
+    {
+        schedule_tick();
+    }
+}
+
+void job_service::schedule_tick()
+{
+    if (tick_pending_)
     {
-        tick_pending_ = true;
-        timers_.schedule(dispatch_period,
-                         [this]
-                         {
-                             tick_pending_ = false;
-                             dispatch();
-                         });
+        return;
     }
+    tick_pending_ = true;
+    timers_.schedule(dispatch_period,
+                     [this]
+                     {
+                         tick_pending_ = false;
+                         dispatch();
+                     });
 }
 
 void job_service::start(const assignment& a)
@@ -284,29 +310,27 @@
     ++counts_.starts;
 }
 
-// Tells an agent this entry's demand when it begins, ends or doubles, and
-// when the grant it acts on has changed.
 void job_service::send_demands()
 {
     const auto now = loop_.now();
+    decrease_due_ = false;
     for (const auto agent : agents_.connected())
     {
         const auto demand = policy_.demand(agent, now);
+        const auto& grant = agents_.find(agent)->grant;
+        auto& reporter =
+            demands_.try_emplace(agent, waste_weight_).first->second;
+        if (!reporter.should_send(demand, grant, now))
+        {
+            decrease_due_ |= reporter.owes_decrease(demand);
+            continue;
+        }
         demand_update update;
         update.queued = demand.queued;
         update.in_flight = demand.in_flight;
         update.least_slack_us = demand.least_slack.count();
-        update.grant_version = agents_.find(agent)->grant.version;
-        auto& last = demands_[agent];
-        const bool more = update.queued > 2 * last.queued;
-        const bool less = 2 * update.queued < last.queued;
-        const bool idle = (update.queued + update.in_flight == 0) !=
-                          (last.queued + last.in_flight == 0);
-        if (more || less || idle || update.grant_version != last.grant_version)
-        {
-            last = update;
-            agents_.send(agent, update);
-        }
+        update.grant_version = grant.version;
+        agents_.send(agent, update);
     }
 }
 
