--- a/packages/agent/src/agent_process.cpp
+++ b/packages/agent/src/agent_process.cpp
@@ -62,7 +62,7 @@
     , client_(loop, {}, max_target_connections)
     , gate_(settings_.target)
     , board_(self_, settings_.limits)
-    , credits_(0, 0)
+    , credits_(0, 0, self_.value())
     , runner_(loop, client_, settings_.limits.max_answer_bytes,
               [this](const start_key& key, run_result r)
               { on_run_ended(key, std::move(r)); })
--- a/packages/entry/src/entry_process.cpp
+++ b/packages/entry/src/entry_process.cpp
@@ -344,6 +344,14 @@
             offer.services.push_back(service);
         }
     }
+    for (const auto& service : offer.services)
+    {
+        const auto* rule = configuration_.view().find_service(service);
+        if (rule->reserved_slots > 0)
+        {
+            offer.reserved.push_back({service, rule->reserved_slots});
+        }
+    }
     jobs_.offer(offer);
 }
 
