--- a/tests/process/unit-graceful_stop.cpp
+++ b/tests/process/unit-graceful_stop.cpp
@@ -29,7 +29,9 @@
     for (std::size_t i = 0; i < 3; ++i)
     {
         REQUIRE(t.nodes.wait_ready(i, 30s));
-        REQUIRE(t.nodes.wait_targets(i, 3, 30s));
+        const bool whole = t.nodes.wait_targets(i, 3, 30s);
+        INFO(t.nodes.admin(i, "GET", "/v1/admin/targets").body);
+        REQUIRE(whole);
     }
 }
 
@@ -63,6 +65,7 @@
             run_for(t.loop, 1s);
             for (const auto& name : row.processes)
             {
+                INFO("stopped " + name);
                 stop_and_restart(t, name);
                 wait_whole(t);
             }
