--- a/tools/harness/src/child_process.cpp
+++ b/tools/harness/src/child_process.cpp
@@ -54,6 +54,7 @@
     : loop_(loop), output_file_(std::move(output_file))
 {
     std::vector<const gchar*> argv;
+    argv.reserve(arguments.size() + 1);
     for (const auto& a : arguments)
     {
         argv.push_back(a.c_str());
--- a/tools/harness/src/cluster.cpp
+++ b/tools/harness/src/cluster.cpp
@@ -270,7 +270,7 @@
 std::string cluster::write_settings(const std::string& name,
                                     const json& settings) const
 {
-    const std::string file = directory_ + "/" + name + ".json";
+    std::string file = directory_ + "/" + name + ".json";
     std::ofstream(file) << settings.dump(2) << '\n';
     return file;
 }
@@ -470,7 +470,7 @@
 
 std::string cluster::bootstrap_token_file() const
 {
-    const std::string file = directory_ + "/bootstrap-token";
+    std::string file = directory_ + "/bootstrap-token";
     std::ofstream(file) << bootstrap_token << '\n';
     return file;
 }
