--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -227,10 +227,8 @@
     const auto excess = state_->excess_wait(record, speed, now);
     state_->services[job.service].offered.add(
         job.never_delay ? duration::zero() : job.wait, record.total(), now);
-    // What must never be delayed goes ahead of the promises made to others.
-    const bool fits =
-        job.never_delay || state_->keeps_promises(record, speed, now);
-    if (state_->options.admission_control && (excess || !fits))
+    if (state_->options.admission_control &&
+        (excess || !state_->keeps_promises(record, speed, now)))
     {
         return state_->refuse(excess.value_or(shortest_retry_after));
     }
