--- a/tools/bench/scenarios.cpp
+++ b/tools/bench/scenarios.cpp
@@ -28,6 +28,8 @@
 {
     auto plan = read_plan(sizes.example, plan_seed);
     auto out = plan.cluster;
+    out.import = true;
+    out.caller_token = plan.caller_tokens.front();
     out.entry_domains.resize(entries, out.entry_domains.front());
     const auto model = out.targets.front();
     for (unsigned i = static_cast<unsigned>(out.targets.size()); i < agents;
