Compare in constant time in one place

Cause: the comparison stood three times, in the submission id's codec, in the authenticator and in configuration_view. Change: the first two call equal_in_constant_time of configuration_view. Before: three copies. Conclusion: behaviour is as it was.

--- a/packages/core/src/submission_id.cpp
+++ b/packages/core/src/submission_id.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/core/configuration_view.hpp>
 #include <agatebank/core/submission_id.hpp>
 
 #include <array>
@@ -38,21 +39,6 @@
     return r.ec == std::errc{} && r.ptr == end && !field.empty();
 }
 
-// Compares in a time that depends on the length only.
-bool equal_constant_time(std::string_view a, std::string_view b)
-{
-    if (a.size() != b.size())
-    {
-        return false;
-    }
-    unsigned difference = 0;
-    for (std::size_t i = 0; i < a.size(); ++i)
-    {
-        difference |= static_cast<unsigned>(a[i] ^ b[i]);
-    }
-    return difference == 0;
-}
-
 } // namespace
 
 std::string to_name(const submission_id& id)
@@ -87,7 +73,7 @@
         return refused();
     }
     auto fields = text.substr(0, last);
-    if (!equal_constant_time(text.substr(last + 1), code_of(fields, caller)))
+    if (!equal_in_constant_time(text.substr(last + 1), code_of(fields, caller)))
     {
         return refused();
     }
--- a/packages/wire/src/authenticator.cpp
+++ b/packages/wire/src/authenticator.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/core/configuration_view.hpp>
 #include <agatebank/wire/authenticator.hpp>
 
 #include <glib.h>
@@ -53,17 +54,7 @@
 bool authenticator::verify(std::string_view context, std::string_view text,
                            std::string_view tag_given) const
 {
-    const auto expected = tag(context, text);
-    if (expected.size() != tag_given.size())
-    {
-        return false;
-    }
-    unsigned difference = 0;
-    for (std::size_t i = 0; i < expected.size(); ++i)
-    {
-        difference |= static_cast<unsigned>(expected[i] ^ tag_given[i]);
-    }
-    return difference == 0;
+    return equal_in_constant_time(tag(context, text), tag_given);
 }
 
 mac_function authenticator::hex_mac() const
