--- a/cmake/agatebank.cmake
+++ b/cmake/agatebank.cmake
@@ -4,8 +4,10 @@
 pkg_check_modules(SOUP REQUIRED IMPORTED_TARGET libsoup-3.0)
 find_package(Boost REQUIRED COMPONENTS log program_options)
 find_package(Threads REQUIRED)
-find_package(Catch2 2 REQUIRED)
-include(Catch)
+if(AGATEBANK_TESTS)
+    find_package(Catch2 2 REQUIRED)
+    include(Catch)
+endif()
 
 add_library(agatebank_options INTERFACE)
 target_compile_options(
@@ -35,6 +37,9 @@
 # agatebank_tests(NAME SOURCES ... DEPENDS ...) adds one Catch2 program of
 # unit-*.cpp files; every test case becomes a CTest test with a fixed seed.
 function(agatebank_tests name)
+    if(NOT AGATEBANK_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
     add_executable(${name} ${ARG_SOURCES})
     target_link_libraries(
@@ -44,6 +49,8 @@
         PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
 
-add_library(agatebank_test_main STATIC ${CMAKE_SOURCE_DIR}/tests/main.cpp)
-target_link_libraries(
-    agatebank_test_main PUBLIC Catch2::Catch2 rapidcheck Threads::Threads)
+if(AGATEBANK_TESTS)
+    add_library(agatebank_test_main STATIC ${CMAKE_SOURCE_DIR}/tests/main.cpp)
+    target_link_libraries(
+        agatebank_test_main PUBLIC Catch2::Catch2 rapidcheck Threads::Threads)
+endif()
--- a/packages/agent/include/agatebank/agent/agent_process.hpp
+++ b/packages/agent/include/agatebank/agent/agent_process.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <agatebank/agent/agent_settings.hpp>
-#include <agatebank/agent/entry_dialer.hpp>
 #include <agatebank/agent/start_board.hpp>
 #include <agatebank/agent/target_gate.hpp>
 #include <agatebank/agent/task_runner.hpp>
@@ -13,6 +12,7 @@
 #include <agatebank/http/http_server.hpp>
 #include <agatebank/loop/event_loop.hpp>
 #include <agatebank/loop/timer_queue.hpp>
+#include <agatebank/wire/endpoint_dialer.hpp>
 #include <agatebank/wire/link_hub.hpp>
 
 #include <functional>
@@ -149,7 +149,7 @@
     credit_allocator credits_;
     task_runner runner_;
     link_hub hub_;
-    entry_dialer dialer_;
+    endpoint_dialer dialer_;
     std::vector<entry_session> sessions_;
     std::map<start_key, runnable_start> in_run_;
     agent_statistics counters_;
--- a/packages/core/include/agatebank/core/error.hpp
+++ b/packages/core/include/agatebank/core/error.hpp
@@ -44,6 +44,7 @@
     quota_exceeded = 314,
     process_leaving = 315,
     not_ready = 316,
+    job_unsupported = 317,
 
     // outcomes of tasks and jobs: 400 to 499
     start_refused = 400,
--- /dev/null
+++ b/packages/core/include/agatebank/core/room.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+
+namespace agatebank
+{
+
+/// @brief An amount of a target's resources.
+struct room
+{
+    int64_t cpu_millis = 0; ///< thousandths of a core
+    int64_t memory_mb = 0;
+    int64_t gpus = 0;
+
+    auto operator<=>(const room&) const = default;
+
+    /// @brief Whether @p needed fits into this amount.
+    bool holds(const room& needed) const noexcept
+    {
+        return needed.cpu_millis <= cpu_millis &&
+               needed.memory_mb <= memory_mb && needed.gpus <= gpus;
+    }
+
+    room& operator+=(const room& other) noexcept
+    {
+        cpu_millis += other.cpu_millis;
+        memory_mb += other.memory_mb;
+        gpus += other.gpus;
+        return *this;
+    }
+
+    room& operator-=(const room& other) noexcept
+    {
+        cpu_millis -= other.cpu_millis;
+        memory_mb -= other.memory_mb;
+        gpus -= other.gpus;
+        return *this;
+    }
+
+    friend room operator+(room a, const room& b) noexcept
+    {
+        return a += b;
+    }
+
+    friend room operator-(room a, const room& b) noexcept
+    {
+        return a -= b;
+    }
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(cpu_millis, memory_mb, gpus);
+    }
+};
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/core/include/agatebank/core/target_load.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <agatebank/core/ids.hpp>
+#include <agatebank/core/room.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief What a target is; constant for one of its lives.
+struct target_profile
+{
+    std::string target; ///< id by which the target announces itself
+    service_name service;
+    failure_domain_name failure_domain;
+    room capacity;
+    std::string kind;                ///< targets of one kind are as fast
+    std::vector<std::string> labels; ///< kind and rack among them
+
+    auto operator<=>(const target_profile&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(target, service, failure_domain, capacity, kind, labels);
+    }
+};
+
+/// @brief Queues are told apart up to this priority; beyond it they share.
+constexpr std::size_t priority_bands = 4;
+
+/// @brief The band of a route's priority.
+inline std::size_t to_band(uint32_t priority) noexcept
+{
+    return priority < priority_bands ? priority : priority_bands - 1;
+}
+
+/// @brief What an agent says of its target's work now.
+struct target_load
+{
+    bool accepts_work = false; ///< false: absent, draining, stopping
+    bool suspect = false;      ///< most of the latest runs failed or stalled
+    room used;
+    std::array<int64_t, priority_bands> queued_cpu_millis{};
+    int64_t mean_run_us = 0;  ///< expected, over what runs and waits
+    double slowdown = 1;      ///< measured over expected run time
+    uint64_t orders_seen = 0; ///< last order received on this link
+
+    bool operator==(const target_load&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(accepts_work, suspect, used);
+        for (auto& it : queued_cpu_millis)
+        {
+            ar(it);
+        }
+        ar(mean_run_us, slowdown, orders_seen);
+    }
+};
+
+} // namespace agatebank
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,7 +1,9 @@
 #include <agatebank/core/json_reader.hpp>
 #include <agatebank/daemon/command_line.hpp>
+#include <agatebank/daemon/node_roles.hpp>
 #include <agatebank/daemon/process_runtime.hpp>
 #include <agatebank/daemon/roles.hpp>
+#include <agatebank/node/node_settings.hpp>
 
 #include <iostream>
 
@@ -33,8 +35,13 @@
     {
         return tl::unexpected(document.error());
     }
-    const auto run_role =
-        command.role == daemon_role::entry ? run_entry : run_agent;
+    const bool is_entry = command.role == daemon_role::entry;
+    if (has_node_settings(*document))
+    {
+        const auto run_node = is_entry ? run_entry_node : run_agent_node;
+        return run_node(*document, command.config_file, command.check_only);
+    }
+    const auto run_role = is_entry ? run_entry : run_agent;
     return run_role(*document, command.config_file, command.check_only);
 }
 
--- /dev/null
+++ b/packages/fleet/include/agatebank/fleet/job_admission.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <agatebank/core/units.hpp>
+
+namespace agatebank
+{
+
+/// @brief What admission knows of a job at its arrival; times from now.
+struct admission_question
+{
+    bool has_target = false;    ///< some target may run each of its tasks
+    duration expected_finish{}; ///< over all steps, queues included
+    duration objective{};       ///< the time until which an end is on time
+    duration deadline{};        ///< past it nobody waits for the answer
+};
+
+/// @brief The answer of admission.
+struct admission_answer
+{
+    bool admitted = false;
+    duration retry_after{}; ///< with a refusal: when the backlog has drained
+};
+
+/// @brief Refuses at once what cannot end before its deadline.
+///
+/// Load pattern: a burst beyond the targets' capacity. A job that would wait
+/// until its deadline and then run out of it takes a caller's time for
+/// nothing and room from jobs that would end in time.
+admission_answer decide_admission(const admission_question& question);
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/fleet/src/job_admission.cpp
@@ -0,0 +1,35 @@
+#include <agatebank/fleet/job_admission.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace agatebank
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A client that is refused comes back no sooner: a second is the unit of
+/// Retry-After (RFC 9110).
+constexpr duration least_retry_after = 1s;
+constexpr duration most_retry_after = 10s;
+
+} // namespace
+
+admission_answer decide_admission(const admission_question& question)
+{
+    if (!question.has_target)
+    {
+        return {false, least_retry_after};
+    }
+    if (question.expected_finish <= question.deadline)
+    {
+        return {true, {}};
+    }
+    const auto drained = question.expected_finish - question.objective;
+    return {false, std::clamp(drained, least_retry_after, most_retry_after)};
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/fleet/src/job_board.cpp
@@ -0,0 +1,665 @@
+#include <agatebank/fleet/job_admission.hpp>
+#include <agatebank/fleet/job_board.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A suspect target gets one task in this time; a target that works again is
+/// used again after a few of them.
+constexpr duration probe_period = 400ms;
+/// An answer sent so long before the deadline still reaches its caller.
+constexpr duration answer_margin = 20ms;
+/// Retry-After of a job that waited in vain: the least that can be said.
+constexpr duration refused_late_retry = 1s;
+
+int64_t to_ms(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+std::string ms_text(duration d)
+{
+    return std::to_string(to_ms(d)) + " ms";
+}
+
+std::optional<duration> to_hint(const step_plan& step)
+{
+    if (step.declared_run_time.count() == 0)
+    {
+        return std::nullopt;
+    }
+    return step.declared_run_time;
+}
+
+} // namespace
+
+job_board::job_board(job_board_options options, job_board_hooks hooks)
+    : options_(options), hooks_(std::move(hooks))
+{
+}
+
+// ----- targets -----
+
+void job_board::put_target(agent_incarnation agent,
+                           const target_profile& profile, time_point now)
+{
+    targets_.insert_or_assign(agent, target_record(profile));
+    renew_anchor();
+    tick(now);
+}
+
+void job_board::set_load(agent_incarnation agent, const target_load& load,
+                         time_point now)
+{
+    const auto it = targets_.find(agent);
+    if (it == targets_.end())
+    {
+        return;
+    }
+    if (it->second.set_load(load))
+    {
+        log_record r;
+        r.text = std::string("target ") +
+                 (load.accepts_work ? "accepts work" : "takes no work") +
+                 (load.suspect ? ", is suspect" : "");
+        r.step = "target.state";
+        r.peer = it->second.profile().target;
+        hooks_.log(r);
+    }
+    if (!waiting_.empty())
+    {
+        tick(now);
+    }
+}
+
+void job_board::remove_target(agent_incarnation agent, time_point now)
+{
+    targets_.erase(agent);
+    renew_anchor();
+    for (auto& [key, job] : jobs_)
+    {
+        for (auto& step : job.steps)
+        {
+            for (auto& task : step.tasks)
+            {
+                if (task.state != task_state::ordered || task.agent != agent)
+                {
+                    continue;
+                }
+                orders_.erase(task.order);
+                task.state = task_state::lost;
+                task.lost_until = now + options_.lost_agent_grace;
+                task.excluded.insert(agent);
+                job.may_have_run = true;
+                ++job.waiting;
+                waiting_.insert(key);
+            }
+        }
+    }
+}
+
+void job_board::renew_anchor()
+{
+    double sum = 0;
+    for (const auto& [agent, t] : targets_)
+    {
+        sum += std::log(times_.speed(to_kind_key(t.profile())));
+    }
+    anchor_ = targets_.empty()
+                  ? 1
+                  : std::exp(sum / static_cast<double>(targets_.size()));
+}
+
+double job_board::speed(const target_profile& profile) const
+{
+    return times_.speed(to_kind_key(profile)) / anchor_;
+}
+
+// ----- predictions -----
+
+run_time_prediction job_board::predict(const job_record& job,
+                                       uint32_t step) const
+{
+    auto p = times_.predict(
+        service_name(job.arrival.served_by.name.value()),
+        to_hint(job.arrival.plan.steps[step]));
+    const auto scale = [this](duration d)
+    {
+        return duration(
+            static_cast<int64_t>(static_cast<double>(d.count()) / anchor_));
+    };
+    return {scale(p.mean), scale(p.high)};
+}
+
+duration job_board::nominal_chain(const job_record& job) const
+{
+    std::vector<duration> ends(job.steps.size());
+    duration longest{};
+    for (uint32_t i = 0; i < job.steps.size(); ++i)
+    {
+        duration begin{};
+        for (const auto it : job.arrival.plan.steps[i].after)
+        {
+            begin = std::max(begin, ends[it]);
+        }
+        const auto mean = static_cast<double>(predict(job, i).mean.count());
+        ends[i] = begin + duration(static_cast<int64_t>(
+                              mean * slowest_of(
+                                         job.arrival.plan.steps[i].tasks)));
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+// ----- placement -----
+
+std::vector<job_board::placed_task>
+job_board::choose(job_key key, job_record& job, uint32_t step, time_point now)
+{
+    std::vector<placed_task> out;
+    placement_request rq;
+    rq.service = job.arrival.served_by.service;
+    rq.step = &job.arrival.plan.steps[step];
+    rq.expected = predict(job, step);
+    rq.band = to_band(job.arrival.served_by.priority);
+    rq.left = job.objective - now;
+    rq.remote_data_factor = options_.remote_data_factor;
+    auto& record = job.steps[step];
+    rq.placed = &record.placed;
+    const auto speeds = [this](const target_profile& p)
+    {
+        return speed(p);
+    };
+    for (uint32_t i = 0; i < record.tasks.size(); ++i)
+    {
+        auto& task = record.tasks[i];
+        if (task.state != task_state::waiting)
+        {
+            continue;
+        }
+        rq.excluded = &task.excluded;
+        auto choice = choose_target(targets_, rq, speeds, now);
+        if (!choice && !task.excluded.empty())
+        {
+            // Every target was tried; any of them is better than none.
+            rq.excluded = nullptr;
+            choice = choose_target(targets_, rq, speeds, now);
+        }
+        if (!choice)
+        {
+            continue;
+        }
+        auto& target = targets_.at(choice->agent);
+        task.order = order_id(++last_order_);
+        task.agent = choice->agent;
+        target.add_order(task.order, rq.step->each, rq.band);
+        if (choice->probe)
+        {
+            target.set_next_probe(now + probe_period);
+        }
+        ++record.placed[choice->agent];
+        orders_[task.order] = {key, step, i};
+        task.state = task_state::ordered;
+        out.push_back({i, *choice});
+    }
+    return out;
+}
+
+void job_board::order(job_record& job, uint32_t step,
+                      const std::vector<placed_task>& placed, time_point now)
+{
+    std::map<agent_incarnation, run_batch> batches;
+    for (const auto& it : placed)
+    {
+        auto& task = job.steps[step].tasks[it.index];
+        ++task.attempt;
+        ++counts_.orders;
+        if (task.attempt > 1)
+        {
+            ++counts_.reorders;
+        }
+        batches[it.choice.agent].orders.push_back(
+            {task.order, step, it.index, task.attempt, it.choice.run.count()});
+    }
+    const auto& plan = job.arrival.plan;
+    for (auto& [agent, batch] : batches)
+    {
+        batch.job = job.arrival.id;
+        batch.payload = plan.payload;
+        batch.each = plan.steps[step].each;
+        batch.priority = job.arrival.served_by.priority;
+        batch.objective_us = (job.objective - now).count();
+        batch.deadline_us = (job.deadline - now).count();
+        hooks_.send(agent, batch);
+    }
+}
+
+bool job_board::place_waiting(job_key key, job_record& job, time_point now)
+{
+    for (uint32_t i = 0; i < job.steps.size(); ++i)
+    {
+        const auto placed = choose(key, job, i, now);
+        if (placed.empty())
+        {
+            continue;
+        }
+        job.waiting -= static_cast<uint32_t>(placed.size());
+        order(job, i, placed, now);
+    }
+    return job.waiting == 0;
+}
+
+// ----- admission -----
+
+void job_board::admit(job_key key, job_arrival arrival, time_point now)
+{
+    auto& job = jobs_[key];
+    job.arrival = std::move(arrival);
+    job.arrived = now;
+    const auto& plan = job.arrival.plan;
+    job.steps.resize(plan.steps.size());
+    job.undone_steps = static_cast<uint32_t>(plan.steps.size());
+    for (std::size_t i = 0; i < plan.steps.size(); ++i)
+    {
+        job.steps[i].tasks.resize(plan.steps[i].tasks);
+        job.steps[i].undone = plan.steps[i].tasks;
+        if (plan.steps[i].after.empty())
+        {
+            for (auto& task : job.steps[i].tasks)
+            {
+                task.state = task_state::waiting;
+                ++job.waiting;
+            }
+        }
+    }
+    const auto chain = nominal_chain(job);
+    const auto& r = job.arrival.served_by;
+    const auto objective =
+        r.added_latency +
+        duration(static_cast<int64_t>(static_cast<double>(chain.count()) *
+                                      r.stretch));
+    job.objective = now + objective;
+    job.deadline = now + job.arrival.deadline;
+
+    admission_question question;
+    question.objective = objective;
+    question.deadline = job.arrival.deadline - answer_margin;
+    question.has_target = true;
+    std::vector<std::pair<uint32_t, std::vector<placed_task>>> placed;
+    duration first_steps{};
+    for (uint32_t i = 0; i < job.steps.size(); ++i)
+    {
+        if (!plan.steps[i].after.empty())
+        {
+            continue;
+        }
+        auto chosen = choose(key, job, i, now);
+        question.has_target =
+            question.has_target && chosen.size() == plan.steps[i].tasks;
+        for (const auto& it : chosen)
+        {
+            first_steps = std::max(first_steps, it.choice.finish);
+        }
+        placed.emplace_back(i, std::move(chosen));
+    }
+    question.expected_finish = std::max(first_steps, chain);
+    if (plan.steps.size() == 1)
+    {
+        question.expected_finish = first_steps;
+    }
+    const auto answer = decide_admission(question);
+    if (!answer.admitted)
+    {
+        const std::string why =
+            question.has_target
+                ? "expected end after " + ms_text(question.expected_finish) +
+                      ", deadline " + ms_text(question.deadline)
+                : "no target for every task";
+        refuse(key, job, answer.retry_after, why);
+        return;
+    }
+    ++counts_.admitted;
+    by_id_[job.arrival.id] = key;
+    deadlines_.emplace(job.deadline - answer_margin, key);
+    log(log_level::info, job,
+        "admitted " + std::to_string(plan.task_count()) +
+            " tasks, expected end " + ms_text(question.expected_finish) +
+            ", objective " + ms_text(objective) + ", deadline " +
+            ms_text(job.arrival.deadline));
+    for (const auto& [step, chosen] : placed)
+    {
+        job.waiting -= static_cast<uint32_t>(chosen.size());
+        order(job, step, chosen, now);
+    }
+    if (job.waiting != 0)
+    {
+        waiting_.insert(key);
+    }
+}
+
+void job_board::refuse(job_key key, job_record& job, duration retry_after,
+                       const std::string& why)
+{
+    for (auto& step : job.steps)
+    {
+        for (auto& task : step.tasks)
+        {
+            if (task.state != task_state::ordered)
+            {
+                continue;
+            }
+            targets_.at(task.agent).remove_order(task.order);
+            orders_.erase(task.order);
+        }
+    }
+    ++counts_.refused;
+    log(log_level::warning, job,
+        "refused, " + why + "; retry after " + ms_text(retry_after));
+    jobs_.erase(key);
+    hooks_.finish(key, {job_result::not_run, retry_after});
+}
+
+// ----- ends of jobs -----
+
+void job_board::stop_orders(job_record& job)
+{
+    std::map<agent_incarnation, std::vector<order_id>> stops;
+    for (auto& step : job.steps)
+    {
+        for (auto& task : step.tasks)
+        {
+            if (task.state != task_state::ordered)
+            {
+                continue;
+            }
+            stops[task.agent].push_back(task.order);
+            orders_.erase(task.order);
+            const auto it = targets_.find(task.agent);
+            if (it != targets_.end())
+            {
+                it->second.remove_order(task.order);
+            }
+        }
+    }
+    for (const auto& [agent, ids] : stops)
+    {
+        hooks_.cancel(agent, ids);
+    }
+}
+
+void job_board::settle(job_key key, const job_outcome& outcome,
+                       const char* why, time_point now)
+{
+    auto& job = jobs_.at(key);
+    stop_orders(job);
+    switch (outcome.result)
+    {
+    case job_result::succeeded:
+        ++counts_.succeeded;
+        break;
+    case job_result::failed:
+        ++counts_.failed;
+        break;
+    case job_result::not_run:
+        ++counts_.refused;
+        break;
+    case job_result::gave_up:
+        ++counts_.gave_up;
+        break;
+    }
+    log(log_level::info, job,
+        std::string(why) + " after " + ms_text(now - job.arrived) +
+            (now > job.objective ? ", late by " + ms_text(now - job.objective)
+                                 : std::string(", on time")));
+    by_id_.erase(job.arrival.id);
+    waiting_.erase(key);
+    jobs_.erase(key);
+    hooks_.finish(key, outcome);
+}
+
+void job_board::cancel(job_key key, const char* why)
+{
+    const auto it = jobs_.find(key);
+    if (it == jobs_.end())
+    {
+        return;
+    }
+    ++counts_.cancelled;
+    log(log_level::info, it->second, std::string("cancelled, ") + why);
+    stop_orders(it->second);
+    by_id_.erase(it->second.arrival.id);
+    waiting_.erase(key);
+    jobs_.erase(it);
+}
+
+void job_board::abandon_all(const char* why)
+{
+    while (!jobs_.empty())
+    {
+        const auto key = jobs_.begin()->first;
+        settle(key, {job_result::gave_up, {}}, why,
+               jobs_.begin()->second.arrived);
+    }
+}
+
+// ----- ends of runs -----
+
+void job_board::learn(const job_record& job, uint32_t step,
+                      agent_incarnation agent, const run_end& end)
+{
+    const auto it = targets_.find(agent);
+    if (it == targets_.end() || it->second.load().slowdown > 1)
+    {
+        return;
+    }
+    times_.observe(service_name(job.arrival.served_by.name.value()),
+                   to_kind_key(it->second.profile()),
+                   to_hint(job.arrival.plan.steps[step]), duration(end.run_us));
+    renew_anchor();
+}
+
+bool job_board::has_run(const job_record& job)
+{
+    const auto may_run = [](const task_record& t)
+    {
+        return t.state == task_state::ordered || t.state == task_state::done ||
+               t.state == task_state::lost;
+    };
+    return job.may_have_run ||
+           std::any_of(job.steps.begin(), job.steps.end(),
+                       [&may_run](const step_record& s) {
+                           return std::any_of(s.tasks.begin(), s.tasks.end(),
+                                              may_run);
+                       });
+}
+
+void job_board::unplace(job_record& job, uint32_t step, task_record& task)
+{
+    auto& placed = job.steps[step].placed;
+    const auto it = placed.find(task.agent);
+    if (it != placed.end() && --it->second == 0)
+    {
+        placed.erase(it);
+    }
+}
+
+bool job_board::complete_task(job_key key, job_record& job,
+                              const order_ref& ref, time_point now)
+{
+    auto& step = job.steps[ref.step];
+    step.tasks[ref.index].state = task_state::done;
+    if (--step.undone != 0 || --job.undone_steps != 0)
+    {
+        if (step.undone != 0)
+        {
+            return false;
+        }
+    }
+    else
+    {
+        settle(key, {job_result::succeeded, {}}, "succeeded", now);
+        return true;
+    }
+    for (std::size_t i = 0; i < job.steps.size(); ++i)
+    {
+        auto& later = job.steps[i];
+        const auto& after = job.arrival.plan.steps[i].after;
+        const bool open =
+            !after.empty() && std::all_of(after.begin(), after.end(),
+                                          [&job](uint32_t s)
+                                          { return job.steps[s].undone == 0; });
+        for (auto& task : later.tasks)
+        {
+            if (open && task.state == task_state::blocked)
+            {
+                task.state = task_state::waiting;
+                ++job.waiting;
+                waiting_.insert(key);
+            }
+        }
+    }
+    return false;
+}
+
+void job_board::on_end(agent_incarnation agent, const run_end& end,
+                       time_point now)
+{
+    const auto target = targets_.find(agent);
+    if (target != targets_.end())
+    {
+        target->second.remove_order(end.id);
+    }
+    const auto found = orders_.find(end.id);
+    if (found == orders_.end())
+    {
+        return; // of a job that has ended
+    }
+    const auto ref = found->second;
+    orders_.erase(found);
+    auto& job = jobs_.at(ref.job);
+    auto& task = job.steps[ref.step].tasks[ref.index];
+    const bool started = end.outcome != run_outcome::not_run &&
+                         end.outcome != run_outcome::past_deadline;
+    job.may_have_run = job.may_have_run || started;
+    unplace(job, ref.step, task);
+    if (end.outcome == run_outcome::done)
+    {
+        learn(job, ref.step, agent, end);
+        if (!complete_task(ref.job, job, ref, now) && job.waiting != 0)
+        {
+            place_waiting(ref.job, job, now);
+        }
+        return;
+    }
+    log(log_level::info, job,
+        std::string("run ended ") + to_word(end.outcome) + " at " +
+            (target == targets_.end() ? std::string("a lost target")
+                                      : target->second.profile().target) +
+            ", ran " + ms_text(duration(end.run_us)) + ", queued " +
+            ms_text(duration(end.queued_us)) + ", attempt " +
+            std::to_string(task.attempt),
+        static_cast<int32_t>(ref.index));
+    task.excluded.insert(agent);
+    if (end.outcome == run_outcome::failed &&
+        ++task.failures >= job.arrival.served_by.max_attempts)
+    {
+        settle(ref.job, {job_result::failed, {}}, "failed", now);
+        return;
+    }
+    if (end.outcome == run_outcome::past_deadline)
+    {
+        task.state = task_state::waiting;
+        settle(ref.job,
+               {has_run(job) ? job_result::gave_up : job_result::not_run,
+                refused_late_retry},
+               "gave up, too late to start", now);
+        return;
+    }
+    task.state = task_state::waiting;
+    ++job.waiting;
+    waiting_.insert(ref.job);
+    if (place_waiting(ref.job, job, now))
+    {
+        waiting_.erase(ref.job);
+    }
+}
+
+void job_board::tick(time_point now)
+{
+    for (auto it = waiting_.begin(); it != waiting_.end();)
+    {
+        const auto key = *it;
+        auto& job = jobs_.at(key);
+        for (auto& step : job.steps)
+        {
+            for (auto& task : step.tasks)
+            {
+                if (task.state == task_state::lost && task.lost_until <= now)
+                {
+                    task.state = task_state::waiting;
+                }
+            }
+        }
+        it = place_waiting(key, job, now) ? waiting_.erase(it) : std::next(it);
+    }
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now)
+    {
+        const auto key = deadlines_.begin()->second;
+        deadlines_.erase(deadlines_.begin());
+        if (jobs_.count(key) != 0)
+        {
+            settle(key, {job_result::gave_up, {}}, "gave up at the deadline",
+                   now);
+        }
+    }
+}
+
+// ----- lookup -----
+
+std::size_t job_board::running_jobs() const noexcept
+{
+    return jobs_.size();
+}
+
+const job_board_counts& job_board::counts() const noexcept
+{
+    return counts_;
+}
+
+const target_map& job_board::targets() const noexcept
+{
+    return targets_;
+}
+
+std::optional<job_key> job_board::find(const std::string& id) const
+{
+    const auto it = by_id_.find(id);
+    if (it == by_id_.end())
+    {
+        return std::nullopt;
+    }
+    return it->second;
+}
+
+void job_board::log(log_level level, const job_record& job, std::string text,
+                    int32_t task) const
+{
+    log_record r;
+    r.level = level;
+    r.text = std::move(text);
+    r.step = "job";
+    r.submission = job.arrival.id;
+    r.task = task;
+    hooks_.log(r);
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/fleet/src/placement.cpp
@@ -0,0 +1,107 @@
+#include <agatebank/fleet/placement.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace agatebank
+{
+
+namespace
+{
+
+/// Spread (standard deviation of the logarithm) of the run times of alike
+/// tasks around their prediction.
+constexpr double run_time_spread = 0.2;
+
+bool is_allowed(const target_record& t, const placement_request& rq,
+                agent_incarnation agent)
+{
+    const auto& step = *rq.step;
+    if (!t.load().accepts_work || t.profile().service != rq.service ||
+        !t.profile().capacity.holds(step.each))
+    {
+        return false;
+    }
+    if (!step.required_label.empty() && !t.has_label(step.required_label))
+    {
+        return false;
+    }
+    if (rq.excluded != nullptr && rq.excluded->count(agent) != 0)
+    {
+        return false;
+    }
+    if (step.max_per_target == 0 || rq.placed == nullptr)
+    {
+        return true;
+    }
+    const auto it = rq.placed->find(agent);
+    return it == rq.placed->end() || it->second < step.max_per_target;
+}
+
+duration scale(duration d, double factor)
+{
+    return duration(
+        static_cast<int64_t>(static_cast<double>(d.count()) * factor));
+}
+
+// A lower rank is better.
+using choice_rank = std::tuple<int, double, double>;
+
+} // namespace
+
+agent_incarnation to_kind_key(const target_profile& profile)
+{
+    return agent_incarnation(std::hash<std::string>{}(profile.kind));
+}
+
+double slowest_of(uint32_t n)
+{
+    return std::exp(run_time_spread * std::sqrt(2 * std::log(1.0 + n)));
+}
+
+std::optional<placement_choice> choose_target(const target_map& targets,
+                                              const placement_request& request,
+                                              const speed_lookup& speed,
+                                              time_point now)
+{
+    std::optional<placement_choice> best;
+    choice_rank best_rank;
+    const double margin = slowest_of(request.step->tasks);
+    for (const auto& [agent, t] : targets)
+    {
+        if (!is_allowed(t, request, agent))
+        {
+            continue;
+        }
+        const bool suspect = t.load().suspect;
+        if (suspect && !t.may_probe(now))
+        {
+            continue;
+        }
+        const auto& rack = request.step->data_rack;
+        const double far = rack.empty() || t.has_label(rack)
+                               ? 1.0
+                               : request.remote_data_factor;
+        const double usual_speed = speed(t.profile()) / far;
+        const double speed_now =
+            usual_speed / std::max(1.0, t.load().slowdown);
+        const auto run = scale(request.expected.mean, 1 / usual_speed);
+        const auto finish =
+            t.expected_wait(request.step->each, request.band) +
+            scale(request.expected.mean, margin / speed_now);
+        const bool on_time = finish <= request.left;
+        const choice_rank rank =
+            on_time ? choice_rank{0, speed_now, t.utilisation()}
+                    : choice_rank{1, static_cast<double>(finish.count()),
+                                  t.utilisation()};
+        if (!best || rank < best_rank)
+        {
+            best = placement_choice{agent, run, finish, on_time, suspect};
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/fleet/src/run_board.cpp
@@ -0,0 +1,522 @@
+#include <agatebank/fleet/run_board.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// An end this near the deadline still reaches the caller.
+constexpr duration report_margin = 10ms;
+/// Between two tries of a stop that was not answered.
+constexpr duration stop_again_after = 120ms;
+/// Names remembered for the numbers of their runs.
+constexpr std::size_t max_remembered_tasks = 20000;
+
+std::string to_task_name(const std::string& job, const run_order& o)
+{
+    return job + ".0." + std::to_string(o.step) + "." + std::to_string(o.index);
+}
+
+std::string ms_text(duration d)
+{
+    return std::to_string(
+               std::chrono::duration_cast<std::chrono::milliseconds>(d)
+                   .count()) +
+           " ms";
+}
+
+} // namespace
+
+run_board::run_board(run_board_hooks hooks) : hooks_(std::move(hooks)) {}
+
+// ----- target -----
+
+void run_board::set_capacity(const room& capacity, time_point now)
+{
+    capacity_ = capacity;
+    tick(now);
+}
+
+void run_board::set_open(bool open, time_point now)
+{
+    if (open_ == open)
+    {
+        return;
+    }
+    open_ = open;
+    if (open)
+    {
+        tick(now);
+        return;
+    }
+    while (!queue_.empty())
+    {
+        finish(std::get<run_key>(*queue_.begin()), run_outcome::not_run, now);
+    }
+}
+
+void run_board::on_runs_gone(const char* why, time_point now)
+{
+    std::vector<run_key> gone;
+    for (const auto& [key, r] : runs_)
+    {
+        if (r.state != run_state::queued)
+        {
+            gone.push_back(key);
+            log(log_level::warning, r, std::string("run is gone, ") + why);
+        }
+    }
+    for (const auto& it : gone)
+    {
+        finish(it, run_outcome::stopped, now);
+    }
+    last_run_.clear();
+    watch_.reset();
+}
+
+// ----- orders -----
+
+void run_board::on_batch(order_source from, const run_batch& batch,
+                         time_point now)
+{
+    for (const auto& o : batch.orders)
+    {
+        ++counts_.orders;
+        const run_key key{from, o.id};
+        if (!open_)
+        {
+            ++counts_.not_run;
+            hooks_.report(from, {o.id, run_outcome::not_run, 0, 0});
+            continue;
+        }
+        run_record r;
+        r.job = batch.job;
+        r.payload = batch.payload;
+        r.each = batch.each;
+        r.priority = batch.priority;
+        r.objective = now + duration(batch.objective_us);
+        r.deadline = now + duration(batch.deadline_us);
+        r.order = o;
+        r.received = now;
+        const auto [it, is_new] = runs_.emplace(key, std::move(r));
+        if (is_new)
+        {
+            enqueue(key, it->second, now);
+        }
+    }
+    start_next(now);
+}
+
+void run_board::on_cancel(order_source from, const std::vector<order_id>& ids,
+                          time_point now)
+{
+    for (const auto id : ids)
+    {
+        const auto it = runs_.find({from, id});
+        if (it != runs_.end())
+        {
+            it->second.wanted = false;
+            drop(it->first, it->second, run_outcome::stopped);
+        }
+    }
+    start_next(now);
+}
+
+void run_board::on_source_lost(order_source from, time_point now)
+{
+    std::vector<order_id> ids;
+    for (const auto& [key, r] : runs_)
+    {
+        if (key.first == from)
+        {
+            ids.push_back(key.second);
+        }
+    }
+    on_cancel(from, ids, now);
+}
+
+// Ends an order at once when it has not begun, else stops its run.
+void run_board::drop(const run_key& key, run_record& r, run_outcome outcome)
+{
+    if (r.state == run_state::queued)
+    {
+        std::erase_if(queue_, [&key](const queue_rank& q)
+                      { return std::get<run_key>(q) == key; });
+        runs_.erase(key);
+        return;
+    }
+    stop_run(r, outcome);
+}
+
+// ----- queue -----
+
+run_board::queue_rank run_board::rank_of(const run_key& key,
+                                         const run_record& r,
+                                         time_point now) const
+{
+    const auto expected = duration(r.order.expected_us);
+    const bool late = now + expected > r.objective;
+    return {late, to_band(r.priority),
+            (late ? r.deadline : r.objective) - expected, key};
+}
+
+void run_board::enqueue(const run_key& key, const run_record& r, time_point now)
+{
+    queue_.insert(rank_of(key, r, now));
+}
+
+void run_board::start_next(time_point now)
+{
+    while (open_ && !queue_.empty())
+    {
+        const auto rank = *queue_.begin();
+        const auto key = std::get<run_key>(rank);
+        auto& r = runs_.at(key);
+        if (now + duration(r.order.expected_us) + report_margin > r.deadline)
+        {
+            finish(key, run_outcome::past_deadline, now);
+            continue;
+        }
+        const auto current = rank_of(key, r, now);
+        if (current != rank)
+        {
+            queue_.erase(queue_.begin());
+            queue_.insert(current);
+            continue;
+        }
+        if (!capacity_.holds(used_ + r.each))
+        {
+            return;
+        }
+        queue_.erase(queue_.begin());
+        start_run(key, r, now);
+    }
+}
+
+void run_board::start_run(const run_key& key, run_record& r, time_point now)
+{
+    if (last_run_.size() > max_remembered_tasks)
+    {
+        last_run_.clear();
+    }
+    r.name.task = to_task_name(r.job, r.order);
+    auto& last = last_run_[r.name.task];
+    last = std::max(r.order.attempt, last + 1);
+    r.name.run = last;
+    r.state = run_state::starting;
+    r.started = now;
+    used_ += r.each;
+    by_name_[r.name] = key;
+    ++counts_.starts;
+    hooks_.start(r.name, r.payload);
+}
+
+void run_board::stop_run(run_record& r, run_outcome outcome)
+{
+    r.outcome = outcome;
+    if (r.state == run_state::stopping)
+    {
+        return;
+    }
+    r.state = run_state::stopping;
+    r.stop_taken = false;
+    hooks_.stop(r.name);
+}
+
+void run_board::finish(const run_key& key, run_outcome outcome, time_point now)
+{
+    const auto it = runs_.find(key);
+    const auto& r = it->second;
+    run_end end{r.order.id, outcome, 0, 0};
+    if (r.state == run_state::queued)
+    {
+        end.queued_us = (now - r.received).count();
+        std::erase_if(queue_, [&key](const queue_rank& q)
+                      { return std::get<run_key>(q) == key; });
+    }
+    else
+    {
+        end.queued_us = (r.started - r.received).count();
+        end.run_us = (now - r.started).count();
+        used_ -= r.each;
+        by_name_.erase(r.name);
+    }
+    switch (outcome)
+    {
+    case run_outcome::done:
+        ++counts_.done;
+        break;
+    case run_outcome::failed:
+        ++counts_.failed;
+        break;
+    case run_outcome::stopped:
+        ++counts_.stopped;
+        break;
+    case run_outcome::stalled:
+        ++counts_.stalled;
+        break;
+    case run_outcome::not_run:
+    case run_outcome::past_deadline:
+        ++counts_.not_run;
+        break;
+    }
+    if (outcome != run_outcome::done)
+    {
+        log(log_level::info, r,
+            std::string("order ended ") + to_word(outcome) + ", queued " +
+                ms_text(duration(end.queued_us)) + ", ran " +
+                ms_text(duration(end.run_us)));
+    }
+    const bool wanted = r.wanted;
+    runs_.erase(it);
+    if (wanted)
+    {
+        hooks_.report(key.first, end);
+    }
+}
+
+// ----- answers of the target -----
+
+void run_board::on_start_answer(const run_name& name, start_answer answer,
+                                time_point now)
+{
+    const auto it = by_name_.find(name);
+    if (it == by_name_.end())
+    {
+        return;
+    }
+    const auto key = it->second;
+    auto& r = runs_.at(key);
+    if (r.state != run_state::starting)
+    {
+        return; // it is being stopped, or was listed already
+    }
+    switch (answer)
+    {
+    case start_answer::accepted:
+        r.state = run_state::running;
+        r.settled_at = now;
+        return;
+    case start_answer::unknown:
+        ++counts_.unanswered_starts;
+        log(log_level::warning, r, "start was not answered, stopping it");
+        watch_.on_bad(now);
+        stop_run(r, run_outcome::not_run);
+        return;
+    case start_answer::superseded:
+        log(log_level::info, r, "a higher run was here, numbering anew");
+        [[fallthrough]];
+    case start_answer::no_room:
+        used_ -= r.each;
+        by_name_.erase(it);
+        r.state = run_state::queued;
+        enqueue(key, r, now);
+        return;
+    case start_answer::expired:
+    case start_answer::fenced:
+    case start_answer::refused:
+        watch_.on_bad(now);
+        finish(key, run_outcome::not_run, now);
+        return;
+    }
+}
+
+void run_board::on_stop_answer(const run_name& name, bool taken, time_point now)
+{
+    const auto it = by_name_.find(name);
+    if (it == by_name_.end())
+    {
+        return;
+    }
+    auto& r = runs_.at(it->second);
+    r.settled_at = now;
+    r.stop_taken = taken;
+}
+
+void run_board::on_listing(const lease_answer& listing, time_point asked_at,
+                           time_point now)
+{
+    take_ends(listing.ended, now);
+    take_running(listing, asked_at, now);
+    check_missing(listing, asked_at, now);
+    tick(now);
+}
+
+void run_board::take_ends(const std::vector<listed_end>& ended, time_point now)
+{
+    for (const auto& e : ended)
+    {
+        const auto it = by_name_.find(e.name);
+        if (it == by_name_.end())
+        {
+            continue;
+        }
+        const auto key = it->second;
+        const auto& r = runs_.at(key);
+        switch (e.how)
+        {
+        case listed_how::done:
+            watch_.on_done(now - r.started, duration(r.order.expected_us),
+                           now);
+            finish(key, run_outcome::done, now);
+            break;
+        case listed_how::failed:
+            watch_.on_bad(now);
+            finish(key, run_outcome::failed, now);
+            break;
+        case listed_how::stopped:
+            finish(key,
+                   r.state == run_state::stopping &&
+                           r.outcome != run_outcome::not_run
+                       ? r.outcome
+                       : run_outcome::stopped,
+                   now);
+            break;
+        }
+    }
+}
+
+void run_board::take_running(const lease_answer& listing, time_point asked_at,
+                             time_point now)
+{
+    for (const auto& it : listing.running)
+    {
+        const auto found = by_name_.find(it.name);
+        if (found == by_name_.end())
+        {
+            // Started by an agent before this one, or carried out late.
+            hooks_.stop(it.name);
+            continue;
+        }
+        auto& r = runs_.at(found->second);
+        r.percent = it.percent;
+        if (r.state == run_state::starting)
+        {
+            r.state = run_state::running;
+            r.settled_at = now;
+        }
+        if (r.state == run_state::running &&
+            is_stalled({asked_at - r.started, duration(r.order.expected_us),
+                        it.percent}))
+        {
+            log(log_level::warning, r,
+                "stalled at " + std::to_string(it.percent) + " % after " +
+                    ms_text(asked_at - r.started) + ", expected " +
+                    ms_text(duration(r.order.expected_us)));
+            watch_.on_bad(now);
+            stop_run(r, run_outcome::stalled);
+        }
+    }
+}
+
+// A run that was settled before the list was asked for, and is in neither
+// list, does not run.
+void run_board::check_missing(const lease_answer& listing, time_point asked_at,
+                              time_point now)
+{
+    std::set<run_name> listed;
+    for (const auto& it : listing.running)
+    {
+        listed.insert(it.name);
+    }
+    std::vector<std::pair<run_key, run_outcome>> missing;
+    for (const auto& [name, key] : by_name_)
+    {
+        const auto& r = runs_.at(key);
+        const bool settled =
+            (r.state == run_state::running ||
+             (r.state == run_state::stopping && r.stop_taken)) &&
+            r.settled_at < asked_at;
+        if (settled && listed.count(name) == 0)
+        {
+            missing.emplace_back(key, r.state == run_state::stopping
+                                          ? r.outcome
+                                          : run_outcome::stopped);
+        }
+    }
+    for (const auto& [key, outcome] : missing)
+    {
+        finish(key, outcome, now);
+    }
+}
+
+void run_board::tick(time_point now)
+{
+    for (auto& [name, key] : by_name_)
+    {
+        auto& r = runs_.at(key);
+        if (r.state == run_state::stopping && !r.stop_taken &&
+            r.settled_at != time_point() &&
+            now - r.settled_at > stop_again_after)
+        {
+            r.settled_at = now;
+            hooks_.stop(name);
+        }
+    }
+    start_next(now);
+}
+
+// ----- lookup -----
+
+target_load run_board::load(time_point now) const
+{
+    target_load out;
+    out.used = used_;
+    out.suspect = watch_.suspect(now);
+    out.slowdown = watch_.slowdown(now);
+    int64_t expected = 0;
+    for (const auto& [key, r] : runs_)
+    {
+        expected += r.order.expected_us;
+        if (r.state == run_state::queued)
+        {
+            const bool late = now + duration(r.order.expected_us) > r.objective;
+            out.queued_cpu_millis[late ? priority_bands - 1
+                                       : to_band(r.priority)] +=
+                r.each.cpu_millis;
+        }
+    }
+    if (!runs_.empty())
+    {
+        out.mean_run_us = static_cast<int64_t>(
+            out.slowdown * static_cast<double>(expected) /
+            static_cast<double>(runs_.size()));
+    }
+    return out;
+}
+
+std::size_t run_board::running() const noexcept
+{
+    return by_name_.size();
+}
+
+std::size_t run_board::queued() const noexcept
+{
+    return queue_.size();
+}
+
+const run_board_counts& run_board::counts() const noexcept
+{
+    return counts_;
+}
+
+void run_board::log(log_level level, const run_record& r,
+                    std::string text) const
+{
+    log_record out;
+    out.level = level;
+    out.text = std::move(text);
+    out.step = "run";
+    out.submission = r.job;
+    out.task = static_cast<int32_t>(r.order.index);
+    hooks_.log(out);
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/fleet/src/run_watch.cpp
@@ -0,0 +1,122 @@
+#include <agatebank/fleet/run_watch.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace agatebank
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Ends that the judgement rests on.
+constexpr std::size_t sample_count = 8;
+constexpr std::size_t least_samples = 4;
+/// Share of bad ends above which a target is suspect; sound targets fail
+/// less than one run in a hundred.
+constexpr double suspect_share = 0.6;
+/// Older ends say nothing of the target now.
+constexpr duration sample_age = 4s;
+
+/// Weight of one run in the slowdown.
+constexpr double slowdown_weight = 0.15;
+/// A single run counts at most as this ratio (logarithm).
+constexpr double ratio_limit = 2.0;
+/// Run times vary by a fifth; less than this ratio is not told from that.
+constexpr double least_slowdown = 1.5;
+/// Without new runs the belief in a slowdown fades in this time.
+constexpr duration slowdown_fade = 2s;
+
+/// A run gets this time beyond its expectation before it is judged.
+constexpr double judged_after = 1.5;
+constexpr duration judged_after_more = 120ms;
+/// Remaining time here over a whole run elsewhere that makes it worth the
+/// work lost.
+constexpr double restart_gain = 1.5;
+constexpr duration restart_cost = 100ms;
+
+duration scale(duration d, double factor)
+{
+    return duration(
+        static_cast<int64_t>(static_cast<double>(d.count()) * factor));
+}
+
+} // namespace
+
+void run_watch::add(bool bad, time_point now)
+{
+    samples_.push_back({now, bad});
+    while (samples_.size() > sample_count)
+    {
+        samples_.pop_front();
+    }
+}
+
+void run_watch::on_done(duration measured, duration expected, time_point now)
+{
+    if (suspect(now))
+    {
+        samples_.clear();
+    }
+    add(false, now);
+    if (expected.count() <= 0 || measured.count() <= 0)
+    {
+        return;
+    }
+    const double ratio = static_cast<double>(measured.count()) /
+                         static_cast<double>(expected.count());
+    const double x = std::clamp(std::log(ratio), -ratio_limit, ratio_limit);
+    log_slowdown_ += slowdown_weight * (x - log_slowdown_);
+    slowdown_at_ = now;
+}
+
+void run_watch::on_bad(time_point now)
+{
+    add(true, now);
+}
+
+void run_watch::reset()
+{
+    *this = run_watch();
+}
+
+bool run_watch::suspect(time_point now) const
+{
+    std::size_t n = 0;
+    std::size_t bad = 0;
+    for (const auto& it : samples_)
+    {
+        if (now - it.at <= sample_age)
+        {
+            ++n;
+            bad += it.bad ? 1 : 0;
+        }
+    }
+    return n >= least_samples &&
+           static_cast<double>(bad) > suspect_share * static_cast<double>(n);
+}
+
+double run_watch::slowdown(time_point now) const
+{
+    const double age = std::chrono::duration<double>(now - slowdown_at_) /
+                       std::chrono::duration<double>(slowdown_fade);
+    const double ratio = std::exp(log_slowdown_ * std::exp(-std::max(0., age)));
+    return ratio < least_slowdown ? 1 : ratio;
+}
+
+bool is_stalled(const run_progress& progress)
+{
+    if (progress.age <
+        scale(progress.expected, judged_after) + judged_after_more)
+    {
+        return false;
+    }
+    const double done = std::max(1, progress.percent) / 100.0;
+    const auto left = scale(progress.age, (1 - done) / done);
+    return left > scale(progress.expected, restart_gain) + restart_cost;
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/fleet/src/target_board.cpp
@@ -0,0 +1,103 @@
+#include <agatebank/fleet/target_board.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace agatebank
+{
+
+target_record::target_record(target_profile profile)
+    : profile_(std::move(profile))
+{
+}
+
+bool target_record::set_load(const target_load& load)
+{
+    const bool changed = load.accepts_work != load_.accepts_work ||
+                         load.suspect != load_.suspect;
+    load_ = load;
+    while (!unseen_.empty() &&
+           unseen_.begin()->first.value() <= load.orders_seen)
+    {
+        unseen_cpu_ -= unseen_.begin()->second.each.cpu_millis;
+        unseen_.erase(unseen_.begin());
+    }
+    return changed;
+}
+
+void target_record::add_order(order_id id, const room& each, std::size_t band)
+{
+    unseen_[id] = {each, band};
+    unseen_cpu_ += each.cpu_millis;
+}
+
+void target_record::remove_order(order_id id)
+{
+    const auto it = unseen_.find(id);
+    if (it != unseen_.end())
+    {
+        unseen_cpu_ -= it->second.each.cpu_millis;
+        unseen_.erase(it);
+    }
+}
+
+void target_record::set_next_probe(time_point t)
+{
+    next_probe_ = t;
+}
+
+const target_profile& target_record::profile() const noexcept
+{
+    return profile_;
+}
+
+const target_load& target_record::load() const noexcept
+{
+    return load_;
+}
+
+bool target_record::has_label(const std::string& label) const
+{
+    const auto& labels = profile_.labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+duration target_record::expected_wait(const room& each, std::size_t band,
+                                      int64_t extra_cpu_millis) const
+{
+    const int64_t capacity = std::max<int64_t>(1, profile_.capacity.cpu_millis);
+    int64_t ahead = load_.used.cpu_millis + unseen_cpu_ + extra_cpu_millis;
+    for (std::size_t i = 0; i <= band; ++i)
+    {
+        ahead += load_.queued_cpu_millis[i];
+    }
+    const int64_t excess = ahead + each.cpu_millis - capacity;
+    if (excess <= 0)
+    {
+        return duration(0);
+    }
+    // A full target frees its whole capacity once in a mean run.
+    return duration(static_cast<int64_t>(static_cast<double>(excess) /
+                                         static_cast<double>(capacity) *
+                                         static_cast<double>(
+                                             load_.mean_run_us)));
+}
+
+double target_record::utilisation() const
+{
+    int64_t cpu = load_.used.cpu_millis + unseen_cpu_;
+    for (const auto it : load_.queued_cpu_millis)
+    {
+        cpu += it;
+    }
+    return static_cast<double>(cpu) /
+           static_cast<double>(
+               std::max<int64_t>(1, profile_.capacity.cpu_millis));
+}
+
+bool target_record::may_probe(time_point now) const
+{
+    return now >= next_probe_;
+}
+
+} // namespace agatebank
--- a/packages/http/include/agatebank/http/http_server.hpp
+++ b/packages/http/include/agatebank/http/http_server.hpp
@@ -59,6 +59,12 @@
     void route(const std::string& method, const std::string& pattern,
                http_handler handler);
 
+    /// @brief Sets the handler of all requests that no route matches.
+    void route_rest(http_handler handler);
+    /// @brief Sets what is called with the number of a request whose client
+    /// closed its connection before the answer. At most once a request.
+    void on_abandoned(std::function<void(uint64_t)> handler);
+
     // life time
     /// @brief Starts listening. @return the port
     result<uint16_t> listen();
@@ -95,6 +101,9 @@
     http_server_options options_;
     object_ptr<SoupServer> server_;
     std::vector<route_entry> routes_;
+    http_handler rest_;
+    std::function<void(uint64_t)> abandoned_;
+    uint64_t last_number_ = 0;
     std::map<SoupServerMessage*, watch> read_timers_;
     std::shared_ptr<std::size_t> in_flight_;
 };
--- a/packages/http/src/http_server.cpp
+++ b/packages/http/src/http_server.cpp
@@ -4,6 +4,9 @@
 #include <optional>
 #include <utility>
 
+#include <cerrno>
+#include <sys/socket.h>
+
 namespace agatebank
 {
 
@@ -203,12 +206,64 @@
     object_ptr<SoupServerMessage> message;
     bool closed = false;
     bool answered = false;
+    uint64_t number = 0;
+    std::function<void(uint64_t)> abandoned;
+    source_ptr peer_watch; ///< libsoup reads nothing while a request waits
     gulong finished_handler = 0;
     gulong disconnected_handler = 0;
 
     static void on_closed(SoupServerMessage*, gpointer data)
     {
-        static_cast<exchange*>(data)->closed = true;
+        auto* self = static_cast<exchange*>(data);
+        self->closed = true;
+        self->peer_watch.reset();
+        self->tell_abandoned();
+    }
+
+    void tell_abandoned()
+    {
+        const auto fn = std::exchange(abandoned, nullptr);
+        if (fn && !answered)
+        {
+            fn(number);
+        }
+    }
+
+    // Calls back when the client closes its connection before the answer.
+    void watch_peer(std::function<void(uint64_t)> fn)
+    {
+        GSocket* socket = soup_server_message_get_socket(message.get());
+        if (!fn || socket == nullptr)
+        {
+            return;
+        }
+        abandoned = std::move(fn);
+        peer_watch.reset(g_socket_create_source(socket, G_IO_IN, nullptr));
+        g_source_set_callback(peer_watch.get(), G_SOURCE_FUNC(on_peer_readable),
+                              this, nullptr);
+        g_source_attach(peer_watch.get(), nullptr);
+    }
+
+    static gboolean on_peer_readable(GSocket* socket, GIOCondition,
+                                     gpointer data)
+    {
+        auto* self = static_cast<exchange*>(data);
+        char byte = 0;
+        const auto n = ::recv(g_socket_get_fd(socket), &byte, 1,
+                              MSG_PEEK | MSG_DONTWAIT);
+        const bool open =
+            n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
+        if (open && n < 0)
+        {
+            return G_SOURCE_CONTINUE;
+        }
+        // A pipelined request waits in the socket: its end can't be seen.
+        const source_ptr keep = std::move(self->peer_watch);
+        if (!open)
+        {
+            self->tell_abandoned();
+        }
+        return G_SOURCE_REMOVE;
     }
 
     explicit exchange(SoupServerMessage* m) : message(share_object(m))
@@ -259,6 +314,16 @@
     routes_.push_back({method, split_path(pattern), std::move(handler)});
 }
 
+void http_server::route_rest(http_handler handler)
+{
+    rest_ = std::move(handler);
+}
+
+void http_server::on_abandoned(std::function<void(uint64_t)> handler)
+{
+    abandoned_ = std::move(handler);
+}
+
 result<uint16_t> http_server::listen()
 {
     auto flags = static_cast<SoupServerListenOptions>(0);
@@ -337,7 +402,10 @@
     }
     soup_server_message_pause(message);
     auto ex = std::make_shared<exchange>(message);
-    self->dispatch(ex, read_request(message, path, query));
+    auto request = read_request(message, path, query);
+    request.number = ex->number = ++self->last_number_;
+    ex->watch_peer(self->abandoned_);
+    self->dispatch(ex, std::move(request));
 }
 
 void http_server::dispatch(const std::shared_ptr<exchange>& ex,
@@ -359,6 +427,11 @@
             return;
         }
     }
+    if (rest_)
+    {
+        rest_(request, responder);
+        return;
+    }
     responder(problem_response(
         path_known ? 405 : 404,
         {make_error_code(errc::not_found), step_receive, {}, request.path},
@@ -378,6 +451,7 @@
             return;
         }
         ex->answered = true;
+        ex->peer_watch.reset();
         write_response(ex->message.get(), r);
         soup_server_message_unpause(ex->message.get());
     };
--- a/packages/loop/include/agatebank/loop/event_loop.hpp
+++ b/packages/loop/include/agatebank/loop/event_loop.hpp
@@ -34,7 +34,8 @@
     void quit();
 
     // time
-    /// @brief Time of the monotonic clock.
+    /// @brief Time of a clock that never goes back and goes on while the
+    /// machine is suspended.
     time_point now() const;
 
     // callbacks
--- a/packages/loop/src/event_loop.cpp
+++ b/packages/loop/src/event_loop.cpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <utility>
 
+#include <time.h>
+
 namespace agatebank
 {
 
@@ -68,7 +70,11 @@
 
 time_point event_loop::now() const
 {
-    return time_point(duration(g_get_monotonic_time()));
+    // Counts the time in which the machine was suspended.
+    timespec t{};
+    clock_gettime(CLOCK_BOOTTIME, &t);
+    return time_point(std::chrono::duration_cast<duration>(
+        std::chrono::seconds(t.tv_sec) + std::chrono::nanoseconds(t.tv_nsec)));
 }
 
 watch event_loop::after(duration delay, callback fn)
--- /dev/null
+++ b/packages/node/include/agatebank/node/node_context.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <agatebank/core/hybrid_clock.hpp>
+#include <agatebank/core/log.hpp>
+#include <agatebank/loop/event_loop.hpp>
+#include <agatebank/loop/timer_queue.hpp>
+#include <agatebank/wire/authenticator.hpp>
+#include <agatebank/wire/endpoint_dialer.hpp>
+#include <agatebank/wire/messages.hpp>
+#include <agatebank/wire/tcp_link.hpp>
+
+namespace agatebank
+{
+
+/// @brief What both kinds of node have from their process.
+struct node_context
+{
+    event_loop& loop;
+    timer_queue& timers;
+    hybrid_clock& clock;
+    const authenticator& auth;
+    log_sink log;
+    random_source random;
+    process_identity self;
+};
+
+/// @brief Period and silence of links between entries and agents. An agent
+/// stops an entry's runs after that silence, so a caller that sends its job
+/// again 1.3 s after a broken connection finds them stopped.
+inline link_options node_link_options()
+{
+    link_options o;
+    o.heartbeat_period = std::chrono::milliseconds(200);
+    o.silence_timeout = std::chrono::milliseconds(800);
+    return o;
+}
+
+/// @brief Longest time between two tries to reach a process.
+constexpr duration longest_dial_delay = std::chrono::milliseconds(600);
+
+/// @brief A log line without a request.
+inline log_record to_line(log_level level, std::string text, std::string step,
+                          std::string peer = {})
+{
+    log_record r;
+    r.level = level;
+    r.text = std::move(text);
+    r.step = std::move(step);
+    r.peer = std::move(peer);
+    return r;
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/node/src/agent_node.cpp
@@ -0,0 +1,533 @@
+#include <agatebank/node/agent_node.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace agatebank
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr const char* step_link = "link";
+constexpr const char* step_target = "target";
+constexpr const char* step_lease = "lease";
+constexpr const char* step_process = "process";
+
+/// An entry hears of a changed load at most this often.
+constexpr duration load_period = 25ms;
+constexpr duration timer_period = 50ms;
+/// A call to the lists waits this long for an end; a quarter of the lease.
+constexpr duration lease_wait = 250ms;
+/// Between two calls after one that failed at once.
+constexpr duration lease_retry = 40ms;
+/// A start that reaches the target later than this is refused by it.
+constexpr duration start_validity = 500ms;
+/// The token after a fence: a day of milliseconds further, then twice that.
+constexpr uint64_t first_token_step = 86'400'000;
+/// Runs that have not ended by then would be killed with the process.
+constexpr duration stop_limit = 5400ms;
+/// Reports and callers' connections need this after the last run.
+constexpr duration stop_linger = 300ms;
+
+order_source to_source(link_id link)
+{
+    return order_source(link.value());
+}
+
+target_time add(target_time t, duration d)
+{
+    return target_time(
+        t.value() +
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
+} // namespace
+
+agent_node::agent_node(node_context context, agent_node_settings settings,
+                       target_port port)
+    : context_(std::move(context))
+    , settings_(std::move(settings))
+    , port_(std::move(port))
+    , board_({[this](const run_name& n, const std::string& p)
+              { start_run(n, p); },
+              [this](const run_name& n) { stop_run(n); },
+              [this](order_source s, const run_end& e) { queue_end(s, e); },
+              context_.log})
+    , hub_({context_.loop, context_.clock, context_.auth, node_link_options(),
+            [] { return config_version(); }},
+           {[this](link_id l, message&& m) { on_message(l, std::move(m)); },
+            {},
+            [this](link_id l, const failure& f) { on_closed(l, f); }})
+    , dialer_(
+          context_.timers, {}, context_.random, context_.log,
+          [this](std::size_t i, object_ptr<GSocketConnection> c)
+          { on_connected(i, std::move(c)); },
+          longest_dial_delay)
+    , lease_(settings_.lease)
+    , token_(static_cast<uint64_t>(g_get_real_time()) / 1000)
+    , token_step_(first_token_step)
+{
+}
+
+// ----- life time -----
+
+void agent_node::start()
+{
+    last_timer_ = context_.loop.now();
+    for (const auto& it : settings_.seeds)
+    {
+        learn_entry({it.address, it.port});
+    }
+    timer_ = context_.loop.every(timer_period, [this] { on_timer(); });
+}
+
+void agent_node::begin_stop(std::function<void()> done)
+{
+    stopping_ = true;
+    stop_began_ = context_.loop.now();
+    stopped_ = std::move(done);
+    context_.log(to_line(log_level::info,
+                         "stopping with " + std::to_string(board_.running()) +
+                             " runs",
+                         step_process));
+    renew_open();
+    schedule_flush();
+}
+
+void agent_node::on_timer()
+{
+    const auto now = context_.loop.now();
+    const auto pause = now - std::exchange(last_timer_, now);
+    if (pause > node_link_options().silence_timeout)
+    {
+        context_.log(to_line(log_level::warning,
+                             "paused for " +
+                                 std::to_string(pause.count() / 1000) + " ms",
+                             step_process));
+    }
+    board_.tick(now);
+    const bool lapsed = lease_.lapsed(now);
+    if (lapsed && !runs_gone_)
+    {
+        runs_gone_ = true;
+        board_.on_runs_gone("the lease has lapsed", now);
+    }
+    renew_open();
+    schedule_flush();
+    if (stopping_ && stopped_)
+    {
+        const auto age = now - stop_began_;
+        if ((board_.running() == 0 && age > stop_linger) || age > stop_limit)
+        {
+            context_.timers.schedule(50ms, std::exchange(stopped_, nullptr));
+        }
+    }
+}
+
+// ----- announcements -----
+
+void agent_node::on_announcement(const target_announcement& a)
+{
+    const bool known = target_ && target_->life == a.life &&
+                       target_->profile.target == a.profile.target;
+    if (target_ && (a.life < target_->life ||
+                    (known && a.sequence <= target_->sequence)))
+    {
+        return; // delayed, of an earlier life or overtaken
+    }
+    if (!known)
+    {
+        begin_life(a);
+        return;
+    }
+    const bool changed = target_->draining != a.draining;
+    target_ = a;
+    if (changed)
+    {
+        context_.log(to_line(log_level::info,
+                             a.draining ? "target is draining"
+                                        : "target is ready",
+                             step_target, a.profile.target));
+        renew_open();
+        schedule_flush();
+    }
+}
+
+void agent_node::on_withdrawal(const std::string& target)
+{
+    if (target_ && target_->profile.target == target)
+    {
+        context_.log(
+            to_line(log_level::info, "target ends", step_target, target));
+        target_->draining = true;
+        renew_open();
+        schedule_flush();
+    }
+}
+
+void agent_node::begin_life(const target_announcement& a)
+{
+    const auto now = context_.loop.now();
+    context_.log(to_line(
+        log_level::info,
+        "target begins life " + std::to_string(a.life.value()) + ", kind " +
+            a.profile.kind + ", cpu " +
+            std::to_string(a.profile.capacity.cpu_millis) + " m",
+        step_target, a.profile.target));
+    const bool first = !target_;
+    target_ = a;
+    lease_.reset();
+    seen_ = {};
+    board_.set_open(false, now);
+    board_.on_runs_gone("the target began a new life", now);
+    runs_gone_ = true;
+    board_.set_capacity(a.profile.capacity, now);
+    port_.set_peer(a.profile.target, token_);
+    hello_all();
+    if (first)
+    {
+        extend_lease();
+    }
+}
+
+// ----- lease -----
+
+void agent_node::schedule_lease(duration delay)
+{
+    lease_timer_ = context_.loop.after(delay, [this] { extend_lease(); });
+}
+
+void agent_node::extend_lease()
+{
+    const auto now = context_.loop.now();
+    lease_request rq;
+    rq.seen = seen_;
+    const auto clock = lease_.clock(now);
+    if (clock && lease_.may_extend(now))
+    {
+        rq.lease_until = add(*clock, lease_.longest());
+        rq.wait = was_in_touch_ ? lease_wait : duration(0);
+        lease_.on_sent(now);
+        runs_gone_ = false;
+    }
+    const auto life = target_->life;
+    port_.extend_lease(
+        rq,
+        [this, now, life](tl::expected<lease_answer, lease_failure> a)
+        {
+            if (life != target_->life)
+            {
+                schedule_lease(duration(0));
+                return;
+            }
+            if (a)
+            {
+                on_lease_answer(*a, now);
+            }
+            else
+            {
+                on_lease_failure(a.error(), now);
+            }
+        });
+}
+
+void agent_node::on_lease_answer(const lease_answer& a, time_point sent)
+{
+    const auto now = context_.loop.now();
+    if (a.life != target_->life)
+    {
+        // The announcement of the new life is still to come.
+        board_.set_open(false, now);
+        board_.on_runs_gone("the target began a new life", now);
+        was_in_touch_ = false;
+        schedule_lease(lease_retry);
+        schedule_flush();
+        return;
+    }
+    if (!was_in_touch_)
+    {
+        context_.log(to_line(log_level::info, "target is in touch", step_lease,
+                             target_->profile.target));
+    }
+    was_in_touch_ = true;
+    lease_.on_answer(a.clock, sent, now);
+    for (const auto& it : a.ended)
+    {
+        seen_ = std::max(seen_, it.position);
+    }
+    board_.on_listing(a, sent, now);
+    renew_open();
+    schedule_flush();
+    schedule_lease(duration(0));
+}
+
+void agent_node::on_lease_failure(const lease_failure& f, time_point sent)
+{
+    const auto now = context_.loop.now();
+    if (was_in_touch_)
+    {
+        context_.log(to_record(log_level::warning, f.reason));
+    }
+    was_in_touch_ = false;
+    (void)sent;
+    switch (f.trouble)
+    {
+    case lease_trouble::fenced:
+        raise_token();
+        break;
+    case lease_trouble::gone:
+        lease_.reset();
+        board_.set_open(false, now);
+        board_.on_runs_gone("nothing listens at the target", now);
+        break;
+    case lease_trouble::no_answer:
+    case lease_trouble::other_life:
+    case lease_trouble::refused:
+        break;
+    }
+    renew_open();
+    schedule_flush();
+    schedule_lease(lease_retry);
+}
+
+void agent_node::raise_token()
+{
+    token_ += token_step_;
+    token_step_ *= 2;
+    context_.log(to_line(log_level::warning,
+                         "fenced, token raised to " + std::to_string(token_),
+                         step_lease, target_->profile.target));
+    port_.set_peer(target_->profile.target, token_);
+}
+
+void agent_node::renew_open()
+{
+    const auto now = context_.loop.now();
+    board_.set_open(target_ && !target_->draining && !stopping_ &&
+                        lease_.in_touch(now),
+                    now);
+}
+
+// ----- runs -----
+
+void agent_node::start_run(const run_name& name, const std::string& payload)
+{
+    const auto clock = lease_.clock(context_.loop.now());
+    const auto life = target_->life;
+    port_.start({name, payload,
+                 add(clock.value_or(target_time()), start_validity)},
+                [this, name, life](start_answer a)
+                {
+                    if (life == target_->life)
+                    {
+                        board_.on_start_answer(name, a, context_.loop.now());
+                        schedule_flush();
+                    }
+                });
+}
+
+void agent_node::stop_run(const run_name& name)
+{
+    const auto life = target_->life;
+    port_.stop(name,
+               [this, name, life](bool taken)
+               {
+                   if (life == target_->life)
+                   {
+                       board_.on_stop_answer(name, taken, context_.loop.now());
+                   }
+               });
+}
+
+// ----- links -----
+
+void agent_node::on_connected(std::size_t position,
+                              object_ptr<GSocketConnection> connection)
+{
+    const auto link = hub_.add(std::move(connection));
+    dialled_[position] = link;
+    entries_[link] = {};
+    dialer_.reset(position);
+    context_.log(to_line(log_level::info, "linked with an entry", step_link,
+                         dialer_.entries()[position].to_string()));
+    if (target_)
+    {
+        hello(link);
+    }
+}
+
+void agent_node::on_message(link_id link, message&& m)
+{
+    const auto found = entries_.find(link);
+    if (found == entries_.end())
+    {
+        return;
+    }
+    const auto now = context_.loop.now();
+    if (const auto* batch = std::get_if<run_batch>(&m))
+    {
+        for (const auto& it : batch->orders)
+        {
+            found->second.orders_seen =
+                std::max(found->second.orders_seen, it.id.value());
+        }
+        board_.on_batch(to_source(link), *batch, now);
+        schedule_flush();
+    }
+    else if (const auto* cancel = std::get_if<cancel_runs>(&m))
+    {
+        board_.on_cancel(to_source(link), cancel->orders, now);
+        schedule_flush();
+    }
+    else if (const auto* entries = std::get_if<known_entries>(&m))
+    {
+        for (const auto& it : entries->entries)
+        {
+            learn_entry(it);
+        }
+    }
+}
+
+void agent_node::on_closed(link_id link, const failure& why)
+{
+    context_.log(to_record(log_level::warning, why));
+    entries_.erase(link);
+    for (auto it = dialled_.begin(); it != dialled_.end(); ++it)
+    {
+        if (it->second == link)
+        {
+            const auto position = it->first;
+            dialled_.erase(it);
+            dialer_.dial_later(position);
+            break;
+        }
+    }
+    board_.on_source_lost(to_source(link), context_.loop.now());
+    schedule_flush();
+}
+
+void agent_node::learn_entry(const entry_address& entry)
+{
+    if (!roster_.add(entry))
+    {
+        return;
+    }
+    dialer_.dial(dialer_.add({entry.address, entry.port}));
+    for (const auto& [link, e] : entries_)
+    {
+        hub_.send(link, roster_.to_message());
+    }
+}
+
+target_load agent_node::load_for(const entry_link& e) const
+{
+    const auto now = context_.loop.now();
+    auto load = board_.load(now);
+    load.accepts_work = target_ && !target_->draining && !stopping_ &&
+                        lease_.in_touch(now);
+    load.orders_seen = e.orders_seen;
+    return load;
+}
+
+void agent_node::hello(link_id link)
+{
+    auto& e = entries_.at(link);
+    e.told = load_for(e);
+    hub_.send(link, target_hello{context_.self, target_->profile, e.told});
+    hub_.send(link, roster_.to_message());
+}
+
+void agent_node::hello_all()
+{
+    for (const auto& [link, e] : entries_)
+    {
+        hello(link);
+    }
+}
+
+void agent_node::queue_end(order_source to, const run_end& end)
+{
+    const auto it = entries_.find(link_id(to.value()));
+    if (it != entries_.end())
+    {
+        it->second.ends.push_back(end);
+        schedule_flush();
+    }
+}
+
+// Ends leave at once, with the load that they make; the load alone is told
+// once in its period.
+void agent_node::schedule_flush()
+{
+    if (!flush_pending_)
+    {
+        flush_pending_ = true;
+        context_.loop.defer(
+            [this]
+            {
+                flush_pending_ = false;
+                flush();
+            });
+    }
+}
+
+void agent_node::flush()
+{
+    if (!target_)
+    {
+        return;
+    }
+    bool told_later = false;
+    for (auto& [link, e] : entries_)
+    {
+        const bool has_ends = !e.ends.empty();
+        if (has_ends)
+        {
+            hub_.send(link, run_ends{std::exchange(e.ends, {})});
+        }
+        const auto load = load_for(e);
+        if (load == e.told)
+        {
+            continue;
+        }
+        const bool urgent = load.accepts_work != e.told.accepts_work;
+        if (has_ends || urgent || !load_timer_)
+        {
+            hub_.send(link, target_update{load});
+            e.told = load;
+        }
+        told_later = true;
+    }
+    if (told_later && !load_timer_)
+    {
+        load_timer_ = context_.loop.after(load_period,
+                                          [this]
+                                          {
+                                              load_timer_.reset();
+                                              schedule_flush();
+                                          });
+    }
+}
+
+// ----- lookup -----
+
+bool agent_node::ready() const
+{
+    return target_ && was_in_touch_ && !entries_.empty();
+}
+
+const run_board& agent_node::board() const noexcept
+{
+    return board_;
+}
+
+const link_hub& agent_node::links() const noexcept
+{
+    return hub_;
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/node/src/entry_node.cpp
@@ -0,0 +1,414 @@
+#include <agatebank/node/entry_node.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace agatebank
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr const char* step_configuration = "configuration";
+constexpr const char* step_link = "link";
+constexpr const char* step_process = "process";
+
+/// Period of deadlines, lost tasks and the check for a pause.
+constexpr duration timer_period = 20ms;
+/// Agents stop an entry's runs after this silence; an entry that was paused
+/// for it must not count on them.
+const duration trusted_pause = node_link_options().silence_timeout;
+/// The balancer has noticed that this entry isn't ready (two misses at one a
+/// second), and open connections have brought what they had.
+constexpr duration stop_linger = 2500ms;
+/// Later the process would be killed with requests in hand.
+constexpr duration stop_limit = 5400ms;
+
+entry_address to_address(const endpoint& e)
+{
+    return {e.address, e.port};
+}
+
+} // namespace
+
+entry_node::entry_node(node_context context, entry_node_settings settings,
+                       entry_node_hooks hooks)
+    : context_(std::move(context))
+    , settings_(std::move(settings))
+    , hooks_(std::move(hooks))
+    , board_({std::chrono::milliseconds(1100), settings_.remote_data_factor},
+             {[this](agent_incarnation a, const run_batch& b)
+              { send_batch(a, b); },
+              [this](agent_incarnation a, const std::vector<order_id>& ids)
+              { send_cancel(a, ids); },
+              [this](job_key k, const job_outcome& o) { on_finish(k, o); },
+              context_.log})
+    , hub_({context_.loop, context_.clock, context_.auth, node_link_options(),
+            [this] { return routes_.version(); }},
+           {[this](link_id l, message&& m) { on_message(l, std::move(m)); },
+            [this](link_id l, const heartbeat& b) { on_heartbeat(l, b); },
+            [this](link_id l, const failure& f) { on_closed(l, f); }})
+    , listener_([this](object_ptr<GSocketConnection> c)
+                { hub_.add(std::move(c)); })
+    , dialer_(
+          context_.timers, {}, context_.random, context_.log,
+          [this](std::size_t i, object_ptr<GSocketConnection> c)
+          {
+              const auto link = hub_.add(std::move(c));
+              dialled_[i] = link;
+              hub_.send(link, peer_hello{context_.self});
+              hub_.send(link, roster_.to_message());
+          },
+          longest_dial_delay)
+{
+}
+
+// ----- life time -----
+
+result<void> entry_node::start()
+{
+    const auto port = listener_.listen(settings_.links);
+    if (!port)
+    {
+        return tl::unexpected(port.error());
+    }
+    roster_.add(to_address(settings_.links));
+    for (const auto& it : settings_.seeds)
+    {
+        learn_entry(to_address(it));
+    }
+    last_timer_ = context_.loop.now();
+    timer_ = context_.loop.every(timer_period, [this] { on_timer(); });
+    return {};
+}
+
+void entry_node::begin_stop(std::function<void()> done)
+{
+    stopping_ = true;
+    stop_began_ = context_.loop.now();
+    stopped_ = std::move(done);
+    context_.log(to_line(log_level::info,
+                         "stopping with " +
+                             std::to_string(board_.running_jobs()) + " jobs",
+                         step_process));
+}
+
+void entry_node::on_timer()
+{
+    const auto now = context_.loop.now();
+    const auto pause = now - std::exchange(last_timer_, now);
+    if (pause > trusted_pause)
+    {
+        context_.log(to_line(
+            log_level::warning,
+            "paused for " + std::to_string(pause.count() / 1000) +
+                " ms, giving up " + std::to_string(board_.running_jobs()) +
+                " jobs whose runs agents have stopped",
+            step_process));
+        board_.abandon_all("given up after a pause");
+    }
+    board_.tick(now);
+    if (stopping_)
+    {
+        finish_stop();
+    }
+}
+
+void entry_node::finish_stop()
+{
+    const auto age = context_.loop.now() - stop_began_;
+    if (age < stop_linger || (board_.running_jobs() != 0 && age < stop_limit))
+    {
+        return;
+    }
+    board_.abandon_all("given up at the end of the stop");
+    timer_.reset();
+    // The last answers are written before the loop ends.
+    context_.timers.schedule(50ms, std::exchange(stopped_, nullptr));
+}
+
+// ----- configuration -----
+
+void entry_node::offer_configuration(const std::string& text,
+                                     const char* source)
+{
+    auto read = hooks_.read_routes(text);
+    if (!read)
+    {
+        context_.log(to_record(log_level::error, read.error()));
+        return;
+    }
+    if (read->version() <= routes_.version())
+    {
+        return;
+    }
+    routes_ = std::move(*read);
+    configuration_text_ = text;
+    context_.log(to_line(
+        log_level::info,
+        "configuration " + std::to_string(routes_.version().value()) +
+            " in force, " + std::to_string(routes_.routes().size()) +
+            " routes, from " + source,
+        step_configuration));
+}
+
+const route_table& entry_node::routes() const noexcept
+{
+    return routes_;
+}
+
+// ----- jobs -----
+
+void entry_node::submit(uint64_t number, job_arrival arrival, answer done)
+{
+    if (const auto running = board_.find(arrival.id))
+    {
+        auto& caller = callers_[*running];
+        by_number_.erase(caller.number);
+        caller = {number, std::move(done)};
+        by_number_[number] = *running;
+        return;
+    }
+    const job_key key(++last_key_);
+    callers_[key] = {number, std::move(done)};
+    by_number_[number] = key;
+    board_.admit(key, std::move(arrival), context_.loop.now());
+}
+
+void entry_node::on_finish(job_key key, const job_outcome& outcome)
+{
+    const auto it = callers_.find(key);
+    if (it == callers_.end())
+    {
+        return;
+    }
+    const auto caller = std::move(it->second);
+    callers_.erase(it);
+    by_number_.erase(caller.number);
+    caller.done(outcome);
+}
+
+void entry_node::abandon(uint64_t number)
+{
+    const auto it = by_number_.find(number);
+    if (it == by_number_.end())
+    {
+        return;
+    }
+    const auto key = it->second;
+    by_number_.erase(it);
+    callers_.erase(key);
+    board_.cancel(key, "the caller closed its connection");
+}
+
+bool entry_node::cancel(const std::string& job_id)
+{
+    const auto key = board_.find(job_id);
+    if (!key)
+    {
+        return false;
+    }
+    board_.cancel(*key, "by the caller's request");
+    on_finish(*key, {job_result::gave_up, {}});
+    return true;
+}
+
+bool entry_node::is_running(const std::string& job_id) const
+{
+    return board_.find(job_id).has_value();
+}
+
+// ----- lookup -----
+
+bool entry_node::ready() const
+{
+    return !stopping_ && routes_.version().value() != 0 &&
+           std::any_of(board_.targets().begin(), board_.targets().end(),
+                       [](const auto& t)
+                       { return t.second.load().accepts_work; });
+}
+
+bool entry_node::stopping() const noexcept
+{
+    return stopping_;
+}
+
+const job_board& entry_node::board() const noexcept
+{
+    return board_;
+}
+
+const link_hub& entry_node::links() const noexcept
+{
+    return hub_;
+}
+
+// ----- links -----
+
+void entry_node::on_message(link_id link, message&& m)
+{
+    const auto now = context_.loop.now();
+    if (const auto* hello = std::get_if<target_hello>(&m))
+    {
+        on_target_hello(link, *hello);
+    }
+    else if (const auto* update = std::get_if<target_update>(&m))
+    {
+        const auto it = agents_.find(link);
+        if (it != agents_.end())
+        {
+            board_.set_load(it->second, update->load, now);
+        }
+    }
+    else if (const auto* ends = std::get_if<run_ends>(&m))
+    {
+        const auto it = agents_.find(link);
+        if (it != agents_.end())
+        {
+            const auto agent = it->second;
+            for (const auto& end : ends->ends)
+            {
+                board_.on_end(agent, end, now);
+            }
+        }
+    }
+    else if (const auto* entries = std::get_if<known_entries>(&m))
+    {
+        on_known_entries(*entries);
+    }
+    else if (std::holds_alternative<peer_hello>(m))
+    {
+        peers_.insert(link);
+        hub_.send(link, roster_.to_message());
+    }
+    else if (std::holds_alternative<configuration_query>(m))
+    {
+        hub_.send(link, configuration_document{routes_.version(),
+                                               configuration_text_});
+    }
+    else if (const auto* document = std::get_if<configuration_document>(&m))
+    {
+        if (!document->text.empty())
+        {
+            offer_configuration(document->text, "another entry");
+        }
+    }
+}
+
+void entry_node::on_heartbeat(link_id link, const heartbeat& beat)
+{
+    if (agents_.count(link) == 0 && beat.version > routes_.version())
+    {
+        hub_.send(link, configuration_query{});
+    }
+}
+
+void entry_node::on_closed(link_id link, const failure& why)
+{
+    peers_.erase(link);
+    for (auto it = dialled_.begin(); it != dialled_.end(); ++it)
+    {
+        if (it->second == link)
+        {
+            const auto position = it->first;
+            dialled_.erase(it);
+            dialer_.dial_later(position);
+            return;
+        }
+    }
+    const auto it = agents_.find(link);
+    if (it == agents_.end())
+    {
+        return;
+    }
+    const auto agent = it->second;
+    agents_.erase(it);
+    const auto current = agent_links_.find(agent);
+    if (current == agent_links_.end() || current->second != link)
+    {
+        return;
+    }
+    agent_links_.erase(current);
+    context_.log(to_record(log_level::warning, why));
+    board_.remove_target(agent, context_.loop.now());
+}
+
+void entry_node::on_target_hello(link_id link, const target_hello& hello)
+{
+    const auto now = context_.loop.now();
+    const agent_incarnation agent(hello.self.incarnation);
+    const auto known = agent_links_.find(agent);
+    if (known != agent_links_.end() && known->second != link)
+    {
+        const auto old = known->second;
+        agents_.erase(old);
+        hub_.close(old);
+        board_.remove_target(agent, now);
+    }
+    agents_[link] = agent;
+    agent_links_[agent] = link;
+    context_.log(to_line(log_level::info,
+                         "agent " + hello.self.name + " offers target " +
+                             hello.target.target,
+                         step_link, hello.self.name));
+    board_.put_target(agent, hello.target, now);
+    board_.set_load(agent, hello.load, now);
+    hub_.send(link, roster_.to_message());
+}
+
+void entry_node::on_known_entries(const known_entries& m)
+{
+    for (const auto& it : m.entries)
+    {
+        learn_entry(it);
+    }
+}
+
+void entry_node::learn_entry(const entry_address& entry)
+{
+    if (!roster_.add(entry))
+    {
+        return;
+    }
+    context_.log(to_line(log_level::info, "another entry is known", step_link,
+                         entry.address));
+    dialer_.dial(dialer_.add({entry.address, entry.port}));
+    broadcast_roster();
+}
+
+void entry_node::broadcast_roster()
+{
+    const auto m = roster_.to_message();
+    for (const auto& [link, agent] : agents_)
+    {
+        hub_.send(link, m);
+    }
+    for (const auto& [position, link] : dialled_)
+    {
+        hub_.send(link, m);
+    }
+}
+
+void entry_node::send_batch(agent_incarnation agent, const run_batch& batch)
+{
+    const auto it = agent_links_.find(agent);
+    if (it != agent_links_.end())
+    {
+        hub_.send(it->second, batch);
+    }
+}
+
+void entry_node::send_cancel(agent_incarnation agent,
+                             const std::vector<order_id>& orders)
+{
+    const auto it = agent_links_.find(agent);
+    if (it != agent_links_.end())
+    {
+        hub_.send(it->second, cancel_runs{orders});
+    }
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/node/src/target_lease.cpp
@@ -0,0 +1,79 @@
+#include <agatebank/node/target_lease.hpp>
+
+#include <algorithm>
+
+namespace agatebank
+{
+
+namespace
+{
+
+/// Share of the longest lease without an answer after which it is extended
+/// no more.
+constexpr double give_up_share = 0.65;
+/// A stop at the lease's end takes at most this.
+constexpr duration kill_time = std::chrono::milliseconds(60);
+
+duration scale(duration d, double factor)
+{
+    return duration(
+        static_cast<int64_t>(static_cast<double>(d.count()) * factor));
+}
+
+} // namespace
+
+target_lease::target_lease(lease_options options) : options_(options) {}
+
+void target_lease::on_sent(time_point now)
+{
+    last_sent_ = now;
+}
+
+void target_lease::on_answer(target_time clock, time_point sent, time_point now)
+{
+    clock_ = clock;
+    clock_at_ = now;
+    last_answer_ = std::max(last_answer_, sent);
+}
+
+void target_lease::reset()
+{
+    clock_.reset();
+    last_answer_ = {};
+    last_sent_ = {};
+}
+
+std::optional<target_time> target_lease::clock(time_point now) const
+{
+    if (!clock_)
+    {
+        return std::nullopt;
+    }
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_at_);
+    return target_time(clock_->value() + age.count());
+}
+
+bool target_lease::may_extend(time_point now) const
+{
+    return clock_ &&
+           now - last_answer_ < scale(options_.longest, give_up_share);
+}
+
+bool target_lease::in_touch(time_point now) const
+{
+    return may_extend(now);
+}
+
+bool target_lease::lapsed(time_point now) const
+{
+    return now - last_sent_ >
+           scale(options_.longest, 1 + 2 * options_.clock_error) + kill_time;
+}
+
+duration target_lease::longest() const noexcept
+{
+    return options_.longest;
+}
+
+} // namespace agatebank
--- a/packages/agent/include/agatebank/agent/entry_dialer.hpp
+++ b/packages/wire/include/agatebank/wire/endpoint_dialer.hpp
@@ -4,6 +4,7 @@
 #include <agatebank/loop/timer_queue.hpp>
 #include <agatebank/wire/tcp_connector.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -17,23 +18,27 @@
 using random_source = std::function<uint64_t()>;
 
 /// @brief Time before another attempt: doubles with each failure from 100 ms
-/// up to 2 s, of which a random half is jitter.
+/// up to @p longest, of which a random half is jitter.
 /// @param failures attempts that failed in a row, from 0
-duration dial_delay(unsigned failures, uint64_t random);
+duration dial_delay(unsigned failures, uint64_t random,
+                    duration longest = std::chrono::seconds(2));
 
-/// @brief Dials the entries of the settings, again after each failure. An
-/// entry is addressed by its position in the settings.
-class entry_dialer
+/// @brief Dials processes, again after each failure. Each is addressed by the
+/// position at which it was added.
+class endpoint_dialer
 {
   public:
     using on_connected =
         std::function<void(std::size_t, object_ptr<GSocketConnection>)>;
 
     // construction
-    entry_dialer(timer_queue& timers, std::vector<endpoint> entries,
-                 random_source random, log_sink log, on_connected connected);
+    endpoint_dialer(timer_queue& timers, std::vector<endpoint> entries,
+                    random_source random, log_sink log, on_connected connected,
+                    duration longest_delay = std::chrono::seconds(2));
 
     // modifiers
+    /// @brief Adds an endpoint. @return its position
+    std::size_t add(const endpoint& remote);
     /// @brief Dials an entry now.
     void dial(std::size_t entry);
     /// @brief Dials an entry after its back-off time.
@@ -63,6 +68,7 @@
     on_connected connected_;
     tcp_connector connector_;
     std::vector<attempt> attempts_;
+    duration longest_delay_;
     bool stopped_ = false;
 };
 
--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -5,7 +5,9 @@
 #include <agatebank/core/event.hpp>
 #include <agatebank/core/ids.hpp>
 #include <agatebank/core/run_fate.hpp>
+#include <agatebank/core/run_order.hpp>
 #include <agatebank/core/submission_id.hpp>
+#include <agatebank/core/target_load.hpp>
 #include <agatebank/core/units.hpp>
 #include <agatebank/wire/bounded_types.hpp>
 
@@ -39,6 +41,13 @@
     kind = cereal::to_enumeration(number, event_kind::gather_ended);
 }
 
+template <class Archive>
+void load_minimal(const Archive&, run_outcome& outcome,
+                  const std::underlying_type_t<run_outcome>& number)
+{
+    outcome = cereal::to_enumeration(number, run_outcome::past_deadline);
+}
+
 // ----- any process -----
 
 /// @brief Keeps a connection alive and carries what every peer may know.
@@ -413,6 +422,87 @@
     }
 };
 
+// ----- jobs placed by amounts of room -----
+
+/// @brief First message of an agent that runs orders by room, and again when
+/// its target begins a new life.
+struct target_hello
+{
+    process_identity self;
+    target_profile target;
+    target_load load;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(self, target, load);
+    }
+};
+
+/// @brief The load of an agent's target, after a change.
+struct target_update
+{
+    target_load load;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(load);
+    }
+};
+
+/// @brief Final reports of orders. A lost link reports all its orders lost,
+/// so these are sent once.
+struct run_ends
+{
+    std::vector<run_end> ends;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(ends);
+    }
+};
+
+/// @brief Orders that their entry has no use for any more.
+struct cancel_runs
+{
+    std::vector<order_id> orders;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(orders);
+    }
+};
+
+/// @brief Where an entry accepts links.
+struct entry_address
+{
+    std::string address; ///< IP number
+    uint16_t port = 0;
+
+    auto operator<=>(const entry_address&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(address, port);
+    }
+};
+
+/// @brief The entries that the sender knows of, itself included.
+struct known_entries
+{
+    std::vector<entry_address> entries;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(entries);
+    }
+};
+
 /// @brief Any message on a TCP connection. The order is part of the protocol.
 using message =
     std::variant<heartbeat, agent_hello, target_report, slot_grant,
@@ -420,7 +510,8 @@
                  start_orders, acknowledgement, cancel_starts,
                  agent_configuration, gather_query, peer_hello, forward_request,
                  forward_reply, configuration_query, configuration_document,
-                 event_query, event_reply>;
+                 event_query, event_reply, target_hello, target_update,
+                 run_batch, run_ends, cancel_runs, known_entries>;
 
 /// @brief An entry's periodic datagram to the other entries. May be lost.
 struct entry_announcement
--- a/packages/agent/src/entry_dialer.cpp
+++ b/packages/wire/src/endpoint_dialer.cpp
@@ -1,4 +1,4 @@
-#include <agatebank/agent/entry_dialer.hpp>
+#include <agatebank/wire/endpoint_dialer.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -11,24 +11,24 @@
 {
 
 constexpr duration first_delay = std::chrono::milliseconds(100);
-constexpr duration longest_delay = std::chrono::seconds(2);
 constexpr duration connect_timeout = std::chrono::seconds(1);
 constexpr unsigned max_doublings = 5;
 
 } // namespace
 
-duration dial_delay(unsigned failures, uint64_t random)
+duration dial_delay(unsigned failures, uint64_t random, duration longest)
 {
     const auto doubled =
         first_delay * (int64_t{1} << std::min(failures, max_doublings));
-    const auto delay = std::min(doubled, longest_delay);
+    const auto delay = std::min(doubled, longest);
     const auto half = static_cast<uint64_t>(delay.count() / 2);
     return delay / 2 + duration(static_cast<int64_t>(random % (half + 1)));
 }
 
-entry_dialer::entry_dialer(timer_queue& timers, std::vector<endpoint> entries,
-                           random_source random, log_sink log,
-                           on_connected connected)
+endpoint_dialer::endpoint_dialer(timer_queue& timers,
+                                 std::vector<endpoint> entries,
+                                 random_source random, log_sink log,
+                                 on_connected connected, duration longest_delay)
     : timers_(timers)
     , entries_(std::move(entries))
     , random_(std::move(random))
@@ -36,10 +36,18 @@
     , connected_(std::move(connected))
     , connector_(connect_timeout)
     , attempts_(entries_.size())
+    , longest_delay_(longest_delay)
 {
 }
 
-void entry_dialer::dial(std::size_t entry)
+std::size_t endpoint_dialer::add(const endpoint& remote)
+{
+    entries_.push_back(remote);
+    attempts_.emplace_back();
+    return entries_.size() - 1;
+}
+
+void endpoint_dialer::dial(std::size_t entry)
 {
     if (stopped_)
     {
@@ -59,7 +67,7 @@
         });
 }
 
-void entry_dialer::dial_later(std::size_t entry)
+void endpoint_dialer::dial_later(std::size_t entry)
 {
     if (stopped_)
     {
@@ -67,23 +75,24 @@
     }
     auto& a = attempts_[entry];
     timers_.cancel(a.timer);
-    a.timer = timers_.schedule(dial_delay(a.failures, random_()),
-                               [this, entry] { dial(entry); });
+    a.timer =
+        timers_.schedule(dial_delay(a.failures, random_(), longest_delay_),
+                         [this, entry] { dial(entry); });
     ++a.failures;
 }
 
-void entry_dialer::reset(std::size_t entry)
+void endpoint_dialer::reset(std::size_t entry)
 {
     attempts_[entry].failures = 0;
 }
 
-void entry_dialer::pause(std::size_t entry)
+void endpoint_dialer::pause(std::size_t entry)
 {
     timers_.cancel(attempts_[entry].timer);
     attempts_[entry].connecting.reset();
 }
 
-void entry_dialer::stop()
+void endpoint_dialer::stop()
 {
     stopped_ = true;
     for (std::size_t entry = 0; entry < attempts_.size(); ++entry)
@@ -92,7 +101,7 @@
     }
 }
 
-const std::vector<endpoint>& entry_dialer::entries() const noexcept
+const std::vector<endpoint>& endpoint_dialer::entries() const noexcept
 {
     return entries_;
 }
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -311,7 +311,14 @@
             return;
         }
         traffic.bytes_received += static_cast<uint64_t>(n);
-        last_received = context.loop.now();
+        const auto now = context.loop.now();
+        if (now - last_received > context.options.silence_timeout)
+        {
+            // This process was paused; the peer has given the link up.
+            close(errc::peer_silent, step_silence);
+            return;
+        }
+        last_received = now;
         in.append(buf.data(), static_cast<std::size_t>(n));
         take_frames();
     }
--- a/packages/agent/tests/unit-entry_dialer.cpp
+++ b/packages/wire/tests/unit-endpoint_dialer.cpp
@@ -1,11 +1,11 @@
-#include <agatebank/agent/entry_dialer.hpp>
+#include <agatebank/wire/endpoint_dialer.hpp>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
 using namespace agatebank;
 
-TEST_CASE("entry_dialer: the delay doubles to its bound, half of it jitter")
+TEST_CASE("endpoint_dialer: the delay doubles to its bound, half of it jitter")
 {
     struct row
     {
