Placement: prefer targets with room over slower ones that are crowded

Cause: "slowest on time" drove the slow kind of target to full use, where three entries place between two load reports; 95 of 100 first starts took up to 57 ms. Ruled out: processor time of the nodes (entry 0.05 of 0.25 cores). Change: above 80 % use a target ranks behind those with room; 15 ms of path time count against the objective.

--- a/packages/fleet/include/agatebank/fleet/target_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/target_board.hpp
@@ -42,9 +42,9 @@
     /// @param extra cpu that will be sent ahead of it
     duration expected_wait(const room& each, std::size_t band,
                            int64_t extra_cpu_millis = 0) const;
-    /// @brief Share of the processor that is used or spoken for, over 1 when
-    /// tasks wait.
-    double utilisation() const;
+    /// @brief Share of the processor that is used or spoken for with one task
+    /// more, over 1 when tasks wait.
+    double utilisation_with(const room& each) const;
     /// @brief Whether a suspect target may get a single task.
     bool may_probe(time_point now) const;
 
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -13,6 +13,12 @@
 /// Spread (standard deviation of the logarithm) of the run times of alike
 /// tasks around their prediction.
 constexpr double run_time_spread = 0.2;
+/// Above this share of its processor a target is likely to make the next
+/// job wait: other entries place there too, between two reports.
+constexpr double crowded_share = 0.8;
+/// From the caller's request to the run's start and from its end to the
+/// answer, outside the targets.
+constexpr duration path_time = std::chrono::milliseconds(15);
 
 bool is_allowed(const target_record& t, const placement_request& rq,
                 agent_incarnation agent)
@@ -46,7 +52,7 @@
 }
 
 // A lower rank is better.
-using choice_rank = std::tuple<int, double, double>;
+using choice_rank = std::tuple<int, bool, double, double>;
 
 } // namespace
 
@@ -90,11 +96,12 @@
         const auto finish =
             t.expected_wait(request.step->each, request.band) +
             scale(request.expected.mean, margin / speed_now);
-        const bool on_time = finish <= request.left;
+        const bool on_time = finish + path_time <= request.left;
+        const double used = t.utilisation_with(request.step->each);
         const choice_rank rank =
-            on_time ? choice_rank{0, speed_now, t.utilisation()}
-                    : choice_rank{1, static_cast<double>(finish.count()),
-                                  t.utilisation()};
+            on_time ? choice_rank{0, used > crowded_share, speed_now, used}
+                    : choice_rank{1, false,
+                                  static_cast<double>(finish.count()), used};
         if (!best || rank < best_rank)
         {
             best = placement_choice{agent, run, finish, on_time, suspect};
--- a/packages/fleet/src/target_board.cpp
+++ b/packages/fleet/src/target_board.cpp
@@ -83,9 +83,9 @@
                                              load_.mean_run_us)));
 }
 
-double target_record::utilisation() const
+double target_record::utilisation_with(const room& each) const
 {
-    int64_t cpu = load_.used.cpu_millis + unseen_cpu_;
+    int64_t cpu = load_.used.cpu_millis + unseen_cpu_ + each.cpu_millis;
     for (const auto it : load_.queued_cpu_millis)
     {
         cpu += it;
