--- a/packages/fleet/include/agatebank/fleet/job_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_board.hpp
@@ -139,6 +139,7 @@
         agent_incarnation agent;
         uint32_t attempt = 0;
         uint32_t failures = 0;
+        uint32_t stalls = 0;
         time_point lost_until;
         std::set<agent_incarnation> excluded;
     };
--- a/packages/fleet/include/agatebank/fleet/run_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_board.hpp
@@ -64,6 +64,10 @@
     /// @brief Everything that ran is known to have ended: the target began a
     /// new life or its lease has lapsed.
     void on_runs_gone(const char* why, time_point now);
+    /// @brief First list of a target's new life. What it doesn't name ended
+    /// with the old one; what it names is a start that was carried out late,
+    /// and is stopped.
+    void on_new_life(const std::vector<listed_run>& running, time_point now);
 
     // orders
     void on_batch(order_source from, const run_batch& batch, time_point now);
@@ -130,9 +134,12 @@
     void enqueue(const run_key& key, const run_record& r, time_point now);
     void start_next(time_point now);
     void start_run(const run_key& key, run_record& r, time_point now);
-    void stop_run(run_record& r, run_outcome outcome);
-    void drop(const run_key& key, run_record& r, run_outcome outcome);
+    void stop_run(run_record& r, run_outcome outcome, time_point now);
+    void drop(const run_key& key, run_record& r, run_outcome outcome,
+              time_point now);
     void finish(const run_key& key, run_outcome outcome, time_point now);
+    void end_runs_but(const std::set<run_name>& kept, const char* why,
+                      time_point now);
     void take_ends(const std::vector<listed_end>& ended, time_point now);
     void take_running(const lease_answer& listing, time_point asked_at,
                       time_point now);
--- a/packages/fleet/src/job_board.cpp
+++ b/packages/fleet/src/job_board.cpp
@@ -20,6 +20,8 @@
 constexpr duration answer_margin = 20ms;
 /// Retry-After of a job that waited in vain: the least that can be said.
 constexpr duration refused_late_retry = 1s;
+/// Each stall quadruples the time that a task is given next.
+constexpr uint32_t max_stalls = 6;
 
 int64_t to_ms(duration d)
 {
@@ -227,8 +229,10 @@
         {
             ++counts_.reorders;
         }
+        // An estimate that was too low twice must not stop the task for ever.
+        const auto expected = it.choice.run * (1 << (2 * task.stalls));
         batches[it.choice.agent].orders.push_back(
-            {task.order, step, it.index, task.attempt, it.choice.run.count()});
+            {task.order, step, it.index, task.attempt, expected.count()});
     }
     const auto& plan = job.arrival.plan;
     for (auto& [agent, batch] : batches)
@@ -569,6 +573,10 @@
             std::to_string(task.attempt),
         static_cast<int32_t>(ref.index));
     task.excluded.insert(agent);
+    if (end.outcome == run_outcome::stalled)
+    {
+        task.stalls = std::min(task.stalls + 1, max_stalls);
+    }
     if (end.outcome == run_outcome::failed &&
         ++task.failures >= job.arrival.served_by.max_attempts)
     {
--- a/packages/fleet/src/run_board.cpp
+++ b/packages/fleet/src/run_board.cpp
@@ -15,7 +15,7 @@
 /// An end this near the deadline still reaches the caller.
 constexpr duration report_margin = 10ms;
 /// Between two tries of a stop that was not answered.
-constexpr duration stop_again_after = 120ms;
+constexpr duration stop_again_after = 200ms;
 /// Names remembered for the numbers of their runs.
 constexpr std::size_t max_remembered_tasks = 20000;
 
@@ -63,22 +63,46 @@
 }
 
 void run_board::on_runs_gone(const char* why, time_point now)
+{
+    end_runs_but({}, why, now);
+    last_run_.clear();
+    watch_.reset();
+}
+
+void run_board::on_new_life(const std::vector<listed_run>& running,
+                            time_point now)
+{
+    std::set<run_name> listed;
+    for (const auto& it : running)
+    {
+        listed.insert(it.name);
+        const auto known = by_name_.find(it.name);
+        if (known != by_name_.end())
+        {
+            stop_run(runs_.at(known->second), run_outcome::stopped, now);
+        }
+    }
+    end_runs_but(listed, "the target began a new life", now);
+    watch_.reset();
+}
+
+void run_board::end_runs_but(const std::set<run_name>& kept, const char* why,
+                             time_point now)
 {
     std::vector<run_key> gone;
-    for (const auto& [key, r] : runs_)
+    for (const auto& [name, key] : by_name_)
     {
-        if (r.state != run_state::queued)
+        if (kept.count(name) == 0)
         {
             gone.push_back(key);
-            log(log_level::warning, r, std::string("run is gone, ") + why);
+            log(log_level::warning, runs_.at(key),
+                std::string("run is gone, ") + why);
         }
     }
     for (const auto& it : gone)
     {
         finish(it, run_outcome::stopped, now);
     }
-    last_run_.clear();
-    watch_.reset();
 }
 
 // ----- orders -----
@@ -123,7 +147,7 @@
         if (it != runs_.end())
         {
             it->second.wanted = false;
-            drop(it->first, it->second, run_outcome::stopped);
+            drop(it->first, it->second, run_outcome::stopped, now);
         }
     }
     start_next(now);
@@ -143,7 +167,8 @@
 }
 
 // Ends an order at once when it has not begun, else stops its run.
-void run_board::drop(const run_key& key, run_record& r, run_outcome outcome)
+void run_board::drop(const run_key& key, run_record& r, run_outcome outcome,
+                     time_point now)
 {
     if (r.state == run_state::queued)
     {
@@ -152,7 +177,7 @@
         runs_.erase(key);
         return;
     }
-    stop_run(r, outcome);
+    stop_run(r, outcome, now);
 }
 
 // ----- queue -----
@@ -218,7 +243,7 @@
     hooks_.start(r.name, r.payload);
 }
 
-void run_board::stop_run(run_record& r, run_outcome outcome)
+void run_board::stop_run(run_record& r, run_outcome outcome, time_point now)
 {
     r.outcome = outcome;
     if (r.state == run_state::stopping)
@@ -227,6 +252,7 @@
     }
     r.state = run_state::stopping;
     r.stop_taken = false;
+    r.settled_at = now;
     hooks_.stop(r.name);
 }
 
@@ -308,7 +334,7 @@
         ++counts_.unanswered_starts;
         log(log_level::warning, r, "start was not answered, stopping it");
         watch_.on_bad(now);
-        stop_run(r, run_outcome::not_run);
+        stop_run(r, run_outcome::not_run, now);
         return;
     case start_answer::superseded:
         log(log_level::info, r, "a higher run was here, numbering anew");
@@ -411,7 +437,7 @@
                     ms_text(asked_at - r.started) + ", expected " +
                     ms_text(duration(r.order.expected_us)));
             watch_.on_bad(now);
-            stop_run(r, run_outcome::stalled);
+            stop_run(r, run_outcome::stalled, now);
         }
     }
 }
@@ -453,7 +479,6 @@
     {
         auto& r = runs_.at(key);
         if (r.state == run_state::stopping && !r.stop_taken &&
-            r.settled_at != time_point() &&
             now - r.settled_at > stop_again_after)
         {
             r.settled_at = now;
--- /dev/null
+++ b/packages/fleet/tests/unit-job_board.cpp
@@ -0,0 +1,255 @@
+#include <agatebank/fleet/job_board.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point start{1h};
+
+struct sent_batch
+{
+    agent_incarnation agent;
+    run_batch batch;
+};
+
+struct board_fixture
+{
+    std::vector<sent_batch> sent;
+    std::vector<order_id> cancelled;
+    std::map<uint64_t, job_outcome> answers;
+    time_point now = start;
+    uint64_t last_key = 0;
+    job_board board{{},
+                    {[this](agent_incarnation a, const run_batch& b) {
+                         sent.push_back({a, b});
+                     },
+                     [this](agent_incarnation, const std::vector<order_id>& ids)
+                     { cancelled.insert(cancelled.end(), ids.begin(),
+                                        ids.end()); },
+                     [this](job_key k, const job_outcome& o)
+                     { answers[k.value()] = o; },
+                     [](const log_record&) {}}};
+
+    void add_target(uint64_t agent)
+    {
+        target_profile p;
+        p.target = "t" + std::to_string(agent);
+        p.service = service_name("desk");
+        p.capacity = {16000, 65536, 0};
+        p.kind = "k";
+        board.put_target(agent_incarnation(agent), p, now);
+        target_load l;
+        l.accepts_work = true;
+        board.set_load(agent_incarnation(agent), l, now);
+    }
+
+    uint64_t admit(uint32_t tasks, duration deadline = 2s,
+                   std::vector<step_plan> steps = {})
+    {
+        job_arrival a;
+        a.id = "job" + std::to_string(++last_key);
+        a.served_by.name = route_name("r");
+        a.served_by.service = service_name("desk");
+        a.served_by.max_attempts = 2;
+        a.served_by.stretch = 1.6;
+        a.served_by.added_latency = 60ms;
+        a.plan.steps = std::move(steps);
+        if (a.plan.steps.empty())
+        {
+            step_plan s;
+            s.tasks = tasks;
+            s.each = {1000, 10, 0};
+            s.declared_run_time = 60ms;
+            a.plan.steps = {s};
+        }
+        a.deadline = deadline;
+        board.admit(job_key(last_key), std::move(a), now);
+        return last_key;
+    }
+
+    // Ends the oldest order that has not been ended.
+    void end_next(run_outcome outcome)
+    {
+        REQUIRE_FALSE(sent.empty());
+        auto& s = sent.front();
+        const auto o = s.batch.orders.front();
+        s.batch.orders.erase(s.batch.orders.begin());
+        const auto agent = s.agent;
+        if (s.batch.orders.empty())
+        {
+            sent.erase(sent.begin());
+        }
+        board.on_end(agent, {o.id, outcome, 60'000, 0}, now);
+    }
+
+    std::size_t open_orders() const
+    {
+        std::size_t n = 0;
+        for (const auto& it : sent)
+        {
+            n += it.batch.orders.size();
+        }
+        return n;
+    }
+};
+
+} // namespace
+
+TEST_CASE("job_board: a job is answered when its last task is done")
+{
+    board_fixture f;
+    f.add_target(1);
+    f.add_target(2);
+    const auto key = f.admit(3);
+    CHECK(f.open_orders() == 3);
+    f.end_next(run_outcome::done);
+    f.end_next(run_outcome::done);
+    CHECK(f.answers.empty());
+    f.end_next(run_outcome::done);
+    REQUIRE(f.answers.count(key) == 1);
+    CHECK(f.answers[key].result == job_result::succeeded);
+}
+
+TEST_CASE("job_board: how an order's end moves its task")
+{
+    struct row
+    {
+        const char* name;
+        std::vector<run_outcome> ends;
+        std::size_t orders; ///< sent in all
+        std::optional<job_result> answer;
+    };
+    using o = run_outcome;
+    const row rows[] = {
+        {"done", {o::done}, 1, job_result::succeeded},
+        {"fails once", {o::failed}, 2, std::nullopt},
+        {"fails twice", {o::failed, o::failed}, 2, job_result::failed},
+        {"stops don't count", {o::stopped, o::stalled, o::failed}, 4, {}},
+        {"not run elsewhere", {o::not_run, o::done}, 2, job_result::succeeded},
+        {"too late, not run", {o::past_deadline}, 1, job_result::not_run},
+        {"too late, had run", {o::stopped, o::past_deadline}, 2,
+         job_result::gave_up}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        board_fixture f;
+        f.add_target(1);
+        f.add_target(2);
+        const auto key = f.admit(1);
+        for (const auto outcome : it.ends)
+        {
+            f.end_next(outcome);
+        }
+        CHECK(f.board.counts().orders == it.orders);
+        CHECK((f.answers.count(key) == 1) == it.answer.has_value());
+        if (it.answer)
+        {
+            CHECK(f.answers[key].result == *it.answer);
+        }
+    }
+}
+
+TEST_CASE("job_board: 'not run' is never said while another task may run")
+{
+    board_fixture f;
+    f.add_target(1);
+    const auto key = f.admit(2);
+    f.end_next(run_outcome::past_deadline);
+    REQUIRE(f.answers.count(key) == 1);
+    CHECK(f.answers[key].result == job_result::gave_up);
+    CHECK(f.cancelled.size() == 1);
+}
+
+TEST_CASE("job_board: without a target that fits a job is refused at once")
+{
+    board_fixture f;
+    auto key = f.admit(1);
+    CHECK(f.answers.at(key).result == job_result::not_run);
+    f.add_target(1);
+    step_plan s;
+    s.each = {17000, 10, 0};
+    key = f.admit(1, 2s, {s});
+    CHECK(f.answers.at(key).result == job_result::not_run);
+    CHECK(f.answers.at(key).retry_after >= 1s);
+    CHECK(f.sent.empty());
+}
+
+TEST_CASE("job_board: later steps wait for all tasks of the earlier ones")
+{
+    board_fixture f;
+    f.add_target(1);
+    step_plan a;
+    a.tasks = 2;
+    a.each = {1000, 10, 0};
+    auto b = a;
+    b.after = {0};
+    const auto key = f.admit(0, 20s, {a, b});
+    CHECK(f.open_orders() == 2);
+    f.end_next(run_outcome::done);
+    CHECK(f.open_orders() == 1);
+    f.end_next(run_outcome::done);
+    CHECK(f.open_orders() == 2);
+    f.end_next(run_outcome::done);
+    f.end_next(run_outcome::done);
+    CHECK(f.answers.at(key).result == job_result::succeeded);
+}
+
+TEST_CASE("job_board: a lost agent's task starts elsewhere only after the "
+          "agent has stopped it")
+{
+    board_fixture f;
+    f.add_target(1);
+    f.admit(1, 5s);
+    REQUIRE(f.open_orders() == 1);
+    f.sent.clear();
+    f.add_target(2);
+    f.board.remove_target(agent_incarnation(1), f.now);
+    f.now += 1090ms;
+    f.board.tick(f.now);
+    CHECK(f.sent.empty());
+    f.now += 20ms;
+    f.board.tick(f.now);
+    REQUIRE(f.open_orders() == 1);
+    CHECK(f.sent.front().agent == agent_incarnation(2));
+}
+
+TEST_CASE("job_board: a job ends at its deadline and its runs are stopped")
+{
+    board_fixture f;
+    f.add_target(1);
+    const auto key = f.admit(3, 1s);
+    f.now += 970ms;
+    f.board.tick(f.now);
+    CHECK(f.answers.empty());
+    f.now += 20ms;
+    f.board.tick(f.now);
+    CHECK(f.answers.at(key).result == job_result::gave_up);
+    CHECK(f.cancelled.size() == 3);
+    f.end_next(run_outcome::done); // too late, forgotten
+    CHECK(f.board.running_jobs() == 0);
+}
+
+TEST_CASE("job_board: a caller that leaves frees what it had")
+{
+    board_fixture f;
+    f.add_target(1);
+    const auto key = f.admit(3);
+    f.board.cancel(job_key(key), "the caller left");
+    CHECK(f.cancelled.size() == 3);
+    CHECK(f.answers.empty());
+    CHECK(f.board.running_jobs() == 0);
+}
+
+TEST_CASE("job_board: a task that stalled is given more time")
+{
+    board_fixture f;
+    f.add_target(1);
+    f.admit(1, 20s);
+    const auto first = f.sent.front().batch.orders.front().expected_us;
+    f.end_next(run_outcome::stalled);
+    CHECK(f.sent.front().batch.orders.front().expected_us == 4 * first);
+}
--- /dev/null
+++ b/packages/fleet/tests/unit-placement.cpp
@@ -0,0 +1,145 @@
+#include <agatebank/fleet/placement.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point now{1h};
+
+target_profile make_profile(const char* kind, int64_t cpu = 16000)
+{
+    target_profile p;
+    p.target = kind;
+    p.service = service_name("desk");
+    p.capacity = {cpu, 65536, 0};
+    p.kind = kind;
+    p.labels = {kind, std::string("rack-") + kind};
+    return p;
+}
+
+target_load make_load(int64_t used)
+{
+    target_load l;
+    l.accepts_work = true;
+    l.used.cpu_millis = used;
+    l.mean_run_us = 100'000;
+    return l;
+}
+
+// Agent 1 is fast, agent 2 half as fast as speed 1.
+double speed_of(const target_profile& p)
+{
+    return p.kind == "fast" ? 1.5 : 0.5;
+}
+
+struct two_targets
+{
+    target_map targets;
+    step_plan step;
+
+    two_targets(target_load fast, target_load slow)
+    {
+        target_record a(make_profile("fast"));
+        a.set_load(fast);
+        target_record b(make_profile("slow"));
+        b.set_load(slow);
+        targets.emplace(agent_incarnation(1), a);
+        targets.emplace(agent_incarnation(2), b);
+        step.each = {1600, 64, 0};
+    }
+
+    uint64_t choose(duration mean, duration left,
+                    const std::set<agent_incarnation>* excluded = nullptr) const
+    {
+        placement_request rq;
+        rq.service = service_name("desk");
+        rq.step = &step;
+        rq.expected = {mean, mean};
+        rq.left = left;
+        rq.excluded = excluded;
+        rq.remote_data_factor = 2;
+        const auto c = choose_target(targets, rq, speed_of, now);
+        return c ? c->agent.value() : 0;
+    }
+};
+
+} // namespace
+
+TEST_CASE("placement: short tasks leave the fast target to long ones")
+{
+    const two_targets idle(make_load(0), make_load(0));
+    CHECK(idle.choose(60ms, 300ms) == 2); // 152 ms on the slow one
+    CHECK(idle.choose(60ms, 150ms) == 1); // too slow there
+    CHECK(idle.choose(900ms, 1500ms) == 1);
+    CHECK(idle.choose(900ms, 10ms) == 1); // late anyway: the earliest end
+}
+
+TEST_CASE("placement: a crowded slow target gives way to room elsewhere")
+{
+    const two_targets t(make_load(1000), make_load(12000));
+    CHECK(t.choose(60ms, 300ms) == 1);
+    const two_targets both(make_load(13000), make_load(12000));
+    CHECK(both.choose(60ms, 300ms) == 2);
+}
+
+TEST_CASE("placement: what may not run a task is not chosen")
+{
+    auto closed = make_load(0);
+    closed.accepts_work = false;
+    CHECK(two_targets(make_load(0), closed).choose(60ms, 300ms) == 1);
+    CHECK(two_targets(closed, closed).choose(60ms, 300ms) == 0);
+
+    two_targets t(make_load(0), make_load(0));
+    const std::set<agent_incarnation> excluded{agent_incarnation(2)};
+    CHECK(t.choose(60ms, 300ms, &excluded) == 1);
+    t.step.required_label = "fast";
+    CHECK(t.choose(60ms, 300ms) == 1);
+    t.step.required_label = "none";
+    CHECK(t.choose(60ms, 300ms) == 0);
+    t.step.required_label.clear();
+    t.step.each.cpu_millis = 17000;
+    CHECK(t.choose(60ms, 300ms) == 0);
+}
+
+TEST_CASE("placement: data in another rack counts as a slower target")
+{
+    two_targets t(make_load(0), make_load(0));
+    t.step.data_rack = "rack-fast";
+    CHECK(t.choose(60ms, 300ms) == 1);
+    t.step.data_rack = "rack-slow";
+    CHECK(t.choose(60ms, 300ms) == 2);
+}
+
+TEST_CASE("placement: a suspect target gets one task in a probe period")
+{
+    auto suspect = make_load(0);
+    suspect.suspect = true;
+    two_targets t(make_load(0), suspect);
+    CHECK(t.choose(60ms, 300ms) == 2);
+    t.targets.at(agent_incarnation(2)).set_next_probe(now + 1ms);
+    CHECK(t.choose(60ms, 300ms) == 1);
+}
+
+TEST_CASE("target_record: orders that no report covers count as load")
+{
+    target_record t(make_profile("fast", 3000));
+    t.set_load(make_load(0));
+    const room each{1600, 64, 0};
+    t.add_order(order_id(1), each, 0);
+    t.add_order(order_id(2), each, 0);
+    CHECK(t.expected_wait(each, 0) == 60ms); // 1800 of 3000 over 100 ms
+    auto report = make_load(1600);
+    report.orders_seen = 1;
+    t.set_load(report);
+    CHECK(t.expected_wait(each, 0) == 60ms);
+    t.remove_order(order_id(2));
+    CHECK(t.expected_wait(each, 0) == 6666us);
+    report.queued_cpu_millis = {0, 3000, 0, 0};
+    t.set_load(report);
+    CHECK(t.expected_wait(each, 0) == 6666us); // less urgent ones behind it
+    CHECK(t.expected_wait(each, 1) > 100ms);
+}
--- /dev/null
+++ b/packages/fleet/tests/unit-run_board.cpp
@@ -0,0 +1,234 @@
+#include <agatebank/fleet/run_board.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point start{1h};
+const order_source entry(1);
+
+struct board_fixture
+{
+    std::vector<run_name> started;
+    std::vector<run_name> stopped;
+    std::vector<run_end> ends;
+    time_point now = start;
+    run_board board{
+        {[this](const run_name& n, const std::string&) { started.push_back(n); },
+         [this](const run_name& n) { stopped.push_back(n); },
+         [this](order_source, const run_end& e) { ends.push_back(e); },
+         [](const log_record&) {}}};
+
+    board_fixture()
+    {
+        board.set_capacity({2000, 1000, 0}, now);
+        board.set_open(true, now);
+    }
+
+    void order(uint64_t id, const char* job, uint32_t priority = 0,
+               duration deadline = 2s, duration expected = 60ms)
+    {
+        run_batch b;
+        b.job = job;
+        b.each = {1000, 10, 0};
+        b.priority = priority;
+        b.objective_us = duration(200ms).count();
+        b.deadline_us = deadline.count();
+        run_order o;
+        o.id = order_id(id);
+        o.expected_us = expected.count();
+        b.orders = {o};
+        board.on_batch(entry, b, now);
+    }
+
+    void accept_all()
+    {
+        for (const auto& it : started)
+        {
+            board.on_start_answer(it, start_answer::accepted, now);
+        }
+    }
+
+    void list(std::vector<listed_run> running, std::vector<listed_end> ended)
+    {
+        now += 10ms;
+        lease_answer a;
+        a.running = std::move(running);
+        a.ended = std::move(ended);
+        board.on_listing(a, now, now);
+    }
+};
+
+} // namespace
+
+TEST_CASE("run_board: starts by urgency as room allows")
+{
+    board_fixture f;
+    f.order(1, "a", 1);
+    f.order(2, "b", 1);
+    f.order(3, "c", 2);
+    f.order(4, "d", 0);
+    REQUIRE(f.started.size() == 2);
+    CHECK(f.board.queued() == 2);
+    f.accept_all();
+    f.list({{f.started[1], 50}},
+           {{end_position(1), f.started[0], listed_how::done}});
+    REQUIRE(f.started.size() == 3);
+    CHECK(f.started[2].task == "d.0.0.0");
+    REQUIRE(f.ends.size() == 1);
+    CHECK(f.ends[0].outcome == run_outcome::done);
+}
+
+TEST_CASE("run_board: room is free only when the end is known")
+{
+    struct row
+    {
+        const char* name;
+        start_answer answer;
+        bool frees_at_once;
+        run_outcome outcome;
+    };
+    const row rows[] = {
+        {"refused", start_answer::refused, true, run_outcome::not_run},
+        {"expired", start_answer::expired, true, run_outcome::not_run},
+        {"unknown", start_answer::unknown, false, run_outcome::not_run}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        board_fixture f;
+        f.order(1, "a");
+        f.board.on_start_answer(f.started[0], it.answer, f.now);
+        CHECK(f.ends.empty() != it.frees_at_once);
+        if (!it.frees_at_once)
+        {
+            REQUIRE(f.stopped.size() == 1);
+            f.list({}, {});
+            CHECK(f.ends.empty()); // the stop isn't taken yet
+            f.board.on_stop_answer(f.stopped[0], true, f.now);
+            f.list({}, {});
+        }
+        REQUIRE(f.ends.size() == 1);
+        CHECK(f.ends[0].outcome == it.outcome);
+        CHECK(f.board.load(f.now).used == room{});
+    }
+}
+
+TEST_CASE("run_board: an unanswered stop is sent again")
+{
+    board_fixture f;
+    f.order(1, "a");
+    f.accept_all();
+    f.board.on_cancel(entry, {order_id(1)}, f.now);
+    REQUIRE(f.stopped.size() == 1);
+    f.board.on_stop_answer(f.stopped[0], false, f.now);
+    f.now += 250ms;
+    f.board.tick(f.now);
+    CHECK(f.stopped.size() == 2);
+}
+
+TEST_CASE("run_board: a lost entry's runs are stopped and its queue dropped")
+{
+    board_fixture f;
+    f.order(1, "a");
+    f.order(2, "b");
+    f.order(3, "c");
+    f.accept_all();
+    f.board.on_source_lost(entry, f.now);
+    CHECK(f.stopped.size() == 2);
+    CHECK(f.board.queued() == 0);
+    f.list({}, {{end_position(1), f.stopped[0], listed_how::stopped},
+                {end_position(2), f.stopped[1], listed_how::stopped}});
+    CHECK(f.board.running() == 0);
+    CHECK(f.ends.empty()); // nobody waits for them
+}
+
+TEST_CASE("run_board: a second run of a task has a higher number")
+{
+    board_fixture f;
+    f.order(1, "a");
+    f.board.on_start_answer(f.started[0], start_answer::superseded, f.now);
+    REQUIRE(f.started.size() == 1);
+    f.board.tick(f.now);
+    REQUIRE(f.started.size() == 2);
+    CHECK(f.started[1].run == f.started[0].run + 1);
+}
+
+TEST_CASE("run_board: what can't end in time is not begun")
+{
+    board_fixture f;
+    f.order(1, "a");
+    f.order(2, "b");
+    f.order(3, "c", 0, 500ms, 100ms);
+    f.accept_all();
+    f.now += 450ms;
+    f.list({}, {{end_position(1), f.started[0], listed_how::done},
+                {end_position(2), f.started[1], listed_how::done}});
+    CHECK(f.started.size() == 2);
+    REQUIRE(f.ends.size() == 3);
+    CHECK(f.ends[2].outcome == run_outcome::past_deadline);
+}
+
+TEST_CASE("run_board: a closed target gives back what waits, at once")
+{
+    board_fixture f;
+    f.order(1, "a");
+    f.order(2, "b");
+    f.order(3, "c");
+    f.board.set_open(false, f.now);
+    REQUIRE(f.ends.size() == 1);
+    CHECK(f.ends[0].outcome == run_outcome::not_run);
+    f.order(4, "d");
+    REQUIRE(f.ends.size() == 2);
+    CHECK(f.ends[1].id == order_id(4));
+}
+
+TEST_CASE("run_board: runs that nobody ordered are stopped")
+{
+    board_fixture f;
+    f.list({{{"x.0.0.0", 1}, 10}}, {});
+    REQUIRE(f.stopped.size() == 1);
+    CHECK(f.stopped[0].task == "x.0.0.0");
+}
+
+TEST_CASE("run_board: a run without progress is stopped and reported so")
+{
+    board_fixture f;
+    f.order(1, "a");
+    f.accept_all();
+    f.now += 400ms;
+    f.list({{f.started[0], 0}}, {});
+    REQUIRE(f.stopped.size() == 1);
+    f.list({}, {{end_position(1), f.started[0], listed_how::stopped}});
+    REQUIRE(f.ends.size() == 1);
+    CHECK(f.ends[0].outcome == run_outcome::stalled);
+}
+
+TEST_CASE("run_board: a lapsed lease ends what ran and keeps what waits")
+{
+    board_fixture f;
+    f.order(1, "a");
+    f.order(2, "b");
+    f.order(3, "c");
+    f.board.on_runs_gone("the lease has lapsed", f.now);
+    CHECK(f.ends.size() == 2);
+    CHECK(f.board.queued() == 1);
+}
+
+TEST_CASE("run_board: a new life that carries out a late start is waited for")
+{
+    board_fixture f;
+    f.order(1, "a");
+    f.order(2, "b");
+    f.accept_all();
+    f.board.on_new_life({{f.started[0], 0}}, f.now);
+    REQUIRE(f.ends.size() == 1);
+    CHECK(f.ends[0].id == order_id(2));
+    REQUIRE(f.stopped.size() == 1);
+    f.list({}, {{end_position(1), f.started[0], listed_how::stopped}});
+    REQUIRE(f.ends.size() == 2);
+    CHECK(f.ends[1].outcome == run_outcome::stopped);
+}
--- /dev/null
+++ b/packages/fleet/tests/unit-run_watch.cpp
@@ -0,0 +1,101 @@
+#include <agatebank/fleet/job_admission.hpp>
+#include <agatebank/fleet/run_watch.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point start{1h};
+
+} // namespace
+
+TEST_CASE("run_watch: bad ends in a row make a target suspect")
+{
+    run_watch w;
+    for (int i = 0; i < 3; ++i)
+    {
+        w.on_bad(start);
+        CHECK_FALSE(w.suspect(start));
+    }
+    w.on_bad(start);
+    CHECK(w.suspect(start));
+    SECTION("one run that ends well clears it")
+    {
+        w.on_done(60ms, 60ms, start);
+        CHECK_FALSE(w.suspect(start));
+    }
+    SECTION("old ends say nothing")
+    {
+        CHECK_FALSE(w.suspect(start + 5s));
+    }
+}
+
+TEST_CASE("run_watch: single failures don't make a target suspect")
+{
+    run_watch w;
+    for (int i = 0; i < 100; ++i)
+    {
+        i % 3 == 0 ? w.on_bad(start) : w.on_done(60ms, 60ms, start);
+        CHECK_FALSE(w.suspect(start));
+    }
+}
+
+TEST_CASE("run_watch: a slow target is told from the usual spread")
+{
+    run_watch w;
+    for (int i = 0; i < 20; ++i)
+    {
+        w.on_done(i % 2 == 0 ? 50ms : 80ms, 60ms, start);
+    }
+    CHECK(w.slowdown(start) == 1);
+    for (int i = 0; i < 20; ++i)
+    {
+        w.on_done(360ms, 60ms, start);
+    }
+    CHECK(w.slowdown(start) > 3);
+    CHECK(w.slowdown(start + 10s) == 1);
+}
+
+TEST_CASE("is_stalled: only where a new start ends clearly earlier")
+{
+    struct row
+    {
+        duration age;
+        duration expected;
+        int percent;
+        bool stalled;
+    };
+    const row rows[] = {{100ms, 60ms, 0, false},  {300ms, 60ms, 0, true},
+                        {300ms, 60ms, 90, false}, {2s, 900ms, 80, false},
+                        {2s, 900ms, 20, true},    {1s, 900ms, 0, false}};
+    for (const auto& it : rows)
+    {
+        INFO(it.age.count() << " us at " << it.percent << " %");
+        CHECK(is_stalled({it.age, it.expected, it.percent}) == it.stalled);
+    }
+}
+
+TEST_CASE("job_admission: refuses what can't end before its deadline")
+{
+    struct row
+    {
+        admission_question q;
+        bool admitted;
+        duration retry_after;
+    };
+    const row rows[] = {{{true, 100ms, 150ms, 2s}, true, 0s},
+                        {{true, 1900ms, 150ms, 2s}, true, 0s},
+                        {{true, 2100ms, 150ms, 2s}, false, 1950ms},
+                        {{true, 60s, 150ms, 2s}, false, 10s},
+                        {{false, 100ms, 150ms, 2s}, false, 1s}};
+    for (const auto& it : rows)
+    {
+        const auto a = decide_admission(it.q);
+        CHECK(a.admitted == it.admitted);
+        CHECK(a.retry_after == it.retry_after);
+    }
+}
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -97,6 +97,7 @@
     end_position seen_;
     bool was_in_touch_ = false;
     bool runs_gone_ = true;
+    bool life_is_new_ = true;
     bool stopping_ = false;
     time_point stop_began_;
     bool flush_pending_ = false;
--- a/packages/node/include/agatebank/node/target_lease.hpp
+++ b/packages/node/include/agatebank/node/target_lease.hpp
@@ -33,7 +33,8 @@
     void on_sent(time_point now);
     /// @brief The target answered a call that was sent at @p sent.
     void on_answer(target_time clock, time_point sent, time_point now);
-    /// @brief The target began a new life; nothing is known of it.
+    /// @brief The target began a new life; its clock is unknown, and runs of
+    /// the old one are gone when their lease has lapsed.
     void reset();
 
     // lookup
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -183,9 +183,11 @@
     lease_.reset();
     seen_ = {};
     board_.set_open(false, now);
-    board_.on_runs_gone("the target began a new life", now);
-    runs_gone_ = true;
     board_.set_capacity(a.profile.capacity, now);
+    // Orders to the old life that are still on their way are fenced off with
+    // the first call.
+    life_is_new_ = true;
+    ++token_;
     port_.set_peer(a.profile.target, token_);
     hello_all();
     if (first)
@@ -242,7 +244,6 @@
     {
         // The announcement of the new life is still to come.
         board_.set_open(false, now);
-        board_.on_runs_gone("the target began a new life", now);
         was_in_touch_ = false;
         schedule_lease(lease_retry);
         schedule_flush();
@@ -259,6 +260,10 @@
     {
         seen_ = std::max(seen_, it.position);
     }
+    if (std::exchange(life_is_new_, false))
+    {
+        board_.on_new_life(a.running, now);
+    }
     board_.on_listing(a, sent, now);
     renew_open();
     schedule_flush();
--- a/packages/node/src/target_lease.cpp
+++ b/packages/node/src/target_lease.cpp
@@ -40,7 +40,6 @@
 {
     clock_.reset();
     last_answer_ = {};
-    last_sent_ = {};
 }
 
 std::optional<target_time> target_lease::clock(time_point now) const
--- /dev/null
+++ b/packages/node/tests/unit-target_lease.cpp
@@ -0,0 +1,54 @@
+#include <agatebank/node/target_lease.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point start{1h};
+
+} // namespace
+
+TEST_CASE("target_lease: nothing is extended before the target's clock is "
+          "known")
+{
+    target_lease lease({});
+    CHECK_FALSE(lease.may_extend(start));
+    lease.on_answer(target_time(5000), start, start + 2ms);
+    CHECK(lease.may_extend(start + 2ms));
+    REQUIRE(lease.clock(start + 102ms));
+    CHECK(lease.clock(start + 102ms)->value() == 5100);
+}
+
+TEST_CASE("target_lease: extensions end long enough before the runs are "
+          "taken for gone")
+{
+    target_lease lease({});
+    lease.on_answer(target_time(5000), start, start);
+    struct row
+    {
+        duration after; ///< the last answer
+        bool may_extend;
+    };
+    const row rows[] = {{100ms, true}, {600ms, true}, {700ms, false}};
+    for (const auto& it : rows)
+    {
+        CHECK(lease.may_extend(start + it.after) == it.may_extend);
+    }
+    lease.on_sent(start + 600ms);
+    // A lease of 1 s on a clock that is 2 % slow.
+    CHECK_FALSE(lease.lapsed(start + 600ms + 1020ms));
+    CHECK(lease.lapsed(start + 600ms + 1110ms));
+}
+
+TEST_CASE("target_lease: a new life starts from nothing")
+{
+    target_lease lease({});
+    lease.on_answer(target_time(5000), start, start);
+    lease.reset();
+    CHECK_FALSE(lease.in_touch(start));
+    CHECK_FALSE(lease.clock(start));
+}
--- /dev/null
+++ b/tests/platform/node_cluster.cpp
@@ -0,0 +1,274 @@
+#include "node_cluster.hpp"
+#include <agatebank/harness/cluster.hpp>
+#include <agatebank/harness/run_until.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+std::string make_directory()
+{
+    char* made = g_dir_make_tmp("agatebank-XXXXXX", nullptr);
+    std::string out = made;
+    g_free(made);
+    return out;
+}
+
+std::string at(const std::string& ip, uint16_t port)
+{
+    return ip + ":" + std::to_string(port);
+}
+
+} // namespace
+
+node_cluster::node_cluster(cluster_plan plan)
+    : directory_(make_directory())
+    , link_port_(ports_.take())
+    , front_port_(ports_.take())
+    , ready_port_(ports_.take())
+    , metrics_port_(ports_.take())
+    , control_port_(ports_.take())
+    , app_port_(ports_.take())
+    , store_port_(ports_.take())
+    , entries_(plan.entries)
+    , agents_(plan.agents)
+    , client_(loop)
+{
+    for (std::size_t i = 0; i < plan.entries; ++i)
+    {
+        stores.push_back(std::make_unique<store_stand_in>(loop, entry_ip(i),
+                                                          store_port_));
+    }
+    configure(1);
+    for (std::size_t i = 0; i < plan.entries; ++i)
+    {
+        start_entry(i);
+    }
+    for (std::size_t i = 0; i < plan.agents; ++i)
+    {
+        targets.push_back(std::make_unique<target_stand_in>(
+            loop, timers, ledger, "i-" + std::to_string(i), agent_ip(i),
+            app_port_, at(agent_ip(i), control_port_), plan.run_time));
+        start_agent(i);
+    }
+}
+
+node_cluster::~node_cluster()
+{
+    entries_.clear();
+    agents_.clear();
+    std::filesystem::remove_all(directory_);
+}
+
+// ----- settings -----
+
+std::string node_cluster::entry_ip(std::size_t i) const
+{
+    return "127.0.1." + std::to_string(i + 1);
+}
+
+std::string node_cluster::agent_ip(std::size_t i) const
+{
+    return "127.0.2." + std::to_string(i + 1);
+}
+
+std::string node_cluster::file(const std::string& name) const
+{
+    return directory_ + "/" + name;
+}
+
+std::string
+node_cluster::configuration(uint64_t version,
+                            const std::vector<std::string>& more_prefixes)
+{
+    auto routes = json::array();
+    auto prefixes = more_prefixes;
+    prefixes.emplace_back("/q/");
+    for (const auto& it : prefixes)
+    {
+        routes.push_back({{"name", "r" + it},
+                          {"host", "desk.example"},
+                          {"pathPrefix", it},
+                          {"kind", "unsafe"},
+                          {"timeoutMs", 1500},
+                          {"targetLatencyMs", 60},
+                          {"priority", 0},
+                          {"service", "desk"},
+                          {"maxAttempts", 3},
+                          {"stretch", 1.6}});
+    }
+    return json{{"version", version}, {"routes", routes}}.dump();
+}
+
+void node_cluster::configure(uint64_t version,
+                             const std::vector<std::string>& more_prefixes)
+{
+    for (const auto& it : stores)
+    {
+        it->write(configuration(version, more_prefixes));
+    }
+}
+
+// ----- processes -----
+
+std::unique_ptr<child_process> node_cluster::run(const char* role,
+                                                 const std::string& name,
+                                                 const json& settings)
+{
+    const json document{
+        {"name", name}, {"failure_domain", "z1"}, {"node", settings}};
+    std::ofstream(file(name + ".json")) << document.dump();
+    return std::make_unique<child_process>(
+        loop,
+        std::vector<std::string>{program_path("agatebankd"), role, "--config",
+                                 file(name + ".json")},
+        file(name + ".log"));
+}
+
+void node_cluster::start_entry(std::size_t i)
+{
+    const auto ip = entry_ip(i);
+    entries_[i] =
+        run("entry", "entry-" + std::to_string(i),
+            {{"address", ip},
+             {"link_port", link_port_},
+             {"seeds", {at(entry_ip(0), control_port_)}},
+             {"metrics", at(ip, metrics_port_)},
+             {"callers", at(ip, front_port_)},
+             {"readiness", at(ip, ready_port_)},
+             {"table_service", stores[i]->address()}});
+}
+
+void node_cluster::start_agent(std::size_t i)
+{
+    const auto ip = agent_ip(i);
+    agents_[i] = run("agent", "agent-" + std::to_string(i),
+                     {{"link_port", link_port_},
+                      {"seeds", {at(entry_ip(0), control_port_)}},
+                      {"metrics", at(ip, metrics_port_)},
+                      {"announcements", at(ip, control_port_)},
+                      {"target", at(ip, app_port_)}});
+}
+
+child_process& node_cluster::entry(std::size_t i)
+{
+    return *entries_[i];
+}
+
+child_process& node_cluster::agent(std::size_t i)
+{
+    return *agents_[i];
+}
+
+std::string node_cluster::log_of_entry(std::size_t i) const
+{
+    return entries_[i]->output();
+}
+
+std::string node_cluster::log_of_agent(std::size_t i) const
+{
+    return agents_[i]->output();
+}
+
+unsigned node_cluster::readiness(std::size_t i)
+{
+    http_call call;
+    call.url = "http://" + at(entry_ip(i), ready_port_) + "/v1/readiness";
+    call.timeout = 1s;
+    std::optional<unsigned> status;
+    const auto handle = client_.send(
+        call, [&status](const auto& r) { status = r ? r->status : 0; });
+    run_until(loop, 2s, [&status] { return status.has_value(); });
+    return status.value_or(0);
+}
+
+// Ready, and each entry knows all targets: jobs are placed by both.
+bool node_cluster::wait_ready(duration timeout)
+{
+    const auto end = loop.now() + timeout;
+    for (std::size_t i = 0; i < entries_.size(); ++i)
+    {
+        while (readiness(i) != 200)
+        {
+            if (loop.now() > end)
+            {
+                return false;
+            }
+            run_for(loop, 50ms);
+        }
+    }
+    run_for(loop, 500ms);
+    return true;
+}
+
+// ----- callers -----
+
+std::size_t node_cluster::submit(std::size_t entry, const std::string& id,
+                                 unsigned tasks, duration deadline,
+                                 const std::string& prefix)
+{
+    const json body{
+        {"spec", "x"},
+        {"bestEffort", true},
+        {"steps",
+         {{{"count", tasks}, {"cpu", 1000}, {"memMb", 8}, {"estimateMs", 60}}}}};
+    http_call call;
+    call.method = "POST";
+    call.url = "http://" + at(entry_ip(entry), front_port_) + prefix + id;
+    call.headers = {
+        {"Host", "desk.example"},
+        {"Deadline-Ms",
+         std::to_string(
+             std::chrono::duration_cast<std::chrono::milliseconds>(deadline)
+                 .count())}};
+    call.body = body.dump();
+    call.timeout = deadline + 2s;
+    jobs_.push_back(std::make_unique<caller_job>());
+    auto* j = jobs_.back().get();
+    j->call = client_.send(call,
+                           [j](const auto& r)
+                           {
+                               j->ended = true;
+                               if (!r)
+                               {
+                                   return;
+                               }
+                               j->status = r->status;
+                               j->body = r->body;
+                               for (const auto& h : r->headers)
+                               {
+                                   if (h.name == "Retry-After")
+                                   {
+                                       j->retry_after = h.value;
+                                   }
+                               }
+                           });
+    return jobs_.size() - 1;
+}
+
+void node_cluster::leave(std::size_t job)
+{
+    jobs_[job]->call.reset();
+    jobs_[job]->ended = true;
+}
+
+const caller_job& node_cluster::job(std::size_t n) const
+{
+    return *jobs_[n];
+}
+
+bool node_cluster::wait_ended(std::size_t job, duration timeout)
+{
+    return run_until(loop, timeout, [this, job] { return jobs_[job]->ended; });
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/tests/platform/target_stand_in.cpp
@@ -0,0 +1,341 @@
+#include "target_stand_in.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace agatebank
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr duration beat_period = 150ms;
+constexpr int64_t longest_lease_ms = 1000;
+constexpr std::size_t capacity_in_tasks = 16; ///< of 1,000 thousandths each
+
+http_server_options make_options(const std::string& address, uint16_t port)
+{
+    http_server_options o;
+    o.address = address;
+    o.port = port;
+    return o;
+}
+
+int64_t to_ms(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+} // namespace
+
+target_stand_in::target_stand_in(event_loop& loop, timer_queue& timers,
+                                 run_ledger& ledger, std::string id,
+                                 const std::string& address, uint16_t port,
+                                 std::string agent_address, duration run_time)
+    : loop_(loop)
+    , timers_(timers)
+    , ledger_(ledger)
+    , id_(std::move(id))
+    , agent_address_(std::move(agent_address))
+    , run_time_(run_time)
+    , server_(loop, make_options(address, port))
+    , client_(loop)
+    , born_at_(loop.now())
+{
+    const auto add = [this](const char* path, auto handler)
+    {
+        server_.route("POST", path,
+                      [this, handler](const http_request& rq, const auto& r)
+                      { (this->*handler)(json::parse(rq.body), r); });
+    };
+    add("/v1/run-start", &target_stand_in::start);
+    add("/v1/run-stop", &target_stand_in::stop);
+    add("/v1/hold", &target_stand_in::hold);
+    if (!server_.listen())
+    {
+        throw std::runtime_error("the target can't listen");
+    }
+    beat_ = loop_.every(beat_period, [this] { announce(); });
+}
+
+// ----- modifiers -----
+
+void target_stand_in::set_mode(target_mode mode)
+{
+    mode_ = mode;
+}
+
+void target_stand_in::set_draining()
+{
+    draining_ = true;
+    announce();
+}
+
+void target_stand_in::restart()
+{
+    end_all("lapsed");
+    ends_.clear();
+    ended_runs_.clear();
+    last_end_ = 0;
+    token_ = 0;
+    sequence_ = 0;
+    born_ += 5000;
+    born_at_ = loop_.now();
+    announce();
+}
+
+// ----- lookup -----
+
+std::string target_stand_in::address() const
+{
+    return server_.options().address + ":" +
+           std::to_string(server_.options().port);
+}
+
+std::size_t target_stand_in::running() const noexcept
+{
+    return runs_.size();
+}
+
+int target_stand_in::starts() const noexcept
+{
+    return starts_;
+}
+
+int64_t target_stand_in::clock_ms() const
+{
+    return 70'000 + to_ms(loop_.now() - born_at_);
+}
+
+// ----- announcements -----
+
+void target_stand_in::announce()
+{
+    const json body{{"service", "desk"},
+                    {"address", address()},
+                    {"zone", "z1"},
+                    {"version", "v1"},
+                    {"slots", 8},
+                    {"state", draining_ ? "draining" : "ready"},
+                    {"coldRemainingMs", 0},
+                    {"capacity",
+                     {{"cpu", 1000 * capacity_in_tasks},
+                      {"memMb", 65536},
+                      {"gpus", 0}}},
+                    {"labels", {"a", "r1"}},
+                    {"born", born_},
+                    {"sequence", ++sequence_}};
+    http_call call;
+    call.method = "POST";
+    call.url = "http://" + agent_address_ + "/v1/instances/" + id_ +
+               "/heartbeat";
+    call.body = body.dump();
+    call.may_resend = true;
+    call.timeout = 1s;
+    if (calls_.size() > 20)
+    {
+        calls_.erase(calls_.begin(), calls_.begin() + 10);
+    }
+    calls_.push_back(client_.send(call, [](const auto&) {}));
+}
+
+// ----- calls -----
+
+bool target_stand_in::fenced(const json& body)
+{
+    const auto token = body.value("fencingToken", uint64_t{0});
+    if (token < token_)
+    {
+        return true;
+    }
+    token_ = token;
+    return false;
+}
+
+void target_stand_in::start(const json& body, const http_responder& respond)
+{
+    const auto refuse = [&](const char* why)
+    {
+        respond(json_response(
+            409, {{"clockMs", clock_ms()}, {"reason", why}, {"born", born_}}));
+    };
+    const auto task = body.at("task").get<std::string>();
+    const auto run = body.at("run").get<uint32_t>();
+    if (fenced(body))
+    {
+        refuse("fence");
+        return;
+    }
+    const auto here = runs_.find(task);
+    if (here != runs_.end() && here->second.run == run)
+    {
+        respond(json_response(200, {{"clockMs", clock_ms()}}));
+        return;
+    }
+    if (here != runs_.end() || ended_runs_[task] >= run)
+    {
+        refuse("old");
+        return;
+    }
+    if (body.at("deadlineMs").get<int64_t>() < clock_ms())
+    {
+        refuse("late");
+        return;
+    }
+    if (runs_.size() >= capacity_in_tasks)
+    {
+        ++ledger_.overfull;
+        refuse("room");
+        return;
+    }
+    ledger_.overlaps += ledger_.running[task] > 0 ? 1 : 0;
+    ++ledger_.running[task];
+    ++ledger_.starts[task];
+    ++starts_;
+    run_record r;
+    r.run = run;
+    r.started = loop_.now();
+    if (mode_ != target_mode::standing)
+    {
+        const bool fails = mode_ == target_mode::failing;
+        r.end = timers_.schedule(fails ? 2ms : run_time_,
+                                 [this, task, fails]
+                                 { end(task, fails ? "failed" : "done"); });
+    }
+    runs_[task] = r;
+    extend(body);
+    if (mode_ != target_mode::mute)
+    {
+        respond(json_response(200, {{"clockMs", clock_ms()}}));
+    }
+    else
+    {
+        waiting_[++last_waiting_] = {respond, {}};
+    }
+}
+
+void target_stand_in::stop(const json& body, const http_responder& respond)
+{
+    const auto task = body.at("task").get<std::string>();
+    auto& ended = ended_runs_[task];
+    ended = std::max(ended, body.at("run").get<uint32_t>());
+    if (runs_.count(task) != 0)
+    {
+        timers_.schedule(5ms, [this, task] { end(task, "stopped"); });
+    }
+    respond(json_response(200, {{"clockMs", clock_ms()}}));
+}
+
+void target_stand_in::extend(const json& body)
+{
+    const auto it = body.find("deadlineMs");
+    if (it == body.end())
+    {
+        return;
+    }
+    const auto left =
+        std::min(it->get<int64_t>() - clock_ms(), longest_lease_ms);
+    const auto until = loop_.now() + std::chrono::milliseconds(left);
+    if (until > lease_until_)
+    {
+        lease_until_ = until;
+        timers_.cancel(lease_);
+        lease_ = timers_.schedule(until - loop_.now(),
+                                  [this] { end_all("lapsed"); });
+    }
+}
+
+void target_stand_in::hold(const json& body, const http_responder& respond)
+{
+    if (fenced(body))
+    {
+        respond(json_response(
+            409, {{"clockMs", clock_ms()}, {"reason", "fence"}}));
+        return;
+    }
+    const auto seen = body.value("lastSeen", uint64_t{0});
+    std::erase_if(ends_,
+                  [seen](const end_record& e) { return e.position <= seen; });
+    extend(body);
+    const auto wait = body.value("waitMs", int64_t{0});
+    if (wait == 0 || !ends_.empty())
+    {
+        respond(json_response(200, lists()));
+        return;
+    }
+    const int n = ++last_waiting_;
+    waiting_[n] = {respond, timers_.schedule(std::chrono::milliseconds(wait),
+                                             [this, n, respond]
+                                             {
+                                                 waiting_.erase(n);
+                                                 respond(json_response(
+                                                     200, lists()));
+                                             })};
+}
+
+json target_stand_in::lists() const
+{
+    auto running = json::array();
+    for (const auto& [task, r] : runs_)
+    {
+        const auto age = loop_.now() - r.started;
+        const int64_t percent = mode_ == target_mode::standing
+                                    ? 0
+                                    : 100 * age.count() / run_time_.count();
+        running.push_back(
+            {task, r.run, "", std::min<int64_t>(99, percent), 1000});
+    }
+    auto ended = json::array();
+    for (const auto& e : ends_)
+    {
+        ended.push_back({e.position, e.task, e.run, e.how, ""});
+    }
+    return {{"clockMs", clock_ms()},
+            {"born", born_},
+            {"running", running},
+            {"ended", ended}};
+}
+
+void target_stand_in::answer_lists()
+{
+    for (const auto& [n, w] : std::exchange(waiting_, {}))
+    {
+        if (w.timer == timer_id())
+        {
+            waiting_[n] = w; // a start that is never answered
+            continue;
+        }
+        timers_.cancel(w.timer);
+        w.respond(json_response(200, lists()));
+    }
+}
+
+void target_stand_in::end(std::string task, const char* how)
+{
+    const auto it = runs_.find(task);
+    if (it == runs_.end())
+    {
+        return;
+    }
+    timers_.cancel(it->second.end);
+    auto& ended = ended_runs_[task];
+    ended = std::max(ended, it->second.run);
+    ends_.push_back({++last_end_, task, it->second.run, how});
+    runs_.erase(it);
+    --ledger_.running[task];
+    answer_lists();
+}
+
+void target_stand_in::end_all(const char* how)
+{
+    while (!runs_.empty())
+    {
+        end(runs_.begin()->first, how);
+    }
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/tests/platform/target_stand_in.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <agatebank/http/http_client.hpp>
+#include <agatebank/http/http_server.hpp>
+#include <agatebank/loop/event_loop.hpp>
+#include <agatebank/loop/timer_queue.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief What all targets of a cluster did, to be judged.
+struct run_ledger
+{
+    std::map<std::string, int> running; ///< by task
+    std::map<std::string, int> starts;  ///< by task
+    int overlaps = 0; ///< starts of a task that ran somewhere
+    int overfull = 0; ///< starts beyond a target's capacity
+};
+
+/// @brief How a target treats starts.
+enum class target_mode
+{
+    sound,
+    failing,   ///< each run fails at once
+    standing,  ///< runs make no progress
+    mute       ///< starts are carried out, and not answered
+};
+
+/// @brief Stand-in of a target by the published calls: starts, stops, leases
+/// and lists; announces itself to its agent.
+class target_stand_in
+{
+  public:
+    // construction
+    /// @param run_time of each task
+    target_stand_in(event_loop& loop, timer_queue& timers, run_ledger& ledger,
+                    std::string id, const std::string& address, uint16_t port,
+                    std::string agent_address, duration run_time);
+
+    // modifiers
+    void set_mode(target_mode mode);
+    void set_draining();
+    /// @brief Ends all runs and begins a new life under the same id.
+    void restart();
+
+    // lookup
+    std::string address() const;
+    std::size_t running() const noexcept;
+    int starts() const noexcept;
+
+  private:
+    struct run_record
+    {
+        uint32_t run = 0;
+        time_point started;
+        timer_id end;
+    };
+    struct end_record
+    {
+        uint64_t position = 0;
+        std::string task;
+        uint32_t run = 0;
+        std::string how;
+    };
+    struct waiting_list
+    {
+        http_responder respond;
+        timer_id timer;
+    };
+
+    void announce();
+    void start(const nlohmann::json& body, const http_responder& respond);
+    void stop(const nlohmann::json& body, const http_responder& respond);
+    void hold(const nlohmann::json& body, const http_responder& respond);
+    void extend(const nlohmann::json& body);
+    void end(std::string task, const char* how);
+    void end_all(const char* how);
+    void answer_lists();
+    nlohmann::json lists() const;
+    int64_t clock_ms() const;
+    bool fenced(const nlohmann::json& body);
+
+    event_loop& loop_;
+    timer_queue& timers_;
+    run_ledger& ledger_;
+    std::string id_;
+    std::string agent_address_;
+    duration run_time_;
+    http_server server_;
+    http_client client_;
+    std::vector<http_call_handle> calls_;
+    watch beat_;
+    target_mode mode_ = target_mode::sound;
+    bool draining_ = false;
+    int64_t born_ = 1000;
+    time_point born_at_;
+    uint64_t sequence_ = 0;
+    uint64_t token_ = 0;
+    std::map<std::string, run_record> runs_;
+    std::map<std::string, uint32_t> ended_runs_;
+    std::vector<end_record> ends_;
+    uint64_t last_end_ = 0;
+    timer_id lease_;
+    time_point lease_until_;
+    std::map<int, waiting_list> waiting_;
+    int last_waiting_ = 0;
+    int starts_ = 0;
+};
+
+} // namespace agatebank
--- /dev/null
+++ b/tests/platform/unit-node_path.cpp
@@ -0,0 +1,222 @@
+#include "node_cluster.hpp"
+#include <agatebank/harness/run_until.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// No task ran twice at once, and no target was asked for more than it has.
+void check_ledger(const node_cluster& c)
+{
+    CHECK(c.ledger.overlaps == 0);
+    CHECK(c.ledger.overfull == 0);
+}
+
+std::size_t running(const node_cluster& c)
+{
+    std::size_t n = 0;
+    for (const auto& it : c.targets)
+    {
+        n += it->running();
+    }
+    return n;
+}
+
+} // namespace
+
+TEST_CASE("node path: a job is served by every entry")
+{
+    node_cluster c({});
+    REQUIRE(c.wait_ready());
+    for (std::size_t entry : {0, 1})
+    {
+        const auto j = c.submit(entry, "00000000000000a" +
+                                           std::to_string(entry));
+        REQUIRE(c.wait_ended(j));
+        CHECK(c.job(j).status == 200);
+        CHECK(c.job(j).body == R"({"state":"succeeded"})");
+    }
+    const auto unknown = c.submit(0, "0000000000000001", 1, 3s, "/none/");
+    REQUIRE(c.wait_ended(unknown));
+    CHECK(c.job(unknown).status == 404);
+    check_ledger(c);
+}
+
+TEST_CASE("node path: a caller that leaves frees its room")
+{
+    node_cluster c({1, 1, 5s});
+    REQUIRE(c.wait_ready());
+    const auto j = c.submit(0, "000000000000000a", 16, 9s);
+    REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 16; }));
+    c.leave(j);
+    CHECK(run_until(c.loop, 2s, [&c] { return running(c) == 0; }));
+    check_ledger(c);
+}
+
+TEST_CASE("node path: a killed entry's job runs at another entry, never twice "
+          "at once")
+{
+    struct row
+    {
+        const char* name;
+        int signal;
+        bool continues;
+    };
+    const row rows[] = {{"killed", SIGKILL, false},
+                        {"frozen and woken", SIGSTOP, true}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        node_cluster c({2, 2, 4s});
+        REQUIRE(c.wait_ready());
+        c.submit(0, "000000000000000a", 4, 9s);
+        REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 4; }));
+        c.entry(0).signal(it.signal);
+        // The time after which a caller sends its job again.
+        run_for(c.loop, 1300ms);
+        const auto again = c.submit(1, "000000000000000a", 4, 9s);
+        run_for(c.loop, 500ms);
+        if (it.continues)
+        {
+            c.entry(0).signal(SIGCONT);
+        }
+        REQUIRE(c.wait_ended(again, 11s));
+        CHECK(c.job(again).status == 200);
+        check_ledger(c);
+    }
+}
+
+TEST_CASE("node path: a killed agent's tasks run elsewhere, never twice at "
+          "once")
+{
+    node_cluster c({1, 2, 800ms});
+    REQUIRE(c.wait_ready());
+    const auto j = c.submit(0, "000000000000000a", 8, 9s);
+    REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 8; }));
+    c.agent(0).kill();
+    REQUIRE(c.wait_ended(j, 11s));
+    CHECK(c.job(j).status == 200);
+    c.start_agent(0);
+    run_for(c.loop, 1500ms);
+    const auto k = c.submit(0, "000000000000000b", 16, 9s);
+    REQUIRE(c.wait_ended(k, 11s));
+    CHECK(c.job(k).status == 200);
+    check_ledger(c);
+}
+
+TEST_CASE("node path: a target's new life under its old id")
+{
+    node_cluster c({1, 2, 600ms});
+    REQUIRE(c.wait_ready());
+    const auto j = c.submit(0, "000000000000000a", 8, 9s);
+    REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 8; }));
+    c.targets[0]->restart();
+    REQUIRE(c.wait_ended(j, 11s));
+    CHECK(c.job(j).status == 200);
+    check_ledger(c);
+}
+
+TEST_CASE("node path: targets that fail, stand still or don't answer")
+{
+    for (const auto mode : {target_mode::failing, target_mode::standing,
+                            target_mode::mute})
+    {
+        INFO(static_cast<int>(mode));
+        node_cluster c({1, 2, 60ms});
+        REQUIRE(c.wait_ready());
+        c.targets[0]->set_mode(mode);
+        for (int i = 0; i < 4; ++i)
+        {
+            const auto j =
+                c.submit(0, "000000000000000" + std::to_string(i), 4, 9s);
+            REQUIRE(c.wait_ended(j, 11s));
+            CHECK(c.job(j).status == 200);
+            CHECK(c.job(j).body == R"({"state":"succeeded"})");
+        }
+        check_ledger(c);
+    }
+}
+
+TEST_CASE("node path: a draining target gets no new work")
+{
+    node_cluster c({1, 2, 30ms});
+    REQUIRE(c.wait_ready());
+    c.targets[0]->set_draining();
+    run_for(c.loop, 300ms);
+    const int before = c.targets[0]->starts();
+    for (int i = 0; i < 5; ++i)
+    {
+        const auto j = c.submit(0, "000000000000000" + std::to_string(i), 8);
+        REQUIRE(c.wait_ended(j));
+        CHECK(c.job(j).status == 200);
+    }
+    CHECK(c.targets[0]->starts() == before);
+    check_ledger(c);
+}
+
+TEST_CASE("node path: a graceful stop answers what was taken")
+{
+    node_cluster c({2, 2, 1s});
+    REQUIRE(c.wait_ready());
+    const auto j = c.submit(0, "000000000000000a", 4, 9s);
+    REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 4; }));
+    c.entry(0).signal(SIGTERM);
+    run_for(c.loop, 100ms);
+    CHECK(c.readiness(0) == 503);
+    // Open connections go on to bring requests for a while.
+    const auto later = c.submit(0, "000000000000000b", 2, 4s);
+    REQUIRE(c.wait_ended(j));
+    REQUIRE(c.wait_ended(later));
+    CHECK(c.job(j).status == 200);
+    CHECK(c.job(later).status == 200);
+    CHECK(c.entry(0).wait(6s) == 0);
+    check_ledger(c);
+}
+
+TEST_CASE("node path: a configuration reaches an entry that the store turns "
+          "away, and none comes back")
+{
+    node_cluster c({2, 1, 30ms});
+    REQUIRE(c.wait_ready());
+    for (const auto mode : {store_mode::refusing, store_mode::silent})
+    {
+        INFO(static_cast<int>(mode));
+        const auto version = mode == store_mode::refusing ? 5U : 7U;
+        const auto prefix = "/v" + std::to_string(version) + "/";
+        c.stores[1]->set_mode(mode);
+        run_for(c.loop, 200ms);
+        c.stores[0]->write(node_cluster::configuration(version, {prefix}));
+        run_for(c.loop, 2s);
+        const auto j = c.submit(1, "000000000000000a", 1, 3s, prefix);
+        REQUIRE(c.wait_ended(j));
+        CHECK(c.job(j).status == 200);
+    }
+    // An old document from a store that lags.
+    c.stores[1]->set_mode(store_mode::serving);
+    c.stores[1]->write(node_cluster::configuration(2));
+    run_for(c.loop, 500ms);
+    const auto j = c.submit(1, "000000000000000b", 1, 3s, "/v7/");
+    REQUIRE(c.wait_ended(j));
+    CHECK(c.job(j).status == 200);
+    check_ledger(c);
+}
+
+TEST_CASE("node path: an entry that started later is found by all agents")
+{
+    node_cluster c({2, 2, 30ms});
+    REQUIRE(c.wait_ready());
+    c.entry(1).kill();
+    run_for(c.loop, 300ms);
+    c.start_entry(1);
+    REQUIRE(c.wait_ready());
+    const auto j = c.submit(1, "000000000000000a", 16);
+    REQUIRE(c.wait_ended(j));
+    CHECK(c.job(j).status == 200);
+    check_ledger(c);
+}
