Hedge calls to targets; jobs wait for agents after a start

After all processes were killed, 127 jobs were refused in the 0.8 s before the first agent had its target. Ruled out: overload alone (use was below capacity in those seconds). Change: hedged_caller repeats calls while unanswered; an entry that has just begun lets jobs wait for agents for 1.5 s.

--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -176,7 +176,8 @@
     }
     auto& rt = **runtime;
     timer_queue timers(rt.loop);
-    platform::target_client target(rt.loop, settings.target, rt.log());
+    platform::target_client target(rt.loop, timers, settings.target,
+                                   rt.log());
     lease_options lease;
     lease.longest = settings.longest_lease;
     agent_node node(make_context(rt, timers, settings),
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -93,9 +93,9 @@
         const double speed_now =
             usual_speed / std::max(1.0, t.load().slowdown);
         const auto run = scale(request.expected.mean, 1 / usual_speed);
+        const auto wait = t.expected_wait(request.step->each, request.band);
         const auto finish =
-            t.expected_wait(request.step->each, request.band) +
-            scale(request.expected.mean, margin / speed_now);
+            wait + scale(request.expected.mean, margin / speed_now);
         const bool on_time = finish + path_time <= request.left;
         const double used = t.utilisation_with(request.step->each);
         const choice_rank rank =
@@ -104,7 +104,7 @@
                                   static_cast<double>(finish.count()), used};
         if (!best || rank < best_rank)
         {
-            best = placement_choice{agent, run, finish, on_time, suspect};
+            best = placement_choice{agent, run, wait, finish, on_time, suspect};
             best_rank = rank;
         }
     }
--- /dev/null
+++ b/packages/http/src/hedged_caller.cpp
@@ -0,0 +1,87 @@
+#include <agatebank/http/hedged_caller.hpp>
+
+#include <utility>
+
+namespace agatebank
+{
+
+struct hedged_caller::pending
+{
+    http_call call;
+    hedge_options options;
+    http_completion done; ///< empty once it was called
+    timer_id timer;
+    uint64_t last_copy = 0;
+    std::map<uint64_t, http_call_handle> copies; ///< still open
+};
+
+hedged_caller::hedged_caller(timer_queue& timers, http_client& client)
+    : timers_(timers), client_(client)
+{
+}
+
+hedged_caller::~hedged_caller()
+{
+    for (const auto& [number, p] : pending_)
+    {
+        timers_.cancel(p.timer);
+    }
+}
+
+void hedged_caller::send(const http_call& call, const hedge_options& options,
+                         http_completion done)
+{
+    const auto number = ++last_number_;
+    auto& p = pending_[number];
+    p.call = call;
+    p.options = options;
+    p.done = std::move(done);
+    send_copy(number);
+}
+
+void hedged_caller::send_copy(uint64_t number)
+{
+    auto& p = pending_.at(number);
+    const auto copy = ++p.last_copy;
+    p.timer = timer_id();
+    if (copy < p.options.copies)
+    {
+        p.timer = timers_.schedule(p.options.after,
+                                   [this, number] { send_copy(number); });
+    }
+    p.copies[copy] = client_.send(
+        p.call,
+        [this, number, copy](
+            const tl::expected<http_response, http_failure>& outcome)
+        { on_outcome(number, copy, outcome); });
+}
+
+void hedged_caller::on_outcome(
+    uint64_t number, uint64_t copy,
+    const tl::expected<http_response, http_failure>& outcome)
+{
+    auto& p = pending_.at(number);
+    // The handle outlives its own completion.
+    const auto keep = std::move(p.copies.at(copy));
+    p.copies.erase(copy);
+    http_completion done;
+    const bool waits = p.timer != timer_id() || !p.copies.empty();
+    // A peer that refuses connections refuses the next copy too.
+    const bool final_failure =
+        !outcome && (!waits || !outcome.error().may_have_been_received);
+    if (outcome || final_failure)
+    {
+        timers_.cancel(std::exchange(p.timer, timer_id()));
+        done = std::exchange(p.done, nullptr);
+    }
+    if (p.copies.empty() && p.timer == timer_id())
+    {
+        pending_.erase(number);
+    }
+    if (done)
+    {
+        done(outcome);
+    }
+}
+
+} // namespace agatebank
--- /dev/null
+++ b/packages/http/tests/unit-hedged_caller.cpp
@@ -0,0 +1,82 @@
+#include <agatebank/http/hedged_caller.hpp>
+#include <agatebank/http/http_server.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// A server that leaves the first calls unanswered.
+struct silent_server
+{
+    event_loop loop;
+    timer_queue timers{loop};
+    http_client client{loop};
+    hedged_caller caller{timers, client};
+    http_server server{loop, {}};
+    std::vector<http_responder> received;
+    unsigned answers_from; ///< number of the first call that is answered
+    http_call call;
+
+    explicit silent_server(unsigned first) : answers_from(first)
+    {
+        server.route("POST", "/x",
+                     [this](const http_request&, const http_responder& r)
+                     {
+                         received.push_back(r);
+                         if (received.size() >= answers_from)
+                         {
+                             r(json_response(200, {{"n", received.size()}}));
+                         }
+                     });
+        call.method = "POST";
+        call.url = "http://127.0.0.1:" + std::to_string(*server.listen()) +
+                   "/x";
+        call.body = "{}";
+        call.may_resend = true;
+        call.timeout = 300ms;
+    }
+
+    // Number of completions, and the last one's status; 0 for a failure.
+    std::pair<int, unsigned> run()
+    {
+        int completions = 0;
+        unsigned status = 0;
+        caller.send(call, {30ms, 3},
+                    [&](const auto& r)
+                    {
+                        ++completions;
+                        status = r ? r->status : 0;
+                    });
+        const auto stop = loop.after(700ms, [this] { loop.quit(); });
+        loop.run();
+        return {completions, status};
+    }
+};
+
+} // namespace
+
+TEST_CASE("hedged_caller: sends again only while there is no answer")
+{
+    struct row
+    {
+        unsigned answers_from;
+        std::size_t received;
+        unsigned status;
+    };
+    const row rows[] = {{1, 1, 200}, {2, 2, 200}, {3, 3, 200}, {9, 3, 0}};
+    for (const auto& it : rows)
+    {
+        INFO("answers from call " << it.answers_from);
+        silent_server s(it.answers_from);
+        const auto [completions, status] = s.run();
+        CHECK(completions == 1);
+        CHECK(status == it.status);
+        CHECK(s.received.size() == it.received);
+    }
+}
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -73,7 +73,7 @@
     void begin_life(const target_announcement& a);
     void extend_lease();
     void on_lease_answer(const lease_answer& a, time_point sent);
-    void on_lease_failure(const lease_failure& f, time_point sent);
+    void on_lease_failure(const lease_failure& f);
     void schedule_lease(duration delay);
     void renew_open();
     void raise_token();
--- a/packages/node/include/agatebank/node/target_lease.hpp
+++ b/packages/node/include/agatebank/node/target_lease.hpp
@@ -31,8 +31,8 @@
     // modifiers
     /// @brief An extension is about to be sent.
     void on_sent(time_point now);
-    /// @brief The target answered a call that was sent at @p sent.
-    void on_answer(target_time clock, time_point sent, time_point now);
+    /// @brief The target answered a call.
+    void on_answer(target_time clock, time_point now);
     /// @brief The target began a new life; its clock is unknown, and runs of
     /// the old one are gone when their lease has lapsed.
     void reset();
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -232,7 +232,7 @@
             }
             else
             {
-                on_lease_failure(a.error(), now);
+                on_lease_failure(a.error());
             }
         });
 }
@@ -255,7 +255,7 @@
                              target_->profile.target));
     }
     was_in_touch_ = true;
-    lease_.on_answer(a.clock, sent, now);
+    lease_.on_answer(a.clock, now);
     for (const auto& it : a.ended)
     {
         seen_ = std::max(seen_, it.position);
@@ -270,7 +270,7 @@
     schedule_lease(duration(0));
 }
 
-void agent_node::on_lease_failure(const lease_failure& f, time_point sent)
+void agent_node::on_lease_failure(const lease_failure& f)
 {
     const auto now = context_.loop.now();
     if (was_in_touch_)
@@ -278,7 +278,6 @@
         context_.log(to_record(log_level::warning, f.reason));
     }
     was_in_touch_ = false;
-    (void)sent;
     switch (f.trouble)
     {
     case lease_trouble::fenced:
--- a/packages/node/src/target_lease.cpp
+++ b/packages/node/src/target_lease.cpp
@@ -1,7 +1,5 @@
 #include <agatebank/node/target_lease.hpp>
 
-#include <algorithm>
-
 namespace agatebank
 {
 
@@ -29,11 +27,11 @@
     last_sent_ = now;
 }
 
-void target_lease::on_answer(target_time clock, time_point sent, time_point now)
+void target_lease::on_answer(target_time clock, time_point now)
 {
     clock_ = clock;
     clock_at_ = now;
-    last_answer_ = std::max(last_answer_, sent);
+    last_answer_ = now;
 }
 
 void target_lease::reset()
