--- a/packages/wire/src/endpoint_dialer.cpp
+++ b/packages/wire/src/endpoint_dialer.cpp
@@ -11,7 +11,8 @@
 {
 
 constexpr duration first_delay = std::chrono::milliseconds(100);
-constexpr duration connect_timeout = std::chrono::seconds(1);
+/// Sooner than the kernel sends a lost opening packet again (1 s, RFC 6298).
+constexpr duration connect_timeout = std::chrono::milliseconds(300);
 constexpr unsigned max_doublings = 5;
 
 } // namespace
