Fewer wake-ups: one timer for all links, load told by size of change, lists

asked for less while idle

Ruled out: admission, placement and logs (callgrind: 3 % each of the entry); libsoup's cost of a call stays. Change: link_hub has one timer; small load changes are told each 100 ms; a call for the lists is hedged when an end is overdue, and waits 400 ms while nothing runs; http_server's read timers are in one queue and end with their message (a message that ended without a signal left a timer with a dangling pointer).

--- a/packages/fleet/include/agatebank/fleet/run_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_board.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -92,6 +93,9 @@
     /// @brief The load to report; acceptance and order numbers are the
     /// owner's to fill in.
     target_load load(time_point now) const;
+    /// @brief Time until the next run is expected to end; empty when nothing
+    /// runs.
+    std::optional<duration> next_end(time_point now) const;
     std::size_t running() const noexcept;
     std::size_t queued() const noexcept;
     const run_board_counts& counts() const noexcept;
--- a/packages/fleet/src/run_board.cpp
+++ b/packages/fleet/src/run_board.cpp
@@ -517,6 +517,19 @@
     return out;
 }
 
+std::optional<duration> run_board::next_end(time_point now) const
+{
+    std::optional<duration> out;
+    for (const auto& [name, key] : by_name_)
+    {
+        const auto& r = runs_.at(key);
+        const auto left = std::max(
+            duration(0), r.started + duration(r.order.expected_us) - now);
+        out = out ? std::min(*out, left) : left;
+    }
+    return out;
+}
+
 std::size_t run_board::running() const noexcept
 {
     return by_name_.size();
--- a/packages/http/include/agatebank/http/http_server.hpp
+++ b/packages/http/include/agatebank/http/http_server.hpp
@@ -3,6 +3,7 @@
 #include <agatebank/core/result.hpp>
 #include <agatebank/http/http_message.hpp>
 #include <agatebank/loop/event_loop.hpp>
+#include <agatebank/loop/timer_queue.hpp>
 
 #include <libsoup/soup.h>
 
@@ -91,6 +92,8 @@
                            const char* path, GHashTable* query, gpointer self);
     static void on_started(SoupServer* server, SoupServerMessage* message,
                            gpointer self);
+    static void on_message_gone(gpointer self, GObject* message);
+    void end_read_timer(SoupServerMessage* message);
     static void on_ended(SoupServer* server, SoupServerMessage* message,
                          gpointer self);
 
@@ -104,7 +107,8 @@
     http_handler rest_;
     std::function<void(uint64_t)> abandoned_;
     uint64_t last_number_ = 0;
-    std::map<SoupServerMessage*, watch> read_timers_;
+    timer_queue timers_;
+    std::map<SoupServerMessage*, timer_id> read_timers_;
     std::shared_ptr<std::size_t> in_flight_;
 };
 
--- a/packages/http/src/http_server.cpp
+++ b/packages/http/src/http_server.cpp
@@ -288,6 +288,7 @@
     : loop_(loop)
     , options_(std::move(options))
     , server_(soup_server_new("server-header", "agatebank", nullptr))
+    , timers_(loop)
     , in_flight_(std::make_shared<std::size_t>(0))
 {
     soup_server_add_early_handler(server_.get(), nullptr, on_early, this,
@@ -305,6 +306,12 @@
 http_server::~http_server()
 {
     g_signal_handlers_disconnect_by_data(server_.get(), this);
+    while (!read_timers_.empty())
+    {
+        auto* message = read_timers_.begin()->first;
+        g_object_weak_unref(G_OBJECT(message), on_message_gone, this);
+        end_read_timer(message);
+    }
     soup_server_disconnect(server_.get());
 }
 
@@ -461,7 +468,8 @@
                              gpointer data)
 {
     auto* self = static_cast<http_server*>(data);
-    self->read_timers_[message] = self->loop_.after(
+    g_object_weak_ref(G_OBJECT(message), on_message_gone, self);
+    self->read_timers_[message] = self->timers_.schedule(
         self->options_.read_timeout,
         [message]
         {
@@ -476,7 +484,29 @@
 void http_server::on_ended(SoupServer*, SoupServerMessage* message,
                            gpointer data)
 {
-    static_cast<http_server*>(data)->read_timers_.erase(message);
+    auto* self = static_cast<http_server*>(data);
+    if (self->read_timers_.count(message) != 0)
+    {
+        g_object_weak_unref(G_OBJECT(message), on_message_gone, self);
+        self->end_read_timer(message);
+    }
+}
+
+// A message whose connection closes while it is idle ends without a signal.
+void http_server::on_message_gone(gpointer data, GObject* message)
+{
+    auto* self = static_cast<http_server*>(data);
+    self->end_read_timer(reinterpret_cast<SoupServerMessage*>(message));
+}
+
+void http_server::end_read_timer(SoupServerMessage* message)
+{
+    const auto it = read_timers_.find(message);
+    if (it != read_timers_.end())
+    {
+        timers_.cancel(it->second);
+        read_timers_.erase(it);
+    }
 }
 
 } // namespace agatebank
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -53,6 +53,7 @@
     {
         uint64_t orders_seen = 0;
         target_load told;
+        time_point told_at;
         std::vector<run_end> ends;
     };
 
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -1,6 +1,8 @@
 #include <agatebank/node/agent_node.hpp>
 
 #include <algorithm>
+#include <cstdlib>
+#include <numeric>
 #include <utility>
 #include <variant>
 
@@ -17,11 +19,17 @@
 constexpr const char* step_lease = "lease";
 constexpr const char* step_process = "process";
 
-/// An entry hears of a changed load at most this often.
+/// An entry hears of a load that changed much at most this often, of smaller
+/// changes once in the longer time.
 constexpr duration load_period = 25ms;
+constexpr duration small_change_period = 100ms;
+/// Share of the target's processor that makes a change of its use large.
+constexpr double large_change = 0.2;
 constexpr duration timer_period = 50ms;
-/// A call to the lists waits this long for an end; a quarter of the lease.
+/// A call to the lists waits this long for an end; a quarter of the lease,
+/// longer while nothing runs under it.
 constexpr duration lease_wait = 250ms;
+constexpr duration idle_wait = 400ms;
 /// Between two calls after one that failed at once.
 constexpr duration lease_retry = 40ms;
 /// A start that reaches the target later than this is refused by it.
@@ -33,6 +41,23 @@
 /// Reports and callers' connections need this after the last run.
 constexpr duration stop_linger = 300ms;
 
+int64_t queued_cpu(const target_load& l)
+{
+    return std::accumulate(l.queued_cpu_millis.begin(),
+                           l.queued_cpu_millis.end(), int64_t{0});
+}
+
+// Whether an entry should hear of a new load at once.
+bool differs_much(const target_load& a, const target_load& b,
+                  const room& capacity)
+{
+    const auto change = std::abs(a.used.cpu_millis - b.used.cpu_millis) +
+                        std::abs(queued_cpu(a) - queued_cpu(b));
+    return a.accepts_work != b.accepts_work || a.suspect != b.suspect ||
+           static_cast<double>(change) >
+               large_change * static_cast<double>(capacity.cpu_millis);
+}
+
 order_source to_source(link_id link)
 {
     return order_source(link.value());
@@ -212,7 +237,12 @@
     if (clock && lease_.may_extend(now))
     {
         rq.lease_until = add(*clock, lease_.longest());
-        rq.wait = was_in_touch_ ? lease_wait : duration(0);
+        if (was_in_touch_)
+        {
+            const auto next = board_.next_end(now);
+            rq.wait = next ? lease_wait : idle_wait;
+            rq.expected_end = std::min(rq.wait, next.value_or(rq.wait));
+        }
         lease_.on_sent(now);
         runs_gone_ = false;
     }
@@ -485,11 +515,11 @@
     {
         return;
     }
-    bool told_later = false;
+    const auto now = context_.loop.now();
+    bool untold = false;
     for (auto& [link, e] : entries_)
     {
-        const bool has_ends = !e.ends.empty();
-        if (has_ends)
+        if (!e.ends.empty())
         {
             hub_.send(link, run_ends{std::exchange(e.ends, {})});
         }
@@ -498,15 +528,22 @@
         {
             continue;
         }
+        const bool large =
+            differs_much(load, e.told, target_->profile.capacity);
         const bool urgent = load.accepts_work != e.told.accepts_work;
-        if (has_ends || urgent || !load_timer_)
+        if (urgent ||
+            now - e.told_at >= (large ? load_period : small_change_period))
         {
             hub_.send(link, target_update{load});
             e.told = load;
+            e.told_at = now;
+        }
+        else
+        {
+            untold = true;
         }
-        told_later = true;
     }
-    if (told_later && !load_timer_)
+    if (untold && !load_timer_)
     {
         load_timer_ = context_.loop.after(load_period,
                                           [this]
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -17,7 +17,7 @@
 constexpr const char* step_process = "process";
 
 /// Period of deadlines, lost tasks and the check for a pause.
-constexpr duration timer_period = 20ms;
+constexpr duration timer_period = 40ms;
 /// Agents stop an entry's runs after this silence; an entry that was paused
 /// for it must not count on them.
 const duration trusted_pause = node_link_options().silence_timeout;
--- a/packages/wire/include/agatebank/wire/link_hub.hpp
+++ b/packages/wire/include/agatebank/wire/link_hub.hpp
@@ -47,12 +47,14 @@
 
   private:
     void count_closed(link_id id);
+    void on_period();
 
     link_context context_;
     hub_handlers handlers_;
     std::unordered_map<link_id, std::unique_ptr<tcp_link>> links_;
     link_traffic closed_traffic_;
     uint64_t last_id_ = 0;
+    watch timer_; ///< one for all links: each wake-up costs
 };
 
 } // namespace agatebank
--- a/packages/wire/include/agatebank/wire/tcp_link.hpp
+++ b/packages/wire/include/agatebank/wire/tcp_link.hpp
@@ -22,6 +22,8 @@
     duration silence_timeout = std::chrono::milliseconds(1200);
     std::size_t max_frame_bytes = 16U << 20U;
     std::size_t max_queued_bytes = 64U << 20U;
+    /// false: the owner calls @ref tcp_link::on_period, for many links at once
+    bool own_timer = true;
 };
 
 /// @brief Bytes and messages that crossed a link.
@@ -68,6 +70,9 @@
     // modifiers
     /// @brief Queues a message; written when the loop comes round.
     void send(const message& m);
+    /// @brief Sends a heartbeat that is due, closes when the peer is silent;
+    /// called every half heartbeat period.
+    void on_period();
 
     // lookup
     /// @brief Address and port of the peer.
--- a/packages/wire/src/link_hub.cpp
+++ b/packages/wire/src/link_hub.cpp
@@ -1,6 +1,7 @@
 #include <agatebank/wire/link_hub.hpp>
 
 #include <utility>
+#include <vector>
 
 namespace agatebank
 {
@@ -21,6 +22,9 @@
 link_hub::link_hub(link_context context, hub_handlers handlers)
     : context_(std::move(context)), handlers_(std::move(handlers))
 {
+    context_.options.own_timer = false;
+    timer_ = context_.loop.every(context_.options.heartbeat_period / 2,
+                                 [this] { on_period(); });
 }
 
 link_id link_hub::add(object_ptr<GSocketConnection> connection)
@@ -86,6 +90,24 @@
     return sum;
 }
 
+void link_hub::on_period()
+{
+    std::vector<link_id> ids;
+    ids.reserve(links_.size());
+    for (const auto& it : links_)
+    {
+        ids.push_back(it.first);
+    }
+    for (const auto id : ids)
+    {
+        const auto it = links_.find(id);
+        if (it != links_.end())
+        {
+            it->second->on_period();
+        }
+    }
+}
+
 void link_hub::count_closed(link_id id)
 {
     if (const auto* link = find(id))
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -133,8 +133,11 @@
         g_source_set_callback(read_source.get(), G_SOURCE_FUNC(on_readable),
                               this, nullptr);
         g_source_attach(read_source.get(), nullptr);
-        timer = context.loop.every(context.options.heartbeat_period / 2,
-                                   [this] { on_timer(); });
+        if (context.options.own_timer)
+        {
+            timer = context.loop.every(context.options.heartbeat_period / 2,
+                                       [this] { on_timer(); });
+        }
         schedule_flush();
     }
 
@@ -432,6 +435,10 @@
     void on_timer()
     {
         const auto keep = shared_from_this();
+        if (!open)
+        {
+            return;
+        }
         const auto now = context.loop.now();
         if (now - last_received > context.options.silence_timeout)
         {
@@ -465,6 +472,13 @@
     state_->send(m);
 }
 
+void tcp_link::on_period()
+{
+    // The link may be destroyed by its owner meanwhile.
+    const auto keep = state_;
+    keep->on_timer();
+}
+
 const std::string& tcp_link::peer() const noexcept
 {
     return state_->peer;
