--- a/packages/core/include/agatebank/core/room.hpp
+++ b/packages/core/include/agatebank/core/room.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 
 namespace agatebank
--- a/packages/core/include/agatebank/core/route_table.hpp
+++ b/packages/core/include/agatebank/core/route_table.hpp
@@ -20,11 +20,11 @@
     route_name name;
     std::string host;
     std::string path_prefix;
-    service_name service; ///< whose targets run the tasks
-    uint32_t priority = 0; ///< 0 is the most urgent
+    service_name service;      ///< whose targets run the tasks
+    uint32_t priority = 0;     ///< 0 is the most urgent
     uint32_t max_attempts = 1; ///< runs of one task that may fail
     double stretch = 1; ///< allowed multiple of the longest chain of tasks
-    duration added_latency{}; ///< allowed beyond the stretched chain
+    duration added_latency{};    ///< allowed beyond the stretched chain
     duration default_deadline{}; ///< of a job whose caller names none
 };
 
--- a/packages/core/include/agatebank/core/run_order.hpp
+++ b/packages/core/include/agatebank/core/run_order.hpp
@@ -18,8 +18,8 @@
 {
     order_id id;
     uint32_t step = 0;
-    uint32_t index = 0;   ///< of the task in its step
-    uint32_t attempt = 1; ///< rises with each order of the same task
+    uint32_t index = 0;      ///< of the task in its step
+    uint32_t attempt = 1;    ///< rises with each order of the same task
     int64_t expected_us = 0; ///< run time expected on this target
 
     template <class Archive>
@@ -52,10 +52,10 @@
 enum class run_outcome : uint8_t
 {
     done,
-    failed,    ///< the run ended with a failure
-    stopped,   ///< the run was stopped, or ended with its lease
-    stalled,   ///< stopped since it made too little progress
-    not_run,   ///< never started at this target, and never will be
+    failed,       ///< the run ended with a failure
+    stopped,      ///< the run was stopped, or ended with its lease
+    stalled,      ///< stopped since it made too little progress
+    not_run,      ///< never started at this target, and never will be
     past_deadline ///< not started since it could not end in time
 };
 
--- a/packages/core/include/agatebank/core/target_port.hpp
+++ b/packages/core/include/agatebank/core/target_port.hpp
@@ -93,8 +93,8 @@
 struct lease_request
 {
     std::optional<target_time> lease_until; ///< absent: not extended
-    end_position seen; ///< ends up to it need not be listed again
-    duration wait{};   ///< for an end, when there is none yet
+    end_position seen;       ///< ends up to it need not be listed again
+    duration wait{};         ///< for an end, when there is none yet
     duration expected_end{}; ///< of the next run, from now; at most the wait
 };
 
--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -20,8 +20,7 @@
 {
     for (const auto& it : rows)
     {
-        metrics.add_gauge({it.name, it.help, {}},
-                          [&counts, field = it.field]
+        metrics.add_gauge({it.name, it.help, {}}, [&counts, field = it.field]
                           { return static_cast<double>(counts.*field); });
     }
 }
@@ -29,11 +28,9 @@
 void add_links(metrics_registry& metrics, const link_hub& links)
 {
     metrics.add_gauge({"agatebank_links", "Open links to processes.", {}},
-                      [&links]
-                      { return static_cast<double>(links.size()); });
+                      [&links] { return static_cast<double>(links.size()); });
     metrics.add_gauge(
-        {"agatebank_link_bytes_sent", "Bytes sent to processes.", {}},
-        [&links]
+        {"agatebank_link_bytes_sent", "Bytes sent to processes.", {}}, [&links]
         { return static_cast<double>(links.total_traffic().bytes_sent); });
 }
 
@@ -48,8 +45,7 @@
         {"agatebank_jobs_succeeded", "Jobs complete.", &counts::succeeded},
         {"agatebank_jobs_failed", "Jobs with a task out of attempts.",
          &counts::failed},
-        {"agatebank_jobs_given_up", "Jobs without a result.",
-         &counts::gave_up},
+        {"agatebank_jobs_given_up", "Jobs without a result.", &counts::gave_up},
         {"agatebank_jobs_cancelled", "Jobs nobody waited for.",
          &counts::cancelled},
         {"agatebank_orders_sent", "Orders sent to agents.", &counts::orders},
@@ -60,12 +56,10 @@
     metrics.add_gauge({"agatebank_jobs_running", "Jobs without an answer.", {}},
                       [&board]
                       { return static_cast<double>(board.running_jobs()); });
-    metrics.add_gauge({"agatebank_targets", "Targets linked.", {}},
-                      [&board]
+    metrics.add_gauge({"agatebank_targets", "Targets linked.", {}}, [&board]
                       { return static_cast<double>(board.targets().size()); });
     metrics.add_gauge(
-        {"agatebank_configuration_version", "Version in force.", {}},
-        [&node]
+        {"agatebank_configuration_version", "Version in force.", {}}, [&node]
         { return static_cast<double>(node.routes().version().value()); });
     add_links(metrics, node.links());
 }
@@ -78,8 +72,7 @@
         {"agatebank_runs_started", "Starts sent.", &counts::starts},
         {"agatebank_runs_done", "Runs that ended well.", &counts::done},
         {"agatebank_runs_failed", "Runs that failed.", &counts::failed},
-        {"agatebank_runs_stopped", "Runs that were stopped.",
-         &counts::stopped},
+        {"agatebank_runs_stopped", "Runs that were stopped.", &counts::stopped},
         {"agatebank_runs_stalled", "Runs stopped without progress.",
          &counts::stalled},
         {"agatebank_orders_not_run", "Orders returned.", &counts::not_run},
@@ -87,12 +80,10 @@
          &counts::unanswered_starts}};
     const auto& board = node.board();
     add_counts(metrics, board.counts(), rows);
-    metrics.add_gauge({"agatebank_runs", "Runs that hold room.", {}},
-                      [&board]
+    metrics.add_gauge({"agatebank_runs", "Runs that hold room.", {}}, [&board]
                       { return static_cast<double>(board.running()); });
     metrics.add_gauge({"agatebank_orders_queued", "Orders that wait.", {}},
-                      [&board]
-                      { return static_cast<double>(board.queued()); });
+                      [&board] { return static_cast<double>(board.queued()); });
     add_links(metrics, node.links());
 }
 
--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -3,15 +3,15 @@
 #include <agatebank/daemon/process_runtime.hpp>
 #include <agatebank/node/node_settings.hpp>
 #include <agatebank/observe/metrics_api.hpp>
+
+#include <iostream>
+#include <memory>
+#include <optional>
 #include <platform/configuration_feed.hpp>
 #include <platform/job_ingress.hpp>
 #include <platform/route_decoder.hpp>
 #include <platform/target_announcements.hpp>
 #include <platform/target_client.hpp>
-
-#include <iostream>
-#include <memory>
-#include <optional>
 #include <utility>
 
 namespace agatebank
@@ -29,12 +29,8 @@
     self.incarnation = process_runtime::random_number();
     self.name = s.name;
     self.failure_domain = s.failure_domain;
-    return {rt.loop,
-            timers,
-            rt.clock,
-            rt.auth,
-            rt.log(),
-            process_runtime::random_number,
+    return {rt.loop, timers,   rt.clock,
+            rt.auth, rt.log(), process_runtime::random_number,
             self};
 }
 
@@ -176,12 +172,11 @@
     }
     auto& rt = **runtime;
     timer_queue timers(rt.loop);
-    platform::target_client target(rt.loop, timers, settings.target,
-                                   rt.log());
+    platform::target_client target(rt.loop, timers, settings.target, rt.log());
     lease_options lease;
     lease.longest = settings.longest_lease;
-    agent_node node(make_context(rt, timers, settings),
-                    {settings.seeds, lease}, target.port());
+    agent_node node(make_context(rt, timers, settings), {settings.seeds, lease},
+                    target.port());
     http_server announcements(rt.loop, listen_on(settings.announcements));
     platform::add_announcement_routes(
         announcements,
--- a/packages/fleet/include/agatebank/fleet/job_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_board.hpp
@@ -34,9 +34,9 @@
 enum class job_result : uint8_t
 {
     succeeded,
-    failed,   ///< a task failed as often as the route allows
-    not_run,  ///< refused; none of its tasks ran or ever will
-    gave_up   ///< no result; tasks may have run, none runs on
+    failed,  ///< a task failed as often as the route allows
+    not_run, ///< refused; none of its tasks ran or ever will
+    gave_up  ///< no result; tasks may have run, none runs on
 };
 
 /// @brief The answer to a caller.
@@ -50,8 +50,7 @@
 struct job_board_hooks
 {
     std::function<void(agent_incarnation, const run_batch&)> send;
-    std::function<void(agent_incarnation, const std::vector<order_id>&)>
-        cancel;
+    std::function<void(agent_incarnation, const std::vector<order_id>&)> cancel;
     std::function<void(job_key, const job_outcome&)> finish;
     log_sink log;
 };
@@ -183,8 +182,8 @@
     void renew_anchor();
     run_time_prediction predict(const job_record& job, uint32_t step) const;
     duration nominal_chain(const job_record& job) const;
-    std::vector<placed_task> choose(job_key key, job_record& job,
-                                    uint32_t step, time_point now);
+    std::vector<placed_task> choose(job_key key, job_record& job, uint32_t step,
+                                    time_point now);
     void order(job_record& job, uint32_t step,
                const std::vector<placed_task>& placed, time_point now);
     bool has_target_for(const job_record& job) const;
--- a/packages/fleet/include/agatebank/fleet/placement.hpp
+++ b/packages/fleet/include/agatebank/fleet/placement.hpp
@@ -20,7 +20,7 @@
     const step_plan* step = nullptr;
     run_time_prediction expected; ///< of one task on a target of speed 1
     std::size_t band = 0;         ///< of the route's priority
-    duration left{}; ///< time until the objective
+    duration left{};              ///< time until the objective
     /// targets not to be used again for this task
     const std::set<agent_incarnation>* excluded = nullptr;
     /// tasks of the step already on a target
--- a/packages/fleet/src/job_board.cpp
+++ b/packages/fleet/src/job_board.cpp
@@ -134,9 +134,8 @@
 run_time_prediction job_board::predict(const job_record& job,
                                        uint32_t step) const
 {
-    auto p = times_.predict(
-        service_name(job.arrival.served_by.name.value()),
-        to_hint(job.arrival.plan.steps[step]));
+    auto p = times_.predict(service_name(job.arrival.served_by.name.value()),
+                            to_hint(job.arrival.plan.steps[step]));
     const auto scale = [this](duration d)
     {
         return duration(
@@ -157,9 +156,9 @@
             begin = std::max(begin, ends[it]);
         }
         const auto mean = static_cast<double>(predict(job, i).mean.count());
-        ends[i] = begin + duration(static_cast<int64_t>(
-                              mean * slowest_of(
-                                         job.arrival.plan.steps[i].tasks)));
+        ends[i] =
+            begin + duration(static_cast<int64_t>(
+                        mean * slowest_of(job.arrival.plan.steps[i].tasks)));
         longest = std::max(longest, ends[i]);
     }
     return longest;
@@ -292,9 +291,8 @@
     const auto chain = nominal_chain(job);
     const auto& r = job.arrival.served_by;
     const auto objective =
-        r.added_latency +
-        duration(static_cast<int64_t>(static_cast<double>(chain.count()) *
-                                      r.stretch));
+        r.added_latency + duration(static_cast<int64_t>(
+                              static_cast<double>(chain.count()) * r.stretch));
     job.objective = now + objective;
     job.deadline = now + job.arrival.deadline;
 
@@ -324,9 +322,8 @@
     {
         question.expected_finish = first_steps;
     }
-    const bool gathers =
-        now < options_.gathering_until &&
-        (!question.has_target || !has_target_for(job));
+    const bool gathers = now < options_.gathering_until &&
+                         (!question.has_target || !has_target_for(job));
     const auto answer = decide_admission(question);
     if (!answer.admitted && !gathers)
     {
@@ -418,8 +415,8 @@
     }
 }
 
-void job_board::settle(job_key key, const job_outcome& outcome,
-                       const char* why, time_point now)
+void job_board::settle(job_key key, const job_outcome& outcome, const char* why,
+                       time_point now)
 {
     auto& job = jobs_.at(key);
     stop_orders(job);
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -90,8 +90,7 @@
                                ? 1.0
                                : request.remote_data_factor;
         const double usual_speed = speed(t.profile()) / far;
-        const double speed_now =
-            usual_speed / std::max(1.0, t.load().slowdown);
+        const double speed_now = usual_speed / std::max(1.0, t.load().slowdown);
         const auto run = scale(request.expected.mean, 1 / usual_speed);
         const auto wait = t.expected_wait(request.step->each, request.band);
         const auto finish =
@@ -100,8 +99,8 @@
         const double used = t.utilisation_with(request.step->each);
         const choice_rank rank =
             on_time ? choice_rank{0, used > crowded_share, speed_now, used}
-                    : choice_rank{1, false,
-                                  static_cast<double>(finish.count()), used};
+                    : choice_rank{1, false, static_cast<double>(finish.count()),
+                                  used};
         if (!best || rank < best_rank)
         {
             best = placement_choice{agent, run, wait, finish, on_time, suspect};
--- a/packages/fleet/src/run_board.cpp
+++ b/packages/fleet/src/run_board.cpp
@@ -389,8 +389,7 @@
         switch (e.how)
         {
         case listed_how::done:
-            watch_.on_done(now - r.started, duration(r.order.expected_us),
-                           now);
+            watch_.on_done(now - r.started, duration(r.order.expected_us), now);
             finish(key, run_outcome::done, now);
             break;
         case listed_how::failed:
@@ -510,9 +509,9 @@
     }
     if (!runs_.empty())
     {
-        out.mean_run_us = static_cast<int64_t>(
-            out.slowdown * static_cast<double>(expected) /
-            static_cast<double>(runs_.size()));
+        out.mean_run_us =
+            static_cast<int64_t>(out.slowdown * static_cast<double>(expected) /
+                                 static_cast<double>(runs_.size()));
     }
     return out;
 }
--- a/packages/fleet/src/target_board.cpp
+++ b/packages/fleet/src/target_board.cpp
@@ -77,10 +77,9 @@
         return duration(0);
     }
     // A full target frees its whole capacity once in a mean run.
-    return duration(static_cast<int64_t>(static_cast<double>(excess) /
-                                         static_cast<double>(capacity) *
-                                         static_cast<double>(
-                                             load_.mean_run_us)));
+    return duration(static_cast<int64_t>(
+        static_cast<double>(excess) / static_cast<double>(capacity) *
+        static_cast<double>(load_.mean_run_us)));
 }
 
 double target_record::utilisation_with(const room& each) const
@@ -90,9 +89,8 @@
     {
         cpu += it;
     }
-    return static_cast<double>(cpu) /
-           static_cast<double>(
-               std::max<int64_t>(1, profile_.capacity.cpu_millis));
+    return static_cast<double>(cpu) / static_cast<double>(std::max<int64_t>(
+                                          1, profile_.capacity.cpu_millis));
 }
 
 bool target_record::may_probe(time_point now) const
--- a/packages/fleet/tests/unit-job_board.cpp
+++ b/packages/fleet/tests/unit-job_board.cpp
@@ -23,16 +23,16 @@
     std::map<uint64_t, job_outcome> answers;
     time_point now = start;
     uint64_t last_key = 0;
-    job_board board{{1100ms, 1, start - 1s},
-                    {[this](agent_incarnation a, const run_batch& b) {
-                         sent.push_back({a, b});
-                     },
-                     [this](agent_incarnation, const std::vector<order_id>& ids)
-                     { cancelled.insert(cancelled.end(), ids.begin(),
-                                        ids.end()); },
-                     [this](job_key k, const job_outcome& o)
-                     { answers[k.value()] = o; },
-                     [](const log_record&) {}}};
+    job_board board{
+        {1100ms, 1, start - 1s},
+        {[this](agent_incarnation a, const run_batch& b) {
+             sent.push_back({a, b});
+         },
+         [this](agent_incarnation, const std::vector<order_id>& ids)
+         { cancelled.insert(cancelled.end(), ids.begin(), ids.end()); },
+         [this](job_key k, const job_outcome& o) { answers[k.value()] = o; },
+         [](const log_record&) {
+         }}};
 
     void add_target(uint64_t agent)
     {
@@ -131,7 +131,9 @@
         {"stops don't count", {o::stopped, o::stalled, o::failed}, 4, {}},
         {"not run elsewhere", {o::not_run, o::done}, 2, job_result::succeeded},
         {"too late, not run", {o::past_deadline}, 1, job_result::not_run},
-        {"too late, had run", {o::stopped, o::past_deadline}, 2,
+        {"too late, had run",
+         {o::stopped, o::past_deadline},
+         2,
          job_result::gave_up}};
     for (const auto& it : rows)
     {
@@ -266,7 +268,8 @@
                      [](agent_incarnation, const std::vector<order_id>&) {},
                      [&answers](job_key k, const job_outcome& o)
                      { answers[k.value()] = o; },
-                     [](const log_record&) {}});
+                     [](const log_record&) {
+                     }});
     const auto admit = [&board](uint64_t key, time_point now)
     {
         job_arrival a;
--- a/packages/fleet/tests/unit-run_board.cpp
+++ b/packages/fleet/tests/unit-run_board.cpp
@@ -17,11 +17,13 @@
     std::vector<run_name> stopped;
     std::vector<run_end> ends;
     time_point now = start;
-    run_board board{
-        {[this](const run_name& n, const std::string&) { started.push_back(n); },
-         [this](const run_name& n) { stopped.push_back(n); },
-         [this](order_source, const run_end& e) { ends.push_back(e); },
-         [](const log_record&) {}}};
+    run_board board{{[this](const run_name& n, const std::string&)
+                     { started.push_back(n); },
+                     [this](const run_name& n) { stopped.push_back(n); },
+                     [this](order_source, const run_end& e)
+                     { ends.push_back(e); },
+                     [](const log_record&) {
+                     }}};
 
     board_fixture()
     {
--- a/packages/http/include/agatebank/http/hedged_caller.hpp
+++ b/packages/http/include/agatebank/http/hedged_caller.hpp
@@ -13,8 +13,8 @@
 /// @brief When a call is sent again beside the one that is still open.
 struct hedge_options
 {
-    duration after{};     ///< without an answer, between two sendings
-    unsigned copies = 3;  ///< sent at most, the first included
+    duration after{};    ///< without an answer, between two sendings
+    unsigned copies = 3; ///< sent at most, the first included
 };
 
 /// @brief Sends calls that may be repeated, again on another connection while
--- a/packages/http/include/agatebank/http/http_message.hpp
+++ b/packages/http/include/agatebank/http/http_message.hpp
@@ -29,7 +29,7 @@
     std::map<std::string, std::string> headers;  ///< names in lower case
     std::map<std::string, std::string> captures; ///< `{name}` of the route
     std::string body;
-    std::string peer; ///< address of the client
+    std::string peer;    ///< address of the client
     uint64_t number = 0; ///< of the request at its server, from 1
 
     /// @brief A header's value, empty when absent. @param name lower case
--- a/packages/http/src/hedged_caller.cpp
+++ b/packages/http/src/hedged_caller.cpp
@@ -50,9 +50,8 @@
                                    [this, number] { send_copy(number); });
     }
     p.copies[copy] = client_.send(
-        p.call,
-        [this, number, copy](
-            const tl::expected<http_response, http_failure>& outcome)
+        p.call, [this, number,
+                 copy](const tl::expected<http_response, http_failure>& outcome)
         { on_outcome(number, copy, outcome); });
 }
 
--- a/packages/http/src/http_server.cpp
+++ b/packages/http/src/http_server.cpp
@@ -1,10 +1,10 @@
 #include <agatebank/http/http_server.hpp>
 
 #include <algorithm>
+#include <cerrno>
 #include <optional>
 #include <utility>
 
-#include <cerrno>
 #include <sys/socket.h>
 
 namespace agatebank
@@ -249,8 +249,8 @@
     {
         auto* self = static_cast<exchange*>(data);
         char byte = 0;
-        const auto n = ::recv(g_socket_get_fd(socket), &byte, 1,
-                              MSG_PEEK | MSG_DONTWAIT);
+        const auto n =
+            ::recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         const bool open =
             n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
         if (open && n < 0)
--- a/packages/http/tests/unit-hedged_caller.cpp
+++ b/packages/http/tests/unit-hedged_caller.cpp
@@ -35,8 +35,8 @@
                          }
                      });
         call.method = "POST";
-        call.url = "http://127.0.0.1:" + std::to_string(*server.listen()) +
-                   "/x";
+        call.url =
+            "http://127.0.0.1:" + std::to_string(*server.listen()) + "/x";
         call.body = "{}";
         call.may_resend = true;
         call.timeout = 300ms;
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -83,10 +83,16 @@
               [this](order_source s, const run_end& e) { queue_end(s, e); },
               context_.log})
     , hub_({context_.loop, context_.clock, context_.auth, node_link_options(),
-            [] { return config_version(); }},
+            []
+            {
+                return config_version();
+            }},
            {[this](link_id l, message&& m) { on_message(l, std::move(m)); },
             {},
-            [this](link_id l, const failure& f) { on_closed(l, f); }})
+            [this](link_id l, const failure& f)
+            {
+                on_closed(l, f);
+            }})
     , dialer_(
           context_.timers, {}, context_.random, context_.log,
           [this](std::size_t i, object_ptr<GSocketConnection> c)
@@ -115,10 +121,10 @@
     stopping_ = true;
     stop_began_ = context_.loop.now();
     stopped_ = std::move(done);
-    context_.log(to_line(log_level::info,
-                         "stopping with " + std::to_string(board_.running()) +
-                             " runs",
-                         step_process));
+    context_.log(
+        to_line(log_level::info,
+                "stopping with " + std::to_string(board_.running()) + " runs",
+                step_process));
     renew_open();
     schedule_flush();
 }
@@ -159,8 +165,8 @@
 {
     const bool known = target_ && target_->life == a.life &&
                        target_->profile.target == a.profile.target;
-    if (target_ && (a.life < target_->life ||
-                    (known && a.sequence <= target_->sequence)))
+    if (target_ &&
+        (a.life < target_->life || (known && a.sequence <= target_->sequence)))
     {
         return; // delayed, of an earlier life or overtaken
     }
@@ -173,10 +179,10 @@
     target_ = a;
     if (changed)
     {
-        context_.log(to_line(log_level::info,
-                             a.draining ? "target is draining"
-                                        : "target is ready",
-                             step_target, a.profile.target));
+        context_.log(
+            to_line(log_level::info,
+                    a.draining ? "target is draining" : "target is ready",
+                    step_target, a.profile.target));
         renew_open();
         schedule_flush();
     }
@@ -197,12 +203,12 @@
 void agent_node::begin_life(const target_announcement& a)
 {
     const auto now = context_.loop.now();
-    context_.log(to_line(
-        log_level::info,
-        "target begins life " + std::to_string(a.life.value()) + ", kind " +
-            a.profile.kind + ", cpu " +
-            std::to_string(a.profile.capacity.cpu_millis) + " m",
-        step_target, a.profile.target));
+    context_.log(
+        to_line(log_level::info,
+                "target begins life " + std::to_string(a.life.value()) +
+                    ", kind " + a.profile.kind + ", cpu " +
+                    std::to_string(a.profile.capacity.cpu_millis) + " m",
+                step_target, a.profile.target));
     const bool first = !target_;
     target_ = a;
     lease_.reset();
@@ -352,16 +358,16 @@
 {
     const auto clock = lease_.clock(context_.loop.now());
     const auto life = target_->life;
-    port_.start({name, payload,
-                 add(clock.value_or(target_time()), start_validity)},
-                [this, name, life](start_answer a)
-                {
-                    if (life == target_->life)
-                    {
-                        board_.on_start_answer(name, a, context_.loop.now());
-                        schedule_flush();
-                    }
-                });
+    port_.start(
+        {name, payload, add(clock.value_or(target_time()), start_validity)},
+        [this, name, life](start_answer a)
+        {
+            if (life == target_->life)
+            {
+                board_.on_start_answer(name, a, context_.loop.now());
+                schedule_flush();
+            }
+        });
 }
 
 void agent_node::stop_run(const run_name& name)
@@ -461,8 +467,8 @@
 {
     const auto now = context_.loop.now();
     auto load = board_.load(now);
-    load.accepts_work = target_ && !target_->draining && !stopping_ &&
-                        lease_.in_touch(now);
+    load.accepts_work =
+        target_ && !target_->draining && !stopping_ && lease_.in_touch(now);
     load.orders_seen = e.orders_seen;
     return load;
 }
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -55,10 +55,16 @@
               [this](job_key k, const job_outcome& o) { on_finish(k, o); },
               context_.log})
     , hub_({context_.loop, context_.clock, context_.auth, node_link_options(),
-            [this] { return routes_.version(); }},
+            [this]
+            {
+                return routes_.version();
+            }},
            {[this](link_id l, message&& m) { on_message(l, std::move(m)); },
             [this](link_id l, const heartbeat& b) { on_heartbeat(l, b); },
-            [this](link_id l, const failure& f) { on_closed(l, f); }})
+            [this](link_id l, const failure& f)
+            {
+                on_closed(l, f);
+            }})
     , listener_([this](object_ptr<GSocketConnection> c)
                 { hub_.add(std::move(c)); })
     , dialer_(
@@ -155,12 +161,12 @@
     }
     routes_ = std::move(*read);
     configuration_text_ = text;
-    context_.log(to_line(
-        log_level::info,
-        "configuration " + std::to_string(routes_.version().value()) +
-            " in force, " + std::to_string(routes_.routes().size()) +
-            " routes, from " + source,
-        step_configuration));
+    context_.log(
+        to_line(log_level::info,
+                "configuration " + std::to_string(routes_.version().value()) +
+                    " in force, " + std::to_string(routes_.routes().size()) +
+                    " routes, from " + source,
+                step_configuration));
 }
 
 const route_table& entry_node::routes() const noexcept
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,7 +5,7 @@
 if [ "$#" -gt 0 ]; then
     files=("$@")
 else
-    mapfile -t files < <(git ls-files -co --exclude-standard 'packages/*.cpp' 'tools/*.cpp')
+    mapfile -t files < <(git ls-files -co --exclude-standard 'packages/*.cpp' 'platform/*.cpp' 'tools/*.cpp')
 fi
 printf '%s\n' "${files[@]}" |
     xargs -r -P "${JOBS:-$(nproc)}" -n 1 \
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -1,4 +1,5 @@
 #include "node_cluster.hpp"
+
 #include <agatebank/harness/cluster.hpp>
 #include <agatebank/harness/run_until.hpp>
 
@@ -45,8 +46,8 @@
 {
     for (std::size_t i = 0; i < plan.entries; ++i)
     {
-        stores.push_back(std::make_unique<store_stand_in>(loop, entry_ip(i),
-                                                          store_port_));
+        stores.push_back(
+            std::make_unique<store_stand_in>(loop, entry_ip(i), store_port_));
     }
     configure(1);
     for (std::size_t i = 0; i < plan.entries; ++i)
@@ -137,15 +138,14 @@
 void node_cluster::start_entry(std::size_t i)
 {
     const auto ip = entry_ip(i);
-    entries_[i] =
-        run("entry", "entry-" + std::to_string(i),
-            {{"address", ip},
-             {"link_port", link_port_},
-             {"seeds", {at(entry_ip(0), control_port_)}},
-             {"metrics", at(ip, metrics_port_)},
-             {"callers", at(ip, front_port_)},
-             {"readiness", at(ip, ready_port_)},
-             {"table_service", stores[i]->address()}});
+    entries_[i] = run("entry", "entry-" + std::to_string(i),
+                      {{"address", ip},
+                       {"link_port", link_port_},
+                       {"seeds", {at(entry_ip(0), control_port_)}},
+                       {"metrics", at(ip, metrics_port_)},
+                       {"callers", at(ip, front_port_)},
+                       {"readiness", at(ip, ready_port_)},
+                       {"table_service", stores[i]->address()}});
 }
 
 void node_cluster::start_agent(std::size_t i)
@@ -185,8 +185,8 @@
     call.url = "http://" + at(entry_ip(i), ready_port_) + "/v1/readiness";
     call.timeout = 1s;
     std::optional<unsigned> status;
-    const auto handle = client_.send(
-        call, [&status](const auto& r) { status = r ? r->status : 0; });
+    const auto handle = client_.send(call, [&status](const auto& r)
+                                     { status = r ? r->status : 0; });
     run_until(loop, 2s, [&status] { return status.has_value(); });
     return status.value_or(0);
 }
@@ -216,11 +216,13 @@
                                  unsigned tasks, duration deadline,
                                  const std::string& prefix)
 {
-    const json body{
-        {"spec", "x"},
-        {"bestEffort", true},
-        {"steps",
-         {{{"count", tasks}, {"cpu", 1000}, {"memMb", 8}, {"estimateMs", 60}}}}};
+    const json body{{"spec", "x"},
+                    {"bestEffort", true},
+                    {"steps",
+                     {{{"count", tasks},
+                       {"cpu", 1000},
+                       {"memMb", 8},
+                       {"estimateMs", 60}}}}};
     http_call call;
     call.method = "POST";
     call.url = "http://" + at(entry_ip(entry), front_port_) + prefix + id;
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -56,8 +56,8 @@
     // callers
     /// @brief Hands in a job of equal tasks. @return the number of the job
     std::size_t submit(std::size_t entry, const std::string& id,
-                       unsigned tasks = 4, duration deadline =
-                                               std::chrono::seconds(3),
+                       unsigned tasks = 4,
+                       duration deadline = std::chrono::seconds(3),
                        const std::string& prefix = "/q/");
     /// @brief Closes the caller's connection.
     void leave(std::size_t job);
--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -13,8 +13,8 @@
 
 std::string to_base64(const std::string& text)
 {
-    char* raw = g_base64_encode(
-        reinterpret_cast<const guchar*>(text.data()), text.size());
+    char* raw = g_base64_encode(reinterpret_cast<const guchar*>(text.data()),
+                                text.size());
     std::string out = raw;
     g_free(raw);
     return out;
--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -115,24 +115,23 @@
 
 void target_stand_in::announce()
 {
-    const json body{{"service", "desk"},
-                    {"address", address()},
-                    {"zone", "z1"},
-                    {"version", "v1"},
-                    {"slots", 8},
-                    {"state", draining_ ? "draining" : "ready"},
-                    {"coldRemainingMs", 0},
-                    {"capacity",
-                     {{"cpu", 1000 * capacity_in_tasks},
-                      {"memMb", 65536},
-                      {"gpus", 0}}},
-                    {"labels", {"a", "r1"}},
-                    {"born", born_},
-                    {"sequence", ++sequence_}};
+    const json body{
+        {"service", "desk"},
+        {"address", address()},
+        {"zone", "z1"},
+        {"version", "v1"},
+        {"slots", 8},
+        {"state", draining_ ? "draining" : "ready"},
+        {"coldRemainingMs", 0},
+        {"capacity",
+         {{"cpu", 1000 * capacity_in_tasks}, {"memMb", 65536}, {"gpus", 0}}},
+        {"labels", {"a", "r1"}},
+        {"born", born_},
+        {"sequence", ++sequence_}};
     http_call call;
     call.method = "POST";
-    call.url = "http://" + agent_address_ + "/v1/instances/" + id_ +
-               "/heartbeat";
+    call.url =
+        "http://" + agent_address_ + "/v1/instances/" + id_ + "/heartbeat";
     call.body = body.dump();
     call.may_resend = true;
     call.timeout = 1s;
@@ -202,8 +201,7 @@
     if (mode_ != target_mode::standing)
     {
         const bool fails = mode_ == target_mode::failing;
-        r.end = timers_.schedule(fails ? 2ms : run_time_,
-                                 [this, task, fails]
+        r.end = timers_.schedule(fails ? 2ms : run_time_, [this, task, fails]
                                  { end(task, fails ? "failed" : "done"); });
     }
     runs_[task] = r;
@@ -253,8 +251,8 @@
 {
     if (fenced(body))
     {
-        respond(json_response(
-            409, {{"clockMs", clock_ms()}, {"reason", "fence"}}));
+        respond(
+            json_response(409, {{"clockMs", clock_ms()}, {"reason", "fence"}}));
         return;
     }
     const auto seen = body.value("lastSeen", uint64_t{0});
@@ -268,13 +266,13 @@
         return;
     }
     const int n = ++last_waiting_;
-    waiting_[n] = {respond, timers_.schedule(std::chrono::milliseconds(wait),
-                                             [this, n, respond]
-                                             {
-                                                 waiting_.erase(n);
-                                                 respond(json_response(
-                                                     200, lists()));
-                                             })};
+    waiting_[n] = {respond,
+                   timers_.schedule(std::chrono::milliseconds(wait),
+                                    [this, n, respond]
+                                    {
+                                        waiting_.erase(n);
+                                        respond(json_response(200, lists()));
+                                    })};
 }
 
 json target_stand_in::lists() const
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -20,17 +20,17 @@
 {
     std::map<std::string, int> running; ///< by task
     std::map<std::string, int> starts;  ///< by task
-    int overlaps = 0; ///< starts of a task that ran somewhere
-    int overfull = 0; ///< starts beyond a target's capacity
+    int overlaps = 0;                   ///< starts of a task that ran somewhere
+    int overfull = 0;                   ///< starts beyond a target's capacity
 };
 
 /// @brief How a target treats starts.
 enum class target_mode
 {
     sound,
-    failing,   ///< each run fails at once
-    standing,  ///< runs make no progress
-    mute       ///< starts are carried out, and not answered
+    failing,  ///< each run fails at once
+    standing, ///< runs make no progress
+    mute      ///< starts are carried out, and not answered
 };
 
 /// @brief Stand-in of a target by the published calls: starts, stops, leases
--- a/tests/platform/unit-node_path.cpp
+++ b/tests/platform/unit-node_path.cpp
@@ -36,8 +36,8 @@
     REQUIRE(c.wait_ready());
     for (std::size_t entry : {0, 1})
     {
-        const auto j = c.submit(entry, "00000000000000a" +
-                                           std::to_string(entry));
+        const auto j =
+            c.submit(entry, "00000000000000a" + std::to_string(entry));
         REQUIRE(c.wait_ended(j));
         CHECK(c.job(j).status == 200);
         CHECK(c.job(j).body == R"({"state":"succeeded"})");
@@ -124,8 +124,8 @@
 
 TEST_CASE("node path: targets that fail, stand still or don't answer")
 {
-    for (const auto mode : {target_mode::failing, target_mode::standing,
-                            target_mode::mute})
+    for (const auto mode :
+         {target_mode::failing, target_mode::standing, target_mode::mute})
     {
         INFO(static_cast<int>(mode));
         node_cluster c({1, 2, 60ms});
