Give hopeless orders back at once; take back waiting for agents after a start

Cause: orders that could not have their turn before their deadline stayed queued until then. Ruled out: that gathering serves callers better. Change: run_board gives back what would reach its turn too late (test); the waiting is reverted.

--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -120,7 +120,7 @@
                      settings.seeds,
                      settings.remote_data_factor},
                     {platform::decode_routes});
-    platform::job_ingress ingress(rt.loop, node, rt.log());
+    platform::job_ingress ingress(node, rt.log());
     http_server callers(rt.loop, listen_on(settings.callers));
     ingress.add_caller_routes(callers);
     http_server readiness(rt.loop, listen_on(settings.readiness));
--- a/packages/fleet/include/agatebank/fleet/job_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_board.hpp
@@ -75,9 +75,6 @@
     /// entry: the agent's silence timeout, then the stop.
     duration lost_agent_grace = std::chrono::milliseconds(1100);
     double remote_data_factor = 1; ///< see placement_request
-    /// Until then agents are still dialling a process that has just begun:
-    /// jobs wait for targets instead of being refused or piled on the first.
-    time_point gathering_until;
 };
 
 /// @brief The jobs of one entry, from admission to the answer. No I/O and no
@@ -186,7 +183,6 @@
                                     time_point now);
     void order(job_record& job, uint32_t step,
                const std::vector<placed_task>& placed, time_point now);
-    bool has_target_for(const job_record& job) const;
     bool place_waiting(job_key key, job_record& job, time_point now);
     void refuse(job_key key, job_record& job, duration retry_after,
                 const std::string& why);
--- a/packages/fleet/include/agatebank/fleet/placement.hpp
+++ b/packages/fleet/include/agatebank/fleet/placement.hpp
@@ -34,7 +34,6 @@
 {
     agent_incarnation agent;
     duration run{};    ///< expected of one task while the target is sound
-    duration wait{};   ///< expected in the agent's queue
     duration finish{}; ///< expected from now, queue included
     bool on_time = false;
     bool probe = false; ///< to a suspect target, to see if it works again
--- a/packages/fleet/include/agatebank/fleet/run_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_board.hpp
@@ -49,6 +49,10 @@
 /// @brief The work of one target: what waits for room there, what runs, and
 /// what is being stopped. No I/O and no clock.
 ///
+/// Load pattern: bursts beyond the target's room. What can still be on time
+/// goes before what is late, by band and by the latest time to start; what
+/// would reach its turn after its deadline is given back at once.
+///
 /// A run holds its room until the target lists its end, or until it is known
 /// that it never began. An order is reported ended only then, so its entry
 /// may place the task elsewhere at once.
@@ -137,6 +141,7 @@
                        time_point now) const;
     void enqueue(const run_key& key, const run_record& r, time_point now);
     void start_next(time_point now);
+    void drop_hopeless(time_point now);
     void start_run(const run_key& key, run_record& r, time_point now);
     void stop_run(run_record& r, run_outcome outcome, time_point now);
     void drop(const run_key& key, run_record& r, run_outcome outcome,
--- a/packages/fleet/src/job_board.cpp
+++ b/packages/fleet/src/job_board.cpp
@@ -22,9 +22,6 @@
 constexpr duration refused_late_retry = 1s;
 /// Each stall quadruples the time that a task is given next.
 constexpr uint32_t max_stalls = 6;
-/// While agents are still dialling, a task waits for the next one rather than
-/// longer than this at those that came first.
-constexpr duration gathering_wait = 60ms;
 
 int64_t to_ms(duration d)
 {
@@ -198,8 +195,7 @@
             rq.excluded = nullptr;
             choice = choose_target(targets_, rq, speeds, now);
         }
-        if (!choice ||
-            (now < options_.gathering_until && choice->wait > gathering_wait))
+        if (!choice)
         {
             continue;
         }
@@ -322,10 +318,8 @@
     {
         question.expected_finish = first_steps;
     }
-    const bool gathers = now < options_.gathering_until &&
-                         (!question.has_target || !has_target_for(job));
     const auto answer = decide_admission(question);
-    if (!answer.admitted && !gathers)
+    if (!answer.admitted)
     {
         const std::string why =
             question.has_target
@@ -354,17 +348,6 @@
     }
 }
 
-bool job_board::has_target_for(const job_record& job) const
-{
-    return std::any_of(targets_.begin(), targets_.end(),
-                       [&job](const auto& t)
-                       {
-                           return t.second.load().accepts_work &&
-                                  t.second.profile().service ==
-                                      job.arrival.served_by.service;
-                       });
-}
-
 void job_board::refuse(job_key key, job_record& job, duration retry_after,
                        const std::string& why)
 {
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -103,7 +103,7 @@
                                   used};
         if (!best || rank < best_rank)
         {
-            best = placement_choice{agent, run, wait, finish, on_time, suspect};
+            best = placement_choice{agent, run, finish, on_time, suspect};
             best_rank = rank;
         }
     }
--- a/packages/fleet/src/run_board.cpp
+++ b/packages/fleet/src/run_board.cpp
@@ -225,6 +225,50 @@
     }
 }
 
+// The work ahead of each order, run at the target's full room, gives the
+// earliest time of its turn; fresh orders only make it later.
+void run_board::drop_hopeless(time_point now)
+{
+    const double room_cpu =
+        static_cast<double>(std::max<int64_t>(1, capacity_.cpu_millis));
+    const double slow = watch_.slowdown(now);
+    const auto time_of = [room_cpu, slow](const run_record& r)
+    {
+        return duration(static_cast<int64_t>(
+            static_cast<double>(r.order.expected_us) * slow *
+            static_cast<double>(r.each.cpu_millis) / room_cpu));
+    };
+    duration ahead{};
+    for (const auto& [name, key] : by_name_)
+    {
+        const auto& r = runs_.at(key);
+        const auto left = r.started + duration(r.order.expected_us) - now;
+        if (left.count() > 0)
+        {
+            ahead += std::min(time_of(r), left);
+        }
+    }
+    std::vector<run_key> hopeless;
+    for (const auto& rank : queue_)
+    {
+        const auto& key = std::get<run_key>(rank);
+        const auto& r = runs_.at(key);
+        const auto expected = duration(r.order.expected_us);
+        if (now + ahead + expected + report_margin > r.deadline)
+        {
+            hopeless.push_back(key);
+        }
+        else
+        {
+            ahead += time_of(r);
+        }
+    }
+    for (const auto& it : hopeless)
+    {
+        finish(it, run_outcome::past_deadline, now);
+    }
+}
+
 void run_board::start_run(const run_key& key, run_record& r, time_point now)
 {
     if (last_run_.size() > max_remembered_tasks)
@@ -484,6 +528,7 @@
             hooks_.stop(name);
         }
     }
+    drop_hopeless(now);
     start_next(now);
 }
 
--- a/packages/fleet/tests/unit-run_board.cpp
+++ b/packages/fleet/tests/unit-run_board.cpp
@@ -234,3 +234,24 @@
     REQUIRE(f.ends.size() == 2);
     CHECK(f.ends[1].outcome == run_outcome::stopped);
 }
+
+TEST_CASE("run_board: what can't have its turn in time is given back at once")
+{
+    board_fixture f;
+    // Two tasks run at a time; each takes 500 ms.
+    for (uint64_t i = 1; i <= 8; ++i)
+    {
+        f.order(i, "a", 0, 1400ms, 500ms);
+    }
+    CHECK(f.ends.empty());
+    f.now += 1ms;
+    f.board.tick(f.now);
+    // Turns at 0, 500 and 1000 ms; the third would end after the deadline.
+    CHECK(f.ends.size() >= 3);
+    for (const auto& it : f.ends)
+    {
+        CHECK(it.outcome == run_outcome::past_deadline);
+    }
+    CHECK(f.board.running() == 2);
+    CHECK(f.board.queued() >= 2);
+}
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -30,10 +30,6 @@
 /// An agent stops an entry's runs after the silence, and a stop takes 50 ms;
 /// the rest is for its timers and one lost call.
 const duration lost_agent_grace = trusted_pause + 300ms;
-/// Processes start within 0.3 s of each other, and a target announces itself
-/// within 1.5 s.
-constexpr duration gathering_time = 1500ms;
-
 entry_address to_address(const endpoint& e)
 {
     return {e.address, e.port};
@@ -46,8 +42,7 @@
     : context_(std::move(context))
     , settings_(std::move(settings))
     , hooks_(std::move(hooks))
-    , board_({lost_agent_grace, settings_.remote_data_factor,
-              context_.loop.now() + gathering_time},
+    , board_({lost_agent_grace, settings_.remote_data_factor},
              {[this](agent_incarnation a, const run_batch& b)
               { send_batch(a, b); },
               [this](agent_incarnation a, const std::vector<order_id>& ids)
