--- a/packages/fleet/include/agatebank/fleet/job_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_board.hpp
@@ -6,7 +6,7 @@
 #include <agatebank/core/result.hpp>
 #include <agatebank/core/route_table.hpp>
 #include <agatebank/core/run_order.hpp>
-#include <agatebank/core/run_time_estimator.hpp>
+#include <agatebank/fleet/job_forecast.hpp>
 #include <agatebank/fleet/placement.hpp>
 #include <agatebank/fleet/target_board.hpp>
 
@@ -26,6 +26,7 @@
 {
     std::string id;
     route served_by;
+    config_version version; ///< of the configuration that the route is from
     job_plan plan;
     duration deadline{}; ///< from now; past it the caller is gone
 };
@@ -175,10 +176,6 @@
         placement_choice choice;
     };
 
-    double speed(const target_profile& profile) const;
-    void renew_anchor();
-    run_time_prediction predict(const job_record& job, uint32_t step) const;
-    duration nominal_chain(const job_record& job) const;
     std::vector<placed_task> choose(job_key key, job_record& job, uint32_t step,
                                     time_point now);
     void order(job_record& job, uint32_t step,
@@ -194,6 +191,7 @@
     void unplace(job_record& job, uint32_t step, task_record& task);
     bool complete_task(job_key key, job_record& job, const order_ref& ref,
                        time_point now);
+    std::string targets_of(const job_record& job) const;
     void learn(const job_record& job, uint32_t step, agent_incarnation agent,
                const run_end& end);
     void log(log_level level, const job_record& job, std::string text,
@@ -201,8 +199,7 @@
 
     job_board_options options_;
     job_board_hooks hooks_;
-    run_time_estimator times_{true};
-    double anchor_ = 1; ///< geometric mean of the targets' speeds
+    job_forecast forecast_;
     target_map targets_;
     std::map<job_key, job_record> jobs_;
     std::unordered_map<std::string, job_key> by_id_;
--- a/packages/fleet/src/job_board.cpp
+++ b/packages/fleet/src/job_board.cpp
@@ -2,7 +2,6 @@
 #include <agatebank/fleet/job_board.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace agatebank
@@ -33,15 +32,6 @@
     return std::to_string(to_ms(d)) + " ms";
 }
 
-std::optional<duration> to_hint(const step_plan& step)
-{
-    if (step.declared_run_time.count() == 0)
-    {
-        return std::nullopt;
-    }
-    return step.declared_run_time;
-}
-
 } // namespace
 
 job_board::job_board(job_board_options options, job_board_hooks hooks)
@@ -55,7 +45,7 @@
                            const target_profile& profile, time_point now)
 {
     targets_.insert_or_assign(agent, target_record(profile));
-    renew_anchor();
+    forecast_.set_targets(targets_);
     tick(now);
 }
 
@@ -86,7 +76,7 @@
 void job_board::remove_target(agent_incarnation agent, time_point now)
 {
     targets_.erase(agent);
-    renew_anchor();
+    forecast_.set_targets(targets_);
     for (auto& [key, job] : jobs_)
     {
         for (auto& step : job.steps)
@@ -109,58 +99,6 @@
     }
 }
 
-void job_board::renew_anchor()
-{
-    double sum = 0;
-    for (const auto& [agent, t] : targets_)
-    {
-        sum += std::log(times_.speed(to_kind_key(t.profile())));
-    }
-    anchor_ = targets_.empty()
-                  ? 1
-                  : std::exp(sum / static_cast<double>(targets_.size()));
-}
-
-double job_board::speed(const target_profile& profile) const
-{
-    return times_.speed(to_kind_key(profile)) / anchor_;
-}
-
-// ----- predictions -----
-
-run_time_prediction job_board::predict(const job_record& job,
-                                       uint32_t step) const
-{
-    auto p = times_.predict(service_name(job.arrival.served_by.name.value()),
-                            to_hint(job.arrival.plan.steps[step]));
-    const auto scale = [this](duration d)
-    {
-        return duration(
-            static_cast<int64_t>(static_cast<double>(d.count()) / anchor_));
-    };
-    return {scale(p.mean), scale(p.high)};
-}
-
-duration job_board::nominal_chain(const job_record& job) const
-{
-    std::vector<duration> ends(job.steps.size());
-    duration longest{};
-    for (uint32_t i = 0; i < job.steps.size(); ++i)
-    {
-        duration begin{};
-        for (const auto it : job.arrival.plan.steps[i].after)
-        {
-            begin = std::max(begin, ends[it]);
-        }
-        const auto mean = static_cast<double>(predict(job, i).mean.count());
-        ends[i] =
-            begin + duration(static_cast<int64_t>(
-                        mean * slowest_of(job.arrival.plan.steps[i].tasks)));
-        longest = std::max(longest, ends[i]);
-    }
-    return longest;
-}
-
 // ----- placement -----
 
 std::vector<job_board::placed_task>
@@ -170,7 +108,7 @@
     placement_request rq;
     rq.service = job.arrival.served_by.service;
     rq.step = &job.arrival.plan.steps[step];
-    rq.expected = predict(job, step);
+    rq.expected = forecast_.one_task(job.arrival.served_by.name, *rq.step);
     rq.band = to_band(job.arrival.served_by.priority);
     rq.left = job.objective - now;
     rq.remote_data_factor = options_.remote_data_factor;
@@ -178,7 +116,7 @@
     rq.placed = &record.placed;
     const auto speeds = [this](const target_profile& p)
     {
-        return speed(p);
+        return forecast_.speed(p);
     };
     for (uint32_t i = 0; i < record.tasks.size(); ++i)
     {
@@ -227,6 +165,12 @@
         if (task.attempt > 1)
         {
             ++counts_.reorders;
+            log(log_level::info, job,
+                "attempt " + std::to_string(task.attempt) + " at " +
+                    targets_.at(it.choice.agent).profile().target +
+                    ", expected end " + ms_text(it.choice.finish) + ", left " +
+                    ms_text(job.objective - now),
+                static_cast<int32_t>(it.index));
         }
         // An estimate that was too low twice must not stop the task for ever.
         const auto expected = it.choice.run * (1 << (2 * task.stalls));
@@ -284,7 +228,8 @@
             }
         }
     }
-    const auto chain = nominal_chain(job);
+    const auto chain =
+        forecast_.longest_chain(job.arrival.served_by.name, plan);
     const auto& r = job.arrival.served_by;
     const auto objective =
         r.added_latency + duration(static_cast<int64_t>(
@@ -333,10 +278,12 @@
     by_id_[job.arrival.id] = key;
     deadlines_.emplace(job.deadline - answer_margin, key);
     log(log_level::info, job,
-        "admitted " + std::to_string(plan.task_count()) +
-            " tasks, expected end " + ms_text(question.expected_finish) +
-            ", objective " + ms_text(objective) + ", deadline " +
-            ms_text(job.arrival.deadline));
+        "admitted " + std::to_string(plan.task_count()) + " tasks of route " +
+            r.name.value() + ", configuration " +
+            std::to_string(job.arrival.version.value()) + ", expected end " +
+            ms_text(question.expected_finish) + ", objective " +
+            ms_text(objective) + ", deadline " + ms_text(job.arrival.deadline) +
+            ", tasks at " + targets_of(job));
     for (const auto& [step, chosen] : placed)
     {
         job.waiting -= static_cast<uint32_t>(chosen.size());
@@ -455,6 +402,21 @@
 
 // ----- ends of runs -----
 
+std::string job_board::targets_of(const job_record& job) const
+{
+    std::string out;
+    for (const auto& step : job.steps)
+    {
+        for (const auto& [agent, n] : step.placed)
+        {
+            out += (out.empty() ? "" : " ") +
+                   targets_.at(agent).profile().target + ":" +
+                   std::to_string(n);
+        }
+    }
+    return out;
+}
+
 void job_board::learn(const job_record& job, uint32_t step,
                       agent_incarnation agent, const run_end& end)
 {
@@ -463,10 +425,9 @@
     {
         return;
     }
-    times_.observe(service_name(job.arrival.served_by.name.value()),
-                   to_kind_key(it->second.profile()),
-                   to_hint(job.arrival.plan.steps[step]), duration(end.run_us));
-    renew_anchor();
+    forecast_.learn(job.arrival.served_by.name, job.arrival.plan.steps[step],
+                    it->second.profile(), duration(end.run_us));
+    forecast_.set_targets(targets_);
 }
 
 bool job_board::has_run(const job_record& job)
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -68,7 +68,9 @@
     void schedule_flush();
     void hello(link_id link);
     void hello_all();
-    target_load load_for(const entry_link& e) const;
+    /// @brief The load to tell; the number of orders seen is the link's.
+    target_load load_now() const;
+    bool is_open(time_point now) const;
 
     // target
     void begin_life(const target_announcement& a);
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -347,9 +347,7 @@
 void agent_node::renew_open()
 {
     const auto now = context_.loop.now();
-    board_.set_open(target_ && !target_->draining && !stopping_ &&
-                        lease_.in_touch(now),
-                    now);
+    board_.set_open(is_open(now), now);
 }
 
 // ----- runs -----
@@ -463,20 +461,24 @@
     }
 }
 
-target_load agent_node::load_for(const entry_link& e) const
+target_load agent_node::load_now() const
 {
     const auto now = context_.loop.now();
     auto load = board_.load(now);
-    load.accepts_work =
-        target_ && !target_->draining && !stopping_ && lease_.in_touch(now);
-    load.orders_seen = e.orders_seen;
+    load.accepts_work = is_open(now);
     return load;
 }
 
+bool agent_node::is_open(time_point now) const
+{
+    return target_ && !target_->draining && !stopping_ && lease_.in_touch(now);
+}
+
 void agent_node::hello(link_id link)
 {
     auto& e = entries_.at(link);
-    e.told = load_for(e);
+    e.told = load_now();
+    e.told.orders_seen = e.orders_seen;
     hub_.send(link, target_hello{context_.self, target_->profile, e.told});
     hub_.send(link, roster_.to_message());
 }
@@ -522,6 +524,7 @@
         return;
     }
     const auto now = context_.loop.now();
+    auto load = load_now();
     bool untold = false;
     for (auto& [link, e] : entries_)
     {
@@ -529,7 +532,7 @@
         {
             hub_.send(link, run_ends{std::exchange(e.ends, {})});
         }
-        const auto load = load_for(e);
+        load.orders_seen = e.orders_seen;
         if (load == e.told)
         {
             continue;
--- a/packages/observe/include/agatebank/observe/json_log.hpp
+++ b/packages/observe/include/agatebank/observe/json_log.hpp
@@ -17,6 +17,9 @@
     log_level level = log_level::info; ///< lower levels are dropped
     std::string process;
     std::string failure_domain;
+    /// Lines in a second; more are dropped and counted, and the count is
+    /// logged with the next line. A process at its peak writes a tenth.
+    unsigned max_lines_per_s = 5000;
 };
 
 /// @brief Reads a level's word: debug, info, warning or error.
@@ -27,7 +30,8 @@
 const char* to_word(log_level level) noexcept;
 
 /// @brief Writes log records as JSON lines through Boost.Log, synchronously
-/// on the caller's thread. Each line has the fields time (UTC), level,
+/// on the caller's thread. It never waits: a line that standard output can't
+/// take now is dropped and counted. Each line has the fields time (UTC), level,
 /// process, failure_domain and text, and those of step, peer, submission,
 /// task and error that apply. Files are not rotated here: move the file away
 /// and call @ref reopen.
--- a/packages/observe/src/json_log.cpp
+++ b/packages/observe/src/json_log.cpp
@@ -16,7 +16,9 @@
 #include <iostream>
 #include <utility>
 
+#include <poll.h>
 #include <string.h>
+#include <unistd.h>
 
 namespace agatebank
 {
@@ -31,6 +33,7 @@
 
 constexpr const char* step_open = "log.open";
 constexpr const char* step_level = "log.level";
+constexpr const char* step_write = "log.write";
 constexpr const char* record_attribute = "agatebank-record";
 constexpr const char* owner_attribute = "agatebank-owner";
 
@@ -68,6 +71,12 @@
     return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+bool can_write(int fd)
+{
+    pollfd p{fd, POLLOUT, 0};
+    return ::poll(&p, 1, 0) == 1 && (p.revents & POLLOUT) != 0;
+}
+
 result<stream_ptr> open_stream(const std::string& file)
 {
     if (file.empty())
@@ -142,12 +151,48 @@
         logging::core::get()->add_sink(frontend);
     }
 
+    uint64_t second = 0; ///< whose lines are counted
+    unsigned lines = 0;
+    uint64_t dropped = 0;
+
+    // Whether another line fits into this second and into the output.
+    bool has_room()
+    {
+        const auto now = clock() / 1'000'000;
+        if (now != second)
+        {
+            second = now;
+            lines = 0;
+        }
+        return lines < options.max_lines_per_s &&
+               (!options.file.empty() || can_write(STDOUT_FILENO));
+    }
+
     void write(const log_record& r)
     {
         if (r.level < options.level)
         {
             return;
         }
+        if (!has_room())
+        {
+            ++dropped;
+            return;
+        }
+        if (const auto n = std::exchange(dropped, 0); n != 0)
+        {
+            log_record lost;
+            lost.level = log_level::warning;
+            lost.text = std::to_string(n) + " log lines dropped";
+            lost.step = step_write;
+            put(lost);
+        }
+        put(r);
+    }
+
+    void put(const log_record& r)
+    {
+        ++lines;
         attributes[record_attribute] =
             logging::attributes::constant<const log_record*>(&r);
         const auto core = logging::core::get();
--- a/packages/observe/tests/unit-json_log.cpp
+++ b/packages/observe/tests/unit-json_log.cpp
@@ -151,3 +151,24 @@
     CHECK(log.error().code == errc::log_unwritable);
     CHECK(log.error().peer == dir.file("no/such/log"));
 }
+
+TEST_CASE("json_log: lines beyond the rate are dropped, counted and told")
+{
+    const temporary_directory dir;
+    uint64_t now_us = fixed_clock();
+    json_log_options options{dir.file("log"), log_level::info, "p", "d"};
+    options.max_lines_per_s = 3;
+    const auto log = json_log::open(options, [&now_us] { return now_us; });
+    REQUIRE(log);
+    for (int i = 0; i < 10; ++i)
+    {
+        (*log)->sink()(record(log_level::info, "line"));
+    }
+    CHECK(read_lines(dir.file("log")).size() == 3);
+    now_us += 1'000'000;
+    (*log)->sink()(record(log_level::info, "later"));
+    const auto lines = read_lines(dir.file("log"));
+    REQUIRE(lines.size() == 5);
+    CHECK(lines[3].at("text") == "7 log lines dropped");
+    CHECK(lines[4].at("text") == "later");
+}
