--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -15,10 +15,10 @@
 constexpr double run_time_spread = 0.2;
 /// Above this share of its processor a target is likely to make the next
 /// job wait: other entries place there too, between two reports.
-constexpr double crowded_share = 0.8;
+constexpr double crowded_share = 0.65;
 /// From the caller's request to the run's start and from its end to the
 /// answer, outside the targets.
-constexpr duration path_time = std::chrono::milliseconds(15);
+constexpr duration path_time = std::chrono::milliseconds(25);
 
 bool is_allowed(const target_record& t, const placement_request& rq,
                 agent_incarnation agent)
