End a dial by the dialer's own timer

The timeout of 300 ms was given to GSocketClient, which counts whole seconds. Ruled out: the target's announcement (in touch 10 ms after the start), the entries' start, the configuration (5 of 223 refusals). Change: endpoint_dialer ends a dial after 300 ms by a timer; test with a listener whose queue is full, seen failing with a timer of 1 s.

--- a/packages/wire/include/agatebank/wire/endpoint_dialer.hpp
+++ b/packages/wire/include/agatebank/wire/endpoint_dialer.hpp
@@ -54,6 +54,8 @@
     const std::vector<endpoint>& entries() const noexcept;
 
   private:
+    void on_timeout(std::size_t entry);
+
     struct attempt
     {
         std::shared_ptr<void> connecting;
--- a/packages/wire/src/endpoint_dialer.cpp
+++ b/packages/wire/src/endpoint_dialer.cpp
@@ -13,7 +13,10 @@
 constexpr duration first_delay = std::chrono::milliseconds(100);
 /// Sooner than the kernel sends a lost opening packet again (1 s, RFC 6298).
 constexpr duration connect_timeout = std::chrono::milliseconds(300);
+/// The connector counts in whole seconds; the dialer's timer comes first.
+constexpr duration connector_timeout = std::chrono::seconds(1);
 constexpr unsigned max_doublings = 5;
+constexpr const char* step_dial = "link.dial";
 
 } // namespace
 
@@ -35,7 +38,7 @@
     , random_(std::move(random))
     , log_(std::move(log))
     , connected_(std::move(connected))
-    , connector_(connect_timeout)
+    , connector_(connector_timeout)
     , attempts_(entries_.size())
     , longest_delay_(longest_delay)
 {
@@ -54,12 +57,17 @@
     {
         return;
     }
-    attempts_[entry].connecting = connector_.connect(
+    auto& a = attempts_[entry];
+    timers_.cancel(a.timer);
+    a.timer =
+        timers_.schedule(connect_timeout, [this, entry] { on_timeout(entry); });
+    a.connecting = connector_.connect(
         entries_[entry],
         [this, entry](result<object_ptr<GSocketConnection>> c)
         {
             if (c)
             {
+                timers_.cancel(attempts_[entry].timer);
                 connected_(entry, std::move(*c));
                 return;
             }
@@ -68,6 +76,15 @@
         });
 }
 
+void endpoint_dialer::on_timeout(std::size_t entry)
+{
+    attempts_[entry].connecting.reset();
+    log_(to_record(log_level::debug,
+                   {make_error_code(errc::peer_unreachable), step_dial,
+                    entries_[entry].to_string(), "no answer in time"}));
+    dial_later(entry);
+}
+
 void endpoint_dialer::dial_later(std::size_t entry)
 {
     if (stopped_)
--- a/packages/wire/tests/unit-endpoint_dialer.cpp
+++ b/packages/wire/tests/unit-endpoint_dialer.cpp
@@ -3,6 +3,12 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <array>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace agatebank;
 
 TEST_CASE("endpoint_dialer: the delay doubles to its bound, half of it jitter")
@@ -35,3 +41,69 @@
         }
     }
 }
+
+namespace
+{
+
+// A listener whose queue is full: the kernel drops further opening packets,
+// as a machine without power does.
+class full_listener
+{
+  public:
+    full_listener()
+    {
+        address_.sin_family = AF_INET;
+        address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t n = sizeof(address_);
+        ::bind(listener_, reinterpret_cast<sockaddr*>(&address_), n);
+        ::listen(listener_, 0);
+        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address_), &n);
+        for (int& it : fillers_)
+        {
+            it = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            ::connect(it, reinterpret_cast<sockaddr*>(&address_), n);
+        }
+    }
+
+    ~full_listener()
+    {
+        for (const int it : fillers_)
+        {
+            ::close(it);
+        }
+        ::close(listener_);
+    }
+
+    full_listener(const full_listener&) = delete;
+    full_listener& operator=(const full_listener&) = delete;
+
+    uint16_t port() const
+    {
+        return ntohs(address_.sin_port);
+    }
+
+  private:
+    int listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    std::array<int, 4> fillers_{};
+    sockaddr_in address_{};
+};
+
+} // namespace
+
+TEST_CASE("endpoint_dialer: a dial without an answer is given up and repeated "
+          "before the kernel sends its opening packet again")
+{
+    event_loop loop;
+    timer_queue timers(loop);
+    const full_listener silent;
+    int tries = 0;
+    endpoint_dialer dialer(
+        timers, {{"127.0.0.1", silent.port()}}, [] { return 0U; },
+        [&tries](const log_record& r) { tries += r.step == "link.dial"; },
+        [](std::size_t, object_ptr<GSocketConnection>) {});
+    dialer.dial(0);
+    const auto stop =
+        loop.after(std::chrono::milliseconds(950), [&loop] { loop.quit(); });
+    loop.run();
+    CHECK(tries >= 2);
+}
