--- a/packages/wire/tests/unit-endpoint_dialer.cpp
+++ b/packages/wire/tests/unit-endpoint_dialer.cpp
@@ -55,13 +55,16 @@
         address_.sin_family = AF_INET;
         address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t n = sizeof(address_);
-        ::bind(listener_, reinterpret_cast<sockaddr*>(&address_), n);
-        ::listen(listener_, 0);
+        listening_ =
+            ::bind(listener_, reinterpret_cast<sockaddr*>(&address_), n) == 0 &&
+            ::listen(listener_, 0) == 0;
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address_), &n);
         for (int& it : fillers_)
         {
             it = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            ::connect(it, reinterpret_cast<sockaddr*>(&address_), n);
+            // Ends later, or never: the socket does not block.
+            static_cast<void>(
+                ::connect(it, reinterpret_cast<sockaddr*>(&address_), n));
         }
     }
 
@@ -77,6 +80,11 @@
     full_listener(const full_listener&) = delete;
     full_listener& operator=(const full_listener&) = delete;
 
+    bool listening() const
+    {
+        return listening_;
+    }
+
     uint16_t port() const
     {
         return ntohs(address_.sin_port);
@@ -86,6 +94,7 @@
     int listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
     std::array<int, 4> fillers_{};
     sockaddr_in address_{};
+    bool listening_ = false;
 };
 
 } // namespace
@@ -96,6 +105,7 @@
     event_loop loop;
     timer_queue timers(loop);
     const full_listener silent;
+    REQUIRE(silent.listening());
     int tries = 0;
     endpoint_dialer dialer(
         timers, {{"127.0.0.1", silent.port()}}, [] { return 0U; },
