--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -4,9 +4,8 @@
 #include <agatebank/node/node_settings.hpp>
 #include <agatebank/observe/metrics_api.hpp>
 
+#include <functional>
 #include <iostream>
-#include <memory>
-#include <optional>
 #include <platform/configuration_feed.hpp>
 #include <platform/job_ingress.hpp>
 #include <platform/route_decoder.hpp>
@@ -34,12 +33,6 @@
             self};
 }
 
-result<std::unique_ptr<process_runtime>> open_runtime(const node_settings& s)
-{
-    return process_runtime::open(
-        {s.name, s.failure_domain.value(), {}, {}, s.log_level});
-}
-
 http_server_options listen_on(const endpoint& e)
 {
     http_server_options o;
@@ -73,47 +66,53 @@
     return {};
 }
 
-// What both roles do before they differ; nothing when only checking.
-result<std::optional<node_settings>> read_settings(const nlohmann::json& json,
-                                                   node_role role,
-                                                   const std::string& file,
-                                                   bool check_only)
+// A role's own part: builds its node and runs it until it is stopped.
+using role_body =
+    std::function<result<exit_code>(process_runtime&, const node_settings&)>;
+
+// What both roles do before they differ.
+result<exit_code> run_role(const nlohmann::json& document, node_role role,
+                           const std::string& file, bool check_only,
+                           const role_body& body)
 {
-    auto s = parse_node_settings(json, role, file);
-    if (!s)
+    const auto settings = parse_node_settings(document, role, file);
+    if (!settings)
     {
-        return tl::unexpected(s.error());
+        return tl::unexpected(settings.error());
     }
     if (check_only)
     {
         std::cout << file << ": valid\n";
-        return std::optional<node_settings>();
-    }
-    return std::optional<node_settings>(std::move(*s));
-}
-
-} // namespace
-
-result<exit_code> run_entry_node(const nlohmann::json& document,
-                                 const std::string& file, bool check_only)
-{
-    const auto read =
-        read_settings(document, node_role::entry, file, check_only);
-    if (!read)
-    {
-        return tl::unexpected(read.error());
-    }
-    if (!*read)
-    {
         return exit_code::success;
     }
-    const auto& settings = **read;
-    auto runtime = open_runtime(settings);
+    const auto runtime =
+        process_runtime::open({settings->name,
+                               settings->failure_domain.value(),
+                               {},
+                               {},
+                               settings->log_level});
     if (!runtime)
     {
         return tl::unexpected(runtime.error());
     }
-    auto& rt = **runtime;
+    return body(**runtime, *settings);
+}
+
+// Runs a started node until its graceful stop has ended.
+template <class Node>
+exit_code run_until_stopped(process_runtime& rt, Node& node,
+                            const std::string& role)
+{
+    rt.log_info(role + " started");
+    const auto code = rt.run([&node](std::function<void()> done)
+                             { node.begin_stop(std::move(done)); });
+    rt.log_info(role + " stopped");
+    return code;
+}
+
+result<exit_code> run_entry_role(process_runtime& rt,
+                                 const node_settings& settings)
+{
     timer_queue timers(rt.loop);
     entry_node node(make_context(rt, timers, settings),
                     {{settings.address, settings.link_port},
@@ -144,33 +143,12 @@
         return tl::unexpected(started.error());
     }
     feed.start();
-    rt.log_info("entry started");
-    const auto code = rt.run([&node](std::function<void()> done)
-                             { node.begin_stop(std::move(done)); });
-    rt.log_info("entry stopped");
-    return code;
+    return run_until_stopped(rt, node, "entry");
 }
 
-result<exit_code> run_agent_node(const nlohmann::json& document,
-                                 const std::string& file, bool check_only)
+result<exit_code> run_agent_role(process_runtime& rt,
+                                 const node_settings& settings)
 {
-    const auto read =
-        read_settings(document, node_role::agent, file, check_only);
-    if (!read)
-    {
-        return tl::unexpected(read.error());
-    }
-    if (!*read)
-    {
-        return exit_code::success;
-    }
-    const auto& settings = **read;
-    auto runtime = open_runtime(settings);
-    if (!runtime)
-    {
-        return tl::unexpected(runtime.error());
-    }
-    auto& rt = **runtime;
     timer_queue timers(rt.loop);
     platform::target_client target(rt.loop, timers, settings.target, rt.log());
     lease_options lease;
@@ -192,11 +170,23 @@
         return tl::unexpected(listening.error());
     }
     node.start();
-    rt.log_info("agent started");
-    const auto code = rt.run([&node](std::function<void()> done)
-                             { node.begin_stop(std::move(done)); });
-    rt.log_info("agent stopped");
-    return code;
+    return run_until_stopped(rt, node, "agent");
+}
+
+} // namespace
+
+result<exit_code> run_entry_node(const nlohmann::json& document,
+                                 const std::string& file, bool check_only)
+{
+    return run_role(document, node_role::entry, file, check_only,
+                    run_entry_role);
+}
+
+result<exit_code> run_agent_node(const nlohmann::json& document,
+                                 const std::string& file, bool check_only)
+{
+    return run_role(document, node_role::agent, file, check_only,
+                    run_agent_role);
 }
 
 } // namespace agatebank
--- a/packages/fleet/include/agatebank/fleet/job_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_board.hpp
@@ -192,6 +192,8 @@
     bool complete_task(job_key key, job_record& job, const order_ref& ref,
                        time_point now);
     std::string targets_of(const job_record& job) const;
+    /// @brief Lets the tasks wait whose earlier steps are now complete.
+    void open_later_steps(job_key key, job_record& job);
     void learn(const job_record& job, uint32_t step, agent_incarnation agent,
                const run_end& end);
     void log(log_level level, const job_record& job, std::string text,
--- a/packages/fleet/include/agatebank/fleet/job_forecast.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_forecast.hpp
@@ -5,6 +5,8 @@
 #include <agatebank/core/run_time_estimator.hpp>
 #include <agatebank/fleet/target_board.hpp>
 
+#include <map>
+
 namespace agatebank
 {
 
@@ -34,7 +36,10 @@
     double speed(const target_profile& target) const;
 
   private:
+    void renew_mean_speed();
+
     run_time_estimator times_{true};
+    std::map<agent_incarnation, unsigned> kinds_; ///< targets of each kind
     double mean_speed_ = 1; ///< of the targets, as the estimator scales it
 };
 
--- a/packages/fleet/src/job_board.cpp
+++ b/packages/fleet/src/job_board.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/core/duration_math.hpp>
 #include <agatebank/fleet/job_admission.hpp>
 #include <agatebank/fleet/job_board.hpp>
 
@@ -22,16 +23,6 @@
 /// Each stall quadruples the time that a task is given next.
 constexpr uint32_t max_stalls = 6;
 
-int64_t to_ms(duration d)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
-}
-
-std::string ms_text(duration d)
-{
-    return std::to_string(to_ms(d)) + " ms";
-}
-
 } // namespace
 
 job_board::job_board(job_board_options options, job_board_hooks hooks)
@@ -168,8 +159,8 @@
             log(log_level::info, job,
                 "attempt " + std::to_string(task.attempt) + " at " +
                     targets_.at(it.choice.agent).profile().target +
-                    ", expected end " + ms_text(it.choice.finish) + ", left " +
-                    ms_text(job.objective - now),
+                    ", expected end " + to_ms_text(it.choice.finish) +
+                    ", left " + to_ms_text(job.objective - now),
                 static_cast<int32_t>(it.index));
         }
         // An estimate that was too low twice must not stop the task for ever.
@@ -268,8 +259,8 @@
     {
         const std::string why =
             question.has_target
-                ? "expected end after " + ms_text(question.expected_finish) +
-                      ", deadline " + ms_text(question.deadline)
+                ? "expected end after " + to_ms_text(question.expected_finish) +
+                      ", deadline " + to_ms_text(question.deadline)
                 : "no target for every task";
         refuse(key, job, answer.retry_after, why);
         return;
@@ -281,9 +272,9 @@
         "admitted " + std::to_string(plan.task_count()) + " tasks of route " +
             r.name.value() + ", configuration " +
             std::to_string(job.arrival.version.value()) + ", expected end " +
-            ms_text(question.expected_finish) + ", objective " +
-            ms_text(objective) + ", deadline " + ms_text(job.arrival.deadline) +
-            ", tasks at " + targets_of(job));
+            to_ms_text(question.expected_finish) + ", objective " +
+            to_ms_text(objective) + ", deadline " +
+            to_ms_text(job.arrival.deadline) + ", tasks at " + targets_of(job));
     for (const auto& [step, chosen] : placed)
     {
         job.waiting -= static_cast<uint32_t>(chosen.size());
@@ -312,7 +303,7 @@
     }
     ++counts_.refused;
     log(log_level::warning, job,
-        "refused, " + why + "; retry after " + ms_text(retry_after));
+        "refused, " + why + "; retry after " + to_ms_text(retry_after));
     jobs_.erase(key);
     hooks_.finish(key, {job_result::not_run, retry_after});
 }
@@ -366,9 +357,10 @@
         break;
     }
     log(log_level::info, job,
-        std::string(why) + " after " + ms_text(now - job.arrived) +
-            (now > job.objective ? ", late by " + ms_text(now - job.objective)
-                                 : std::string(", on time")));
+        std::string(why) + " after " + to_ms_text(now - job.arrived) +
+            (now > job.objective
+                 ? ", late by " + to_ms_text(now - job.objective)
+                 : std::string(", on time")));
     by_id_.erase(job.arrival.id);
     waiting_.erase(key);
     jobs_.erase(key);
@@ -427,7 +419,6 @@
     }
     forecast_.learn(job.arrival.served_by.name, job.arrival.plan.steps[step],
                     it->second.profile(), duration(end.run_us));
-    forecast_.set_targets(targets_);
 }
 
 bool job_board::has_run(const job_record& job)
@@ -460,18 +451,21 @@
 {
     auto& step = job.steps[ref.step];
     step.tasks[ref.index].state = task_state::done;
-    if (--step.undone != 0 || --job.undone_steps != 0)
+    if (--step.undone != 0)
     {
-        if (step.undone != 0)
-        {
-            return false;
-        }
+        return false;
     }
-    else
+    if (--job.undone_steps == 0)
     {
         settle(key, {job_result::succeeded, {}}, "succeeded", now);
         return true;
     }
+    open_later_steps(key, job);
+    return false;
+}
+
+void job_board::open_later_steps(job_key key, job_record& job)
+{
     for (std::size_t i = 0; i < job.steps.size(); ++i)
     {
         auto& later = job.steps[i];
@@ -490,7 +484,6 @@
             }
         }
     }
-    return false;
 }
 
 void job_board::on_end(agent_incarnation agent, const run_end& end,
@@ -527,8 +520,8 @@
         std::string("run ended ") + to_word(end.outcome) + " at " +
             (target == targets_.end() ? std::string("a lost target")
                                       : target->second.profile().target) +
-            ", ran " + ms_text(duration(end.run_us)) + ", queued " +
-            ms_text(duration(end.queued_us)) + ", attempt " +
+            ", ran " + to_ms_text(duration(end.run_us)) + ", queued " +
+            to_ms_text(duration(end.queued_us)) + ", attempt " +
             std::to_string(task.attempt),
         static_cast<int32_t>(ref.index));
     task.excluded.insert(agent);
--- a/packages/fleet/src/job_forecast.cpp
+++ b/packages/fleet/src/job_forecast.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/core/duration_math.hpp>
 #include <agatebank/fleet/job_forecast.hpp>
 #include <agatebank/fleet/placement.hpp>
 
@@ -26,30 +27,35 @@
     return service_name(route.value());
 }
 
-duration scale(duration d, double factor)
-{
-    return duration(
-        static_cast<int64_t>(static_cast<double>(d.count()) * factor));
-}
-
 } // namespace
 
 void job_forecast::set_targets(const target_map& targets)
 {
-    double sum = 0;
+    kinds_.clear();
     for (const auto& [agent, t] : targets)
     {
-        sum += std::log(times_.speed(to_kind_key(t.profile())));
+        ++kinds_[to_kind_key(t.profile())];
+    }
+    renew_mean_speed();
+}
+
+void job_forecast::renew_mean_speed()
+{
+    double sum = 0;
+    double count = 0;
+    for (const auto& [kind, n] : kinds_)
+    {
+        sum += n * std::log(times_.speed(kind));
+        count += n;
     }
-    mean_speed_ = targets.empty()
-                      ? 1
-                      : std::exp(sum / static_cast<double>(targets.size()));
+    mean_speed_ = count == 0 ? 1 : std::exp(sum / count);
 }
 
 void job_forecast::learn(const route_name& route, const step_plan& step,
                          const target_profile& target, duration run)
 {
     times_.observe(to_model(route), to_kind_key(target), to_hint(step), run);
+    renew_mean_speed();
 }
 
 run_time_prediction job_forecast::one_task(const route_name& route,
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/core/duration_math.hpp>
 #include <agatebank/fleet/placement.hpp>
 
 #include <algorithm>
@@ -45,12 +46,6 @@
     return it == rq.placed->end() || it->second < step.max_per_target;
 }
 
-duration scale(duration d, double factor)
-{
-    return duration(
-        static_cast<int64_t>(static_cast<double>(d.count()) * factor));
-}
-
 // A lower rank is better.
 using choice_rank = std::tuple<int, bool, double, double>;
 
--- a/packages/fleet/src/run_board.cpp
+++ b/packages/fleet/src/run_board.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/core/duration_math.hpp>
 #include <agatebank/fleet/run_board.hpp>
 
 #include <algorithm>
@@ -24,14 +25,6 @@
     return job + ".0." + std::to_string(o.step) + "." + std::to_string(o.index);
 }
 
-std::string ms_text(duration d)
-{
-    return std::to_string(
-               std::chrono::duration_cast<std::chrono::milliseconds>(d)
-                   .count()) +
-           " ms";
-}
-
 } // namespace
 
 run_board::run_board(run_board_hooks hooks) : hooks_(std::move(hooks)) {}
@@ -341,8 +334,8 @@
     {
         log(log_level::info, r,
             std::string("order ended ") + to_word(outcome) + ", queued " +
-                ms_text(duration(end.queued_us)) + ", ran " +
-                ms_text(duration(end.run_us)));
+                to_ms_text(duration(end.queued_us)) + ", ran " +
+                to_ms_text(duration(end.run_us)));
     }
     const bool wanted = r.wanted;
     runs_.erase(it);
@@ -477,8 +470,8 @@
         {
             log(log_level::warning, r,
                 "stalled at " + std::to_string(it.percent) + " % after " +
-                    ms_text(asked_at - r.started) + ", expected " +
-                    ms_text(duration(r.order.expected_us)));
+                    to_ms_text(asked_at - r.started) + ", expected " +
+                    to_ms_text(duration(r.order.expected_us)));
             watch_.on_bad(now);
             stop_run(r, run_outcome::stalled, now);
         }
--- a/packages/fleet/src/run_watch.cpp
+++ b/packages/fleet/src/run_watch.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/core/duration_math.hpp>
 #include <agatebank/fleet/run_watch.hpp>
 
 #include <algorithm>
@@ -38,12 +39,6 @@
 constexpr double restart_gain = 1.5;
 constexpr duration restart_cost = 100ms;
 
-duration scale(duration d, double factor)
-{
-    return duration(
-        static_cast<int64_t>(static_cast<double>(d.count()) * factor));
-}
-
 } // namespace
 
 void run_watch::add(bool bad, time_point now)
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -113,7 +113,6 @@
     std::map<agent_incarnation, link_id> agent_links_;
     std::map<job_key, waiting_caller> callers_;
     std::unordered_map<uint64_t, job_key> by_number_;
-    std::set<link_id> peers_; ///< links that other entries opened
     watch timer_;
     time_point last_timer_;
     uint64_t last_key_ = 0;
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -290,7 +290,6 @@
     }
     else if (std::holds_alternative<peer_hello>(m))
     {
-        peers_.insert(link);
         hub_.send(link, roster_.to_message());
     }
     else if (std::holds_alternative<configuration_query>(m))
@@ -317,7 +316,6 @@
 
 void entry_node::on_closed(link_id link, const failure& why)
 {
-    peers_.erase(link);
     for (auto it = dialled_.begin(); it != dialled_.end(); ++it)
     {
         if (it->second == link)
--- a/packages/node/src/target_lease.cpp
+++ b/packages/node/src/target_lease.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/core/duration_math.hpp>
 #include <agatebank/node/target_lease.hpp>
 
 namespace agatebank
@@ -12,12 +13,6 @@
 /// A stop at the lease's end takes at most this.
 constexpr duration kill_time = std::chrono::milliseconds(60);
 
-duration scale(duration d, double factor)
-{
-    return duration(
-        static_cast<int64_t>(static_cast<double>(d.count()) * factor));
-}
-
 } // namespace
 
 target_lease::target_lease(lease_options options) : options_(options) {}
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -169,16 +169,6 @@
     return *agents_[i];
 }
 
-std::string node_cluster::log_of_entry(std::size_t i) const
-{
-    return entries_[i]->output();
-}
-
-std::string node_cluster::log_of_agent(std::size_t i) const
-{
-    return agents_[i]->output();
-}
-
 unsigned node_cluster::readiness(std::size_t i)
 {
     http_call call;
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -64,9 +64,6 @@
     const caller_job& job(std::size_t n) const;
     bool wait_ended(std::size_t job,
                     duration timeout = std::chrono::seconds(8));
-    /// @brief All that an entry has logged.
-    std::string log_of_entry(std::size_t i) const;
-    std::string log_of_agent(std::size_t i) const;
 
     // parts
     event_loop loop;
--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -1,5 +1,7 @@
 #include "store_stand_in.hpp"
 
+#include "listen_options.hpp"
+
 #include <glib.h>
 
 #include <stdexcept>
@@ -20,19 +22,11 @@
     return out;
 }
 
-http_server_options make_options(const std::string& address, uint16_t port)
-{
-    http_server_options o;
-    o.address = address;
-    o.port = port;
-    return o;
-}
-
 } // namespace
 
 store_stand_in::store_stand_in(event_loop& loop, const std::string& address,
                                uint16_t port)
-    : loop_(loop), server_(loop, make_options(address, port))
+    : loop_(loop), server_(loop, listen_at(address, port))
 {
     server_.route("GET", "/v1/rows-get",
                   [this](const auto&, const auto& r) { get(r); });
--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -1,5 +1,7 @@
 #include "target_stand_in.hpp"
 
+#include "listen_options.hpp"
+
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
@@ -17,14 +19,6 @@
 constexpr int64_t longest_lease_ms = 1000;
 constexpr std::size_t capacity_in_tasks = 16; ///< of 1,000 thousandths each
 
-http_server_options make_options(const std::string& address, uint16_t port)
-{
-    http_server_options o;
-    o.address = address;
-    o.port = port;
-    return o;
-}
-
 int64_t to_ms(duration d)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
@@ -42,7 +36,7 @@
     , id_(std::move(id))
     , agent_address_(std::move(agent_address))
     , run_time_(run_time)
-    , server_(loop, make_options(address, port))
+    , server_(loop, listen_at(address, port))
     , client_(loop)
     , born_at_(loop.now())
 {
