Keep poll sources during their dispatch; write a turn's log lines at once

Each log line was written in two calls after a poll. The lines went to standard error, while the poll looked at standard output: the log could block.

Ruled out: timers (GLib does not signal for a source of its own thread); libsoup's own sources, which cannot be marked.

Change: loop/socket_source marks our sources as re-entrant, so that they stay in the poll set; links use plain socket sources without child sources; line_output collects the lines of one turn and writes them to standard output with one poll and one write, and keeps what a slow reader does not take, up to a bound.

--- a/packages/agent/include/agatebank/agent/agent_settings.hpp
+++ b/packages/agent/include/agatebank/agent/agent_settings.hpp
@@ -52,7 +52,7 @@
     endpoint http;
     std::vector<endpoint> entries;
     std::string shared_key_file; ///< empty: no key, loopback only
-    std::string log_file;        ///< empty: standard error
+    std::string log_file;        ///< empty: standard output
     std::string log_level = "info";
     agent_limits limits;
 };
--- a/packages/daemon/include/agatebank/daemon/process_runtime.hpp
+++ b/packages/daemon/include/agatebank/daemon/process_runtime.hpp
@@ -57,8 +57,7 @@
     static uint64_t random_number();
 
   private:
-    process_runtime(const runtime_settings& settings, std::string key,
-                    std::unique_ptr<json_log> log);
+    process_runtime(const runtime_settings& settings, std::string key);
 
     void on_stop_signal(const stopper& begin_stop);
 
--- a/packages/daemon/src/process_runtime.cpp
+++ b/packages/daemon/src/process_runtime.cpp
@@ -64,23 +64,28 @@
     {
         return tl::unexpected(level.error());
     }
-    auto log = json_log::open(
-        {settings.log_file, *level, settings.name, settings.failure_domain},
-        wall_clock_us);
+    std::unique_ptr<process_runtime> out(
+        new process_runtime(settings, std::move(key)));
+    json_log_options options{settings.log_file, *level, settings.name,
+                             settings.failure_domain};
+    options.defer = [&loop = out->loop](std::function<void()> fn)
+    {
+        loop.defer(std::move(fn));
+    };
+    auto log = json_log::open(options, wall_clock_us);
     if (!log)
     {
         return tl::unexpected(log.error());
     }
-    return std::unique_ptr<process_runtime>(
-        new process_runtime(settings, std::move(key), std::move(*log)));
+    out->log_ = std::move(*log);
+    return out;
 }
 
 process_runtime::process_runtime(const runtime_settings& settings,
-                                 std::string key, std::unique_ptr<json_log> log)
+                                 std::string key)
     : clock(wall_clock_us)
     , auth(std::move(key))
     , events(clock, settings.name, event_capacity)
-    , log_(std::move(log))
 {
 }
 
--- a/packages/entry/include/agatebank/entry/entry_settings.hpp
+++ b/packages/entry/include/agatebank/entry/entry_settings.hpp
@@ -19,7 +19,7 @@
 /// @brief Where a process logs.
 struct log_settings
 {
-    std::string file; ///< empty: standard error
+    std::string file; ///< empty: standard output
     std::string level = "info";
 };
 
--- a/packages/http/src/http_server.cpp
+++ b/packages/http/src/http_server.cpp
@@ -1,4 +1,5 @@
 #include <agatebank/http/http_server.hpp>
+#include <agatebank/loop/socket_source.hpp>
 
 #include <algorithm>
 #include <cerrno>
@@ -238,10 +239,7 @@
             return;
         }
         abandoned = std::move(fn);
-        peer_watch.reset(g_socket_create_source(socket, G_IO_IN, nullptr));
-        g_source_set_callback(peer_watch.get(), G_SOURCE_FUNC(on_peer_readable),
-                              this, nullptr);
-        g_source_attach(peer_watch.get(), nullptr);
+        peer_watch = watch_socket(socket, G_IO_IN, on_peer_readable, this);
     }
 
     static gboolean on_peer_readable(GSocket* socket, GIOCondition,
--- a/packages/observe/include/agatebank/observe/json_log.hpp
+++ b/packages/observe/include/agatebank/observe/json_log.hpp
@@ -13,13 +13,16 @@
 /// @brief Where a process's log goes and what each line says of the process.
 struct json_log_options
 {
-    std::string file;                  ///< appended to; empty: standard error
+    std::string file;                  ///< appended to; empty: standard output
     log_level level = log_level::info; ///< lower levels are dropped
     std::string process;
     std::string failure_domain;
     /// Lines in a second; more are dropped and counted, and the count is
     /// logged with the next line. A process at its peak writes a tenth.
     unsigned max_lines_per_s = 5000;
+    /// Calls back when the loop comes round: lines are written then, together.
+    /// Empty: each line is written at once.
+    std::function<void(std::function<void()>)> defer{};
 };
 
 /// @brief Reads a level's word: debug, info, warning or error.
@@ -30,8 +33,8 @@
 const char* to_word(log_level level) noexcept;
 
 /// @brief Writes log records as JSON lines through Boost.Log, synchronously
-/// on the caller's thread. It never waits: a line that standard output can't
-/// take now is dropped and counted. Each line has the fields time (UTC), level,
+/// on the caller's thread. It never waits: lines that standard output can't
+/// take now are kept up to a bound, further ones are dropped and counted. Each line has the fields time (UTC), level,
 /// process, failure_domain and text, and those of step, peer, submission,
 /// task and error that apply. Files are not rotated here: move the file away
 /// and call @ref reopen.
@@ -67,9 +70,9 @@
 
   private:
     struct state;
-    explicit json_log(std::unique_ptr<state> s);
+    explicit json_log(std::shared_ptr<state> s);
 
-    std::unique_ptr<state> state_;
+    std::shared_ptr<state> state_;
 };
 
 } // namespace agatebank
--- a/packages/observe/src/json_log.cpp
+++ b/packages/observe/src/json_log.cpp
@@ -1,3 +1,4 @@
+#include "line_output.hpp"
 #include "utc_time.hpp"
 #include <agatebank/observe/json_log.hpp>
 
@@ -13,10 +14,9 @@
 #include <array>
 #include <cerrno>
 #include <fstream>
-#include <iostream>
+#include <ostream>
 #include <utility>
 
-#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -71,17 +71,32 @@
     return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-bool can_write(int fd)
+// Lines to standard output, that never wait.
+class standard_output : public std::ostream
 {
-    pollfd p{fd, POLLOUT, 0};
-    return ::poll(&p, 1, 0) == 1 && (p.revents & POLLOUT) != 0;
+  public:
+    standard_output() : std::ostream(&lines_), lines_(STDOUT_FILENO) {}
+
+    bool has_room() const noexcept
+    {
+        return lines_.has_room();
+    }
+
+  private:
+    line_output lines_;
+};
+
+bool has_room(const stream_ptr& stream)
+{
+    const auto* out = dynamic_cast<const standard_output*>(stream.get());
+    return out == nullptr || out->has_room();
 }
 
 result<stream_ptr> open_stream(const std::string& file)
 {
     if (file.empty())
     {
-        return stream_ptr(&std::clog, [](std::ostream*) {});
+        return stream_ptr(boost::make_shared<standard_output>());
     }
     errno = 0;
     auto out = boost::make_shared<std::ofstream>(file, std::ios::app);
@@ -114,7 +129,7 @@
     return i < level_words.size() ? level_words[i] : "unknown";
 }
 
-struct json_log::state
+struct json_log::state : std::enable_shared_from_this<json_log::state>
 {
     json_log_options options;
     wall_clock clock;
@@ -130,7 +145,7 @@
         attributes[owner_attribute] =
             logging::attributes::constant<const state*>(this);
         backend = boost::make_shared<backend_type>();
-        backend->auto_flush(true);
+        backend->auto_flush(!options.defer);
         backend->add_stream(stream);
         frontend = boost::make_shared<frontend_type>(backend);
         frontend->set_filter(
@@ -151,6 +166,7 @@
         logging::core::get()->add_sink(frontend);
     }
 
+    bool flush_pending = false;
     uint64_t second = 0; ///< whose lines are counted
     unsigned lines = 0;
     uint64_t dropped = 0;
@@ -165,7 +181,7 @@
             lines = 0;
         }
         return lines < options.max_lines_per_s &&
-               (!options.file.empty() || can_write(STDOUT_FILENO));
+               agatebank::has_room(stream);
     }
 
     void write(const log_record& r)
@@ -188,6 +204,25 @@
             put(lost);
         }
         put(r);
+        flush_later();
+    }
+
+    // Lines of one turn of the loop leave together.
+    void flush_later()
+    {
+        if (!options.defer || std::exchange(flush_pending, true))
+        {
+            return;
+        }
+        options.defer(
+            [weak = weak_from_this()]
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->flush_pending = false;
+                    self->stream->flush();
+                }
+            });
     }
 
     void put(const log_record& r)
@@ -204,7 +239,7 @@
     }
 };
 
-json_log::json_log(std::unique_ptr<state> s) : state_(std::move(s))
+json_log::json_log(std::shared_ptr<state> s) : state_(std::move(s))
 {
     state_->attach();
 }
@@ -212,6 +247,7 @@
 json_log::~json_log()
 {
     logging::core::get()->remove_sink(state_->frontend);
+    state_->stream->flush();
 }
 
 result<std::unique_ptr<json_log>> json_log::open(json_log_options options,
@@ -222,7 +258,7 @@
     {
         return tl::unexpected(stream.error());
     }
-    auto s = std::make_unique<state>();
+    auto s = std::make_shared<state>();
     s->options = std::move(options);
     s->clock = std::move(clock);
     s->stream = std::move(*stream);
@@ -236,6 +272,7 @@
     {
         return tl::unexpected(stream.error());
     }
+    state_->stream->flush();
     state_->backend->remove_stream(state_->stream);
     state_->stream = std::move(*stream);
     state_->backend->add_stream(state_->stream);
--- a/packages/wire/src/datagram_socket.cpp
+++ b/packages/wire/src/datagram_socket.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/loop/socket_source.hpp>
 #include <agatebank/wire/datagram_socket.hpp>
 
 #include <array>
@@ -43,10 +44,7 @@
                     error->message);
     }
     g_socket_set_blocking(socket_.get(), FALSE);
-    source_.reset(g_socket_create_source(socket_.get(), G_IO_IN, nullptr));
-    g_source_set_callback(source_.get(), G_SOURCE_FUNC(on_readable), this,
-                          nullptr);
-    g_source_attach(source_.get(), nullptr);
+    source_ = watch_socket(socket_.get(), G_IO_IN, on_readable, this);
     return {};
 }
 
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/loop/socket_source.hpp>
 #include <agatebank/wire/tcp_link.hpp>
 
 #include <algorithm>
@@ -107,16 +108,9 @@
     {
     }
 
-    GPollableInputStream* input() const
+    GSocket* socket() const
     {
-        return G_POLLABLE_INPUT_STREAM(
-            g_io_stream_get_input_stream(G_IO_STREAM(connection.get())));
-    }
-
-    GPollableOutputStream* output() const
-    {
-        return G_POLLABLE_OUTPUT_STREAM(
-            g_io_stream_get_output_stream(G_IO_STREAM(connection.get())));
+        return g_socket_connection_get_socket(connection.get());
     }
 
     // ----- opening and closing -----
@@ -124,15 +118,11 @@
     void begin()
     {
         peer = peer_address(connection.get());
-        g_socket_set_option(g_socket_connection_get_socket(connection.get()),
-                            IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+        g_socket_set_blocking(socket(), FALSE);
+        g_socket_set_option(socket(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
         last_received = context.loop.now();
         out = local_nonce;
-        read_source.reset(
-            g_pollable_input_stream_create_source(input(), nullptr));
-        g_source_set_callback(read_source.get(), G_SOURCE_FUNC(on_readable),
-                              this, nullptr);
-        g_source_attach(read_source.get(), nullptr);
+        read_source = watch_socket(socket(), G_IO_IN, on_readable, this);
         if (context.options.own_timer)
         {
             timer = context.loop.every(context.options.heartbeat_period / 2,
@@ -237,8 +227,8 @@
             return;
         }
         GError* raw = nullptr;
-        const gssize n = g_pollable_output_stream_write_nonblocking(
-            output(), out.data() + out_at, out.size() - out_at, nullptr, &raw);
+        const gssize n = g_socket_send(
+            socket(), out.data() + out_at, out.size() - out_at, nullptr, &raw);
         const error_ptr error(raw);
         if (n < 0 && g_error_matches(error.get(), G_IO_ERROR,
                                      G_IO_ERROR_WOULD_BLOCK) == FALSE)
@@ -267,14 +257,10 @@
         {
             return;
         }
-        write_source.reset(
-            g_pollable_output_stream_create_source(output(), nullptr));
-        g_source_set_callback(write_source.get(), G_SOURCE_FUNC(on_writable),
-                              this, nullptr);
-        g_source_attach(write_source.get(), nullptr);
+        write_source = watch_socket(socket(), G_IO_OUT, on_writable, this);
     }
 
-    static gboolean on_writable(GObject*, gpointer data)
+    static gboolean on_writable(GSocket*, GIOCondition, gpointer data)
     {
         auto* self = static_cast<state*>(data);
         const auto keep = self->shared_from_this();
@@ -284,7 +270,7 @@
 
     // ----- receiving -----
 
-    static gboolean on_readable(GObject*, gpointer data)
+    static gboolean on_readable(GSocket*, GIOCondition, gpointer data)
     {
         auto* self = static_cast<state*>(data);
         const auto keep = self->shared_from_this();
@@ -296,8 +282,8 @@
     {
         std::array<char, read_chunk_bytes> buf;
         GError* raw = nullptr;
-        const gssize n = g_pollable_input_stream_read_nonblocking(
-            input(), buf.data(), buf.size(), nullptr, &raw);
+        const gssize n = g_socket_receive(
+            socket(), buf.data(), buf.size(), nullptr, &raw);
         const error_ptr error(raw);
         if (n < 0)
         {
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -32,7 +32,8 @@
 } // namespace
 
 node_cluster::node_cluster(cluster_plan plan)
-    : directory_(make_directory())
+    : plan_(plan)
+    , directory_(make_directory())
     , link_port_(ports_.take())
     , front_port_(ports_.take())
     , ready_port_(ports_.take())
@@ -224,6 +225,7 @@
                  .count())}};
     call.body = body.dump();
     call.timeout = deadline + 2s;
+    call.may_resend = plan_.keep_connections;
     jobs_.push_back(std::make_unique<caller_job>());
     auto* j = jobs_.back().get();
     j->call = client_.send(call,
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -19,6 +19,8 @@
     std::size_t entries = 2;
     std::size_t agents = 2;
     duration run_time = std::chrono::milliseconds(60);
+    /// callers use open connections again
+    bool keep_connections = false;
 };
 
 /// @brief One caller's job and its answer; status 0: none yet, or the
@@ -88,6 +90,7 @@
                                        const std::string& name,
                                        const nlohmann::json& settings);
 
+    cluster_plan plan_;
     port_block ports_;
     std::string directory_;
     uint16_t link_port_;
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -1,3 +1,4 @@
+#include "node_scenario.hpp"
 #include "scenarios.hpp"
 
 #include <boost/program_options.hpp>
@@ -49,15 +50,21 @@
 {
     bench_sizes sizes;
     bool scale = false;
+    bool nodes = false;
+    node_load load;
     po::options_description options("bench options");
     options.add_options()("help", "print this help")(
-        "example", po::value(&sizes.example)->required(),
+        "example", po::value(&sizes.example),
         "directory of the example")("jobs", po::value(&sizes.jobs),
                                     "jobs of the throughput scenario")(
         "requests", po::value(&sizes.latency_requests),
         "requests of the latency scenario")(
         "scale", po::bool_switch(&scale),
-        "also measure idle processes at several sizes");
+        "also measure idle processes at several sizes")(
+        "nodes", po::bool_switch(&nodes),
+        "measure only the path with stand-ins of store and targets")(
+        "jobs-per-s", po::value(&load.jobs_per_s), "load of these nodes")(
+        "duration-s", po::value(&load.duration_s), "time under this load");
     try
     {
         po::variables_map values;
@@ -68,6 +75,11 @@
             return 0;
         }
         po::notify(values);
+        if (nodes)
+        {
+            print(measure_nodes(load));
+            return 0;
+        }
         run(sizes, scale);
         return 0;
     }
--- /dev/null
+++ b/tools/bench/node_scenario.cpp
@@ -0,0 +1,63 @@
+#include "node_scenario.hpp"
+
+#include "process_usage.hpp"
+#include <agatebank/harness/run_until.hpp>
+#include <node_cluster.hpp>
+
+#include <stdexcept>
+
+namespace agatebank
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+double agents_ms(node_cluster& c, unsigned n)
+{
+    double out = 0;
+    for (unsigned i = 0; i < n; ++i)
+    {
+        out += read_usage(c.agent(i).pid()).processor_ms;
+    }
+    return out;
+}
+
+} // namespace
+
+std::vector<bench_row> measure_nodes(const node_load& load)
+{
+    node_cluster c({1, load.agents, 60ms, true});
+    c.configure(1);
+    if (!c.wait_ready())
+    {
+        throw std::runtime_error("the nodes are not ready");
+    }
+    const auto entry = read_usage(c.entry(0).pid()).processor_ms;
+    const auto agents = agents_ms(c, load.agents);
+    const auto began = c.loop.now();
+    const unsigned jobs = load.jobs_per_s * load.duration_s;
+    for (unsigned i = 0; i < jobs; ++i)
+    {
+        const auto due = began + duration(1s) * i / load.jobs_per_s;
+        run_until(c.loop, 1s, [&] { return c.loop.now() >= due; });
+        c.submit(0, "job-" + std::to_string(i), load.tasks);
+    }
+    unsigned served = 0;
+    for (unsigned i = 0; i < jobs; ++i)
+    {
+        c.wait_ended(i);
+        served += c.job(i).status == 200 ? 1U : 0U;
+    }
+    const double starts = double(served) * load.tasks;
+    return {{"nodes: jobs served", double(served), "of " + std::to_string(jobs),
+             ""},
+            {"nodes: entry's processor time per job of 4 tasks",
+             (read_usage(c.entry(0).pid()).processor_ms - entry) / served, "ms",
+             "< 0.6 ms"},
+            {"nodes: agent's processor time per start",
+             (agents_ms(c, load.agents) - agents) / starts, "ms", "< 0.25 ms"}};
+}
+
+} // namespace agatebank
