Learn a target's speed by itself, not by its kind

An agent took the slow ones for slowed ones, and an entry learns nothing from a slowed target, so it stayed so.

Ruled out: queueing (run times, not waits, differ), failed targets, the load (9 of 11 targets served the same rate on time before).

Change: job_forecast learns a speed for each life of a target, beginning with the mean of its kind; a slowdown is believed only against a speed that was learned from 16 runs; the life is part of a target's profile. Targets whose speeds differ by less than a third count as alike in a placement, so that the least used of them is taken.

--- a/packages/core/include/agatebank/core/ids.hpp
+++ b/packages/core/include/agatebank/core/ids.hpp
@@ -23,6 +23,9 @@
 using entry_incarnation = strong_id<struct entry_incarnation_tag, uint64_t>;
 using agent_incarnation = strong_id<struct agent_incarnation_tag, uint64_t>;
 
+/// @brief When a target's present life began; a restart has a later one.
+using target_life = strong_id<struct target_life_tag, int64_t>;
+
 /// @brief Position of a start in the stream from one entry incarnation to
 /// one agent incarnation; rises by one, never reused.
 using start_sequence = strong_id<struct start_sequence_tag, uint64_t>;
--- a/packages/core/include/agatebank/core/run_time_estimator.hpp
+++ b/packages/core/include/agatebank/core/run_time_estimator.hpp
@@ -81,12 +81,16 @@
     void observe(const service_name& service, agent_incarnation agent,
                  std::optional<duration> declared, duration run_time);
     void forget(agent_incarnation agent);
+    /// @brief Sets where the learning of a target's speed begins.
+    void begin(agent_incarnation agent, double speed);
 
     // lookup
     run_time_prediction predict(const service_name& service,
                                 std::optional<duration> declared) const;
     /// @brief Speed of a target relative to speed 1; 1 when unknown.
     double speed(agent_incarnation agent) const;
+    /// @brief Runs from which a target's speed was learned.
+    double samples(agent_incarnation agent) const;
 
   private:
     struct service_model
--- a/packages/core/include/agatebank/core/target_load.hpp
+++ b/packages/core/include/agatebank/core/target_load.hpp
@@ -16,10 +16,11 @@
 struct target_profile
 {
     std::string target; ///< id by which the target announces itself
+    target_life life;   ///< a later one may be another machine
     service_name service;
     failure_domain_name failure_domain;
     room capacity;
-    std::string kind;                ///< targets of one kind are as fast
+    std::string kind;                ///< as fast as others of it, at a guess
     std::vector<std::string> labels; ///< kind and rack among them
 
     auto operator<=>(const target_profile&) const = default;
@@ -27,7 +28,7 @@
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(target, service, failure_domain, capacity, kind, labels);
+        ar(target, life, service, failure_domain, capacity, kind, labels);
     }
 };
 
--- a/packages/core/include/agatebank/core/target_port.hpp
+++ b/packages/core/include/agatebank/core/target_port.hpp
@@ -18,9 +18,6 @@
 namespace agatebank
 {
 
-/// @brief When a target's present life began; a restart has a later one.
-using target_life = strong_id<struct target_life_tag, int64_t>;
-
 /// @brief A time on a target's own clock, in milliseconds.
 using target_time = strong_id<struct target_time_tag, int64_t>;
 
@@ -41,7 +38,6 @@
 struct target_announcement
 {
     target_profile profile;
-    target_life life;
     uint64_t sequence = 0; ///< rises in one life
     bool draining = false;
 };
--- a/packages/core/src/run_time_estimator.cpp
+++ b/packages/core/src/run_time_estimator.cpp
@@ -159,6 +159,11 @@
     speeds_.erase(agent);
 }
 
+void run_time_estimator::begin(agent_incarnation agent, double speed)
+{
+    speeds_[agent] = {0, std::log(speed)};
+}
+
 run_time_prediction
 run_time_estimator::predict(const service_name& service,
                             std::optional<duration> declared) const
@@ -182,4 +187,10 @@
     return it == speeds_.end() ? 1 : std::exp(it->second.log_speed);
 }
 
+double run_time_estimator::samples(agent_incarnation agent) const
+{
+    const auto it = speeds_.find(agent);
+    return it == speeds_.end() ? 0 : it->second.count;
+}
+
 } // namespace agatebank
--- a/packages/fleet/include/agatebank/fleet/placement.hpp
+++ b/packages/fleet/include/agatebank/fleet/placement.hpp
@@ -40,11 +40,7 @@
 };
 
 /// @brief Speed of a target relative to the estimator's speed 1.
-using speed_lookup = std::function<double(const target_profile&)>;
-
-/// @brief The key by which run times of one kind of target are learned
-/// together.
-agent_incarnation to_kind_key(const target_profile& profile);
+using speed_lookup = std::function<double(agent_incarnation)>;
 
 /// @brief Ratio of the slowest of @p n alike tasks to their mean: the
 /// asymptotic expected maximum of n normal variables, exp(s sqrt(2 ln(n+1))).
--- a/packages/fleet/src/job_board.cpp
+++ b/packages/fleet/src/job_board.cpp
@@ -36,7 +36,7 @@
                            const target_profile& profile, time_point now)
 {
     targets_.insert_or_assign(agent, target_record(profile));
-    forecast_.set_targets(targets_);
+    forecast_.put_target(agent, profile);
     tick(now);
 }
 
@@ -67,7 +67,7 @@
 void job_board::remove_target(agent_incarnation agent, time_point now)
 {
     targets_.erase(agent);
-    forecast_.set_targets(targets_);
+    forecast_.remove_target(agent);
     for (auto& [key, job] : jobs_)
     {
         for (auto& step : job.steps)
@@ -105,9 +105,9 @@
     rq.remote_data_factor = options_.remote_data_factor;
     auto& record = job.steps[step];
     rq.placed = &record.placed;
-    const auto speeds = [this](const target_profile& p)
+    const auto speeds = [this](agent_incarnation agent)
     {
-        return forecast_.speed(p);
+        return forecast_.speed(agent);
     };
     for (uint32_t i = 0; i < record.tasks.size(); ++i)
     {
@@ -413,12 +413,13 @@
                       agent_incarnation agent, const run_end& end)
 {
     const auto it = targets_.find(agent);
-    if (it == targets_.end() || it->second.load().slowdown > 1)
+    if (it == targets_.end() ||
+        (it->second.load().slowdown > 1 && forecast_.knows_speed(agent)))
     {
         return;
     }
     forecast_.learn(job.arrival.served_by.name, job.arrival.plan.steps[step],
-                    it->second.profile(), duration(end.run_us));
+                    agent, duration(end.run_us));
 }
 
 bool job_board::has_run(const job_record& job)
--- a/packages/fleet/src/job_forecast.cpp
+++ b/packages/fleet/src/job_forecast.cpp
@@ -13,6 +13,10 @@
 namespace
 {
 
+/// Run times of alike tasks spread by some 40 % around their estimates: the
+/// mean of so many runs is off by a tenth.
+constexpr double known_after = 16;
+
 std::optional<duration> to_hint(const step_plan& step)
 {
     if (step.declared_run_time.count() == 0)
@@ -29,32 +33,57 @@
 
 } // namespace
 
-void job_forecast::set_targets(const target_map& targets)
+void job_forecast::put_target(agent_incarnation agent,
+                              const target_profile& profile)
 {
-    kinds_.clear();
-    for (const auto& [agent, t] : targets)
+    const auto it = targets_.find(agent);
+    if (it != targets_.end() && it->second == profile)
     {
-        ++kinds_[to_kind_key(t.profile())];
+        return;
     }
+    targets_.erase(agent);
+    times_.begin(agent, guess_speed(profile.kind));
+    targets_.emplace(agent, profile);
     renew_mean_speed();
 }
 
-void job_forecast::renew_mean_speed()
+void job_forecast::remove_target(agent_incarnation agent)
+{
+    targets_.erase(agent);
+    times_.forget(agent);
+    renew_mean_speed();
+}
+
+double job_forecast::guess_speed(const std::string& kind) const
 {
     double sum = 0;
     double count = 0;
-    for (const auto& [kind, n] : kinds_)
+    for (const auto& [agent, profile] : targets_)
+    {
+        if (profile.kind == kind && knows_speed(agent))
+        {
+            sum += std::log(times_.speed(agent));
+            ++count;
+        }
+    }
+    return count == 0 ? mean_speed_ : std::exp(sum / count);
+}
+
+void job_forecast::renew_mean_speed()
+{
+    double sum = 0;
+    for (const auto& [agent, profile] : targets_)
     {
-        sum += n * std::log(times_.speed(kind));
-        count += n;
+        sum += std::log(times_.speed(agent));
     }
-    mean_speed_ = count == 0 ? 1 : std::exp(sum / count);
+    const auto n = static_cast<double>(targets_.size());
+    mean_speed_ = n == 0 ? 1 : std::exp(sum / n);
 }
 
 void job_forecast::learn(const route_name& route, const step_plan& step,
-                         const target_profile& target, duration run)
+                         agent_incarnation target, duration run)
 {
-    times_.observe(to_model(route), to_kind_key(target), to_hint(step), run);
+    times_.observe(to_model(route), target, to_hint(step), run);
     renew_mean_speed();
 }
 
@@ -83,9 +112,14 @@
                         : *std::max_element(ends.begin(), ends.end());
 }
 
-double job_forecast::speed(const target_profile& target) const
+double job_forecast::speed(agent_incarnation target) const
+{
+    return times_.speed(target) / mean_speed_;
+}
+
+bool job_forecast::knows_speed(agent_incarnation target) const
 {
-    return times_.speed(to_kind_key(target)) / mean_speed_;
+    return times_.samples(target) >= known_after;
 }
 
 } // namespace agatebank
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -46,16 +46,21 @@
     return it == rq.placed->end() || it->second < step.max_per_target;
 }
 
+/// Targets whose speeds differ by less than this ratio count as alike: a
+/// learned speed is off by up to a tenth.
+constexpr double speed_step = 1.35;
+
+// Whole steps of speed.
+double speed_class(double speed)
+{
+    return std::round(std::log(speed) / std::log(speed_step));
+}
+
 // A lower rank is better.
 using choice_rank = std::tuple<int, bool, double, double>;
 
 } // namespace
 
-agent_incarnation to_kind_key(const target_profile& profile)
-{
-    return agent_incarnation(std::hash<std::string>{}(profile.kind));
-}
-
 double slowest_of(uint32_t n)
 {
     return std::exp(run_time_spread * std::sqrt(2 * std::log(1.0 + n)));
@@ -84,7 +89,7 @@
         const double far = rack.empty() || t.has_label(rack)
                                ? 1.0
                                : request.remote_data_factor;
-        const double usual_speed = speed(t.profile()) / far;
+        const double usual_speed = speed(agent) / far;
         const double speed_now = usual_speed / std::max(1.0, t.load().slowdown);
         const auto run = scale(request.expected.mean, 1 / usual_speed);
         const auto wait = t.expected_wait(request.step->each, request.band);
@@ -93,7 +98,8 @@
         const bool on_time = finish + path_time <= request.left;
         const double used = t.utilisation_with(request.step->each);
         const choice_rank rank =
-            on_time ? choice_rank{0, used > crowded_share, speed_now, used}
+            on_time ? choice_rank{0, used > crowded_share,
+                                  speed_class(speed_now), used}
                     : choice_rank{1, false, static_cast<double>(finish.count()),
                                   used};
         if (!best || rank < best_rank)
--- a/packages/fleet/tests/unit-job_board.cpp
+++ b/packages/fleet/tests/unit-job_board.cpp
@@ -255,3 +255,46 @@
     f.end_next(run_outcome::stalled);
     CHECK(f.sent.front().batch.orders.front().expected_us == 4 * first);
 }
+
+TEST_CASE("job_board: a slow target is told from a slowed one after some runs")
+{
+    // Its agent, which expects what it is told, takes a target that has
+    // always been slow for one that was slowed.
+    board_fixture f;
+    f.add_target(1);
+    f.add_target(2);
+    target_load slowed;
+    slowed.accepts_work = true;
+    slowed.slowdown = 2;
+    f.board.set_load(agent_incarnation(2), slowed, f.now);
+    step_plan spread;
+    spread.tasks = 2;
+    spread.max_per_target = 1;
+    spread.each = {1000, 10, 0};
+    spread.declared_run_time = 100ms;
+    const auto last_expected = [&f]
+    {
+        std::map<uint64_t, int64_t> out;
+        for (const auto& it : f.sent)
+        {
+            out[it.agent.value()] = it.batch.orders.front().expected_us;
+        }
+        return out;
+    };
+    for (int i = 0; i < 40; ++i)
+    {
+        f.admit(2, 2s, {spread});
+        for (const auto& it : std::exchange(f.sent, {}))
+        {
+            const int64_t run_us = it.agent.value() == 2 ? 200'000 : 50'000;
+            f.board.on_end(
+                it.agent,
+                {it.batch.orders.front().id, run_outcome::done, run_us, 0},
+                f.now);
+        }
+    }
+    f.admit(2, 2s, {spread});
+    auto expected = last_expected();
+    REQUIRE(expected.size() == 2);
+    CHECK(expected[2] > 2 * expected[1]);
+}
--- a/packages/fleet/tests/unit-job_forecast.cpp
+++ b/packages/fleet/tests/unit-job_forecast.cpp
@@ -8,60 +8,103 @@
 namespace
 {
 
-target_map two_kinds()
+const route_name desk_route("r");
+
+step_plan declared_100ms()
+{
+    step_plan step;
+    step.declared_run_time = 100ms;
+    return step;
+}
+
+target_profile of_kind(const char* kind, int64_t life = 1)
+{
+    target_profile p;
+    p.kind = kind;
+    p.life = target_life(life);
+    return p;
+}
+
+// Runs on targets 1 and up, whose run times are given.
+void learn(job_forecast& f, const std::vector<duration>& run_times, int runs)
 {
-    target_map out;
-    uint64_t n = 0;
-    for (const char* kind : {"fast", "slow"})
+    for (int i = 0; i < runs; ++i)
     {
-        target_profile p;
-        p.kind = kind;
-        out.emplace(agent_incarnation(++n), target_record(p));
+        for (std::size_t t = 0; t < run_times.size(); ++t)
+        {
+            f.learn(desk_route, declared_100ms(), agent_incarnation(t + 1),
+                    run_times[t]);
+        }
     }
-    return out;
 }
 
 } // namespace
 
-TEST_CASE("job_forecast: speeds are learned by kind, around a mean of 1")
+TEST_CASE("job_forecast: speeds are learned by target, around a mean of 1")
 {
-    const auto targets = two_kinds();
-    const auto& fast = targets.at(agent_incarnation(1)).profile();
-    const auto& slow = targets.at(agent_incarnation(2)).profile();
-    const route_name route("r");
-    step_plan step;
-    step.declared_run_time = 100ms;
-    job_forecast f;
-    f.set_targets(targets);
-    CHECK(f.speed(fast) == 1);
-    for (int i = 0; i < 200; ++i)
+    const agent_incarnation fast(1);
+    const agent_incarnation slow(2);
+    for (const char* slow_kind : {"a", "b"})
+    {
+        INFO("kind of the slow target " << slow_kind);
+        job_forecast f;
+        f.put_target(fast, of_kind("a"));
+        f.put_target(slow, of_kind(slow_kind));
+        CHECK(f.speed(fast) == 1);
+        CHECK_FALSE(f.knows_speed(fast));
+        learn(f, {50ms, 200ms}, 200);
+        CHECK(f.knows_speed(fast));
+        CHECK(f.speed(fast) > 1.7);
+        CHECK(f.speed(slow) < 0.6);
+        CHECK(f.speed(fast) * f.speed(slow) == Approx(1));
+        const auto one = f.one_task(desk_route, declared_100ms());
+        CHECK(one.mean > 80ms);
+        CHECK(one.mean < 125ms);
+    }
+}
+
+TEST_CASE("job_forecast: a new target is first as fast as others of its kind")
+{
+    struct row
+    {
+        const char* name;
+        uint64_t agent;
+        const char* kind;
+        int64_t life;
+        double least, most;
+    };
+    const row rows[] = {{"another of a fast kind", 3, "a", 1, 1.2, 2},
+                        {"another of a slow kind", 3, "b", 1, 0.4, 0.8},
+                        {"of an unknown kind", 3, "c", 1, 0.99, 1.01},
+                        {"a next life of the slow one", 2, "a", 2, 0.99, 1.01},
+                        {"the slow one linked again", 2, "b", 1, 0.3, 0.6}};
+    for (const auto& it : rows)
     {
-        f.learn(route, step, fast, 50ms);
-        f.learn(route, step, slow, 200ms);
+        INFO(it.name);
+        job_forecast f;
+        f.put_target(agent_incarnation(1), of_kind("a"));
+        f.put_target(agent_incarnation(2), of_kind("b"));
+        learn(f, {50ms, 200ms}, 200);
+        const agent_incarnation agent(it.agent);
+        f.put_target(agent, of_kind(it.kind, it.life));
+        CHECK(f.speed(agent) > it.least);
+        CHECK(f.speed(agent) < it.most);
     }
-    f.set_targets(targets);
-    CHECK(f.speed(fast) > 1.7);
-    CHECK(f.speed(slow) < 0.6);
-    CHECK(f.speed(fast) * f.speed(slow) == Approx(1));
-    CHECK(f.one_task(route, step).mean > 80ms);
-    CHECK(f.one_task(route, step).mean < 125ms);
 }
 
 TEST_CASE("job_forecast: the longest chain follows the steps' order")
 {
     const job_forecast f;
-    const route_name route("r");
-    step_plan a;
-    a.declared_run_time = 100ms;
+    const auto a = declared_100ms();
     job_plan plan;
     plan.steps = {a, a, a};
-    const auto one = f.longest_chain(route, plan);
+    const auto one = f.longest_chain(desk_route, plan);
     plan.steps[2].after = {0};
-    CHECK(f.longest_chain(route, plan) == 2 * one);
+    CHECK(f.longest_chain(desk_route, plan) == 2 * one);
     plan.steps[1].after = {0};
     plan.steps[2].after = {0, 1};
-    CHECK(f.longest_chain(route, plan) == 3 * one);
+    CHECK(f.longest_chain(desk_route, plan) == 3 * one);
     plan.steps = {a};
     plan.steps[0].tasks = 20;
-    CHECK(f.longest_chain(route, plan) > one);
+    CHECK(f.longest_chain(desk_route, plan) > one);
 }
--- a/packages/fleet/tests/unit-placement.cpp
+++ b/packages/fleet/tests/unit-placement.cpp
@@ -31,9 +31,9 @@
 }
 
 // Agent 1 is fast, agent 2 half as fast as speed 1.
-double speed_of(const target_profile& p)
+double speed_of(agent_incarnation agent)
 {
-    return p.kind == "fast" ? 1.5 : 0.5;
+    return agent.value() == 1 ? 1.5 : 0.5;
 }
 
 struct two_targets
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -163,10 +163,10 @@
 
 void agent_node::on_announcement(const target_announcement& a)
 {
-    const bool known = target_ && target_->life == a.life &&
+    const bool known = target_ && target_->profile.life == a.profile.life &&
                        target_->profile.target == a.profile.target;
-    if (target_ &&
-        (a.life < target_->life || (known && a.sequence <= target_->sequence)))
+    if (target_ && (a.profile.life < target_->profile.life ||
+                    (known && a.sequence <= target_->sequence)))
     {
         return; // delayed, of an earlier life or overtaken
     }
@@ -205,7 +205,7 @@
     const auto now = context_.loop.now();
     context_.log(
         to_line(log_level::info,
-                "target begins life " + std::to_string(a.life.value()) +
+                "target begins life " + std::to_string(a.profile.life.value()) +
                     ", kind " + a.profile.kind + ", cpu " +
                     std::to_string(a.profile.capacity.cpu_millis) + " m",
                 step_target, a.profile.target));
@@ -252,12 +252,12 @@
         lease_.on_sent(now);
         runs_gone_ = false;
     }
-    const auto life = target_->life;
+    const auto life = target_->profile.life;
     port_.extend_lease(
         rq,
         [this, now, life](tl::expected<lease_answer, lease_failure> a)
         {
-            if (life != target_->life)
+            if (life != target_->profile.life)
             {
                 schedule_lease(duration(0));
                 return;
@@ -276,7 +276,7 @@
 void agent_node::on_lease_answer(const lease_answer& a, time_point sent)
 {
     const auto now = context_.loop.now();
-    if (a.life != target_->life)
+    if (a.life != target_->profile.life)
     {
         // The announcement of the new life is still to come.
         board_.set_open(false, now);
@@ -355,12 +355,12 @@
 void agent_node::start_run(const run_name& name, const std::string& payload)
 {
     const auto clock = lease_.clock(context_.loop.now());
-    const auto life = target_->life;
+    const auto life = target_->profile.life;
     port_.start(
         {name, payload, add(clock.value_or(target_time()), start_validity)},
         [this, name, life](start_answer a)
         {
-            if (life == target_->life)
+            if (life == target_->profile.life)
             {
                 board_.on_start_answer(name, a, context_.loop.now());
                 schedule_flush();
@@ -370,11 +370,11 @@
 
 void agent_node::stop_run(const run_name& name)
 {
-    const auto life = target_->life;
+    const auto life = target_->profile.life;
     port_.stop(name,
                [this, name, life](bool taken)
                {
-                   if (life == target_->life)
+                   if (life == target_->profile.life)
                    {
                        board_.on_stop_answer(name, taken, context_.loop.now());
                    }
--- a/packages/observe/src/json_log.cpp
+++ b/packages/observe/src/json_log.cpp
@@ -180,8 +180,7 @@
             second = now;
             lines = 0;
         }
-        return lines < options.max_lines_per_s &&
-               agatebank::has_room(stream);
+        return lines < options.max_lines_per_s && agatebank::has_room(stream);
     }
 
     void write(const log_record& r)
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -227,8 +227,8 @@
             return;
         }
         GError* raw = nullptr;
-        const gssize n = g_socket_send(
-            socket(), out.data() + out_at, out.size() - out_at, nullptr, &raw);
+        const gssize n = g_socket_send(socket(), out.data() + out_at,
+                                       out.size() - out_at, nullptr, &raw);
         const error_ptr error(raw);
         if (n < 0 && g_error_matches(error.get(), G_IO_ERROR,
                                      G_IO_ERROR_WOULD_BLOCK) == FALSE)
@@ -282,8 +282,8 @@
     {
         std::array<char, read_chunk_bytes> buf;
         GError* raw = nullptr;
-        const gssize n = g_socket_receive(
-            socket(), buf.data(), buf.size(), nullptr, &raw);
+        const gssize n =
+            g_socket_receive(socket(), buf.data(), buf.size(), nullptr, &raw);
         const error_ptr error(raw);
         if (n < 0)
         {
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -54,9 +54,8 @@
     node_load load;
     po::options_description options("bench options");
     options.add_options()("help", "print this help")(
-        "example", po::value(&sizes.example),
-        "directory of the example")("jobs", po::value(&sizes.jobs),
-                                    "jobs of the throughput scenario")(
+        "example", po::value(&sizes.example), "directory of the example")(
+        "jobs", po::value(&sizes.jobs), "jobs of the throughput scenario")(
         "requests", po::value(&sizes.latency_requests),
         "requests of the latency scenario")(
         "scale", po::bool_switch(&scale),
--- a/tools/bench/node_scenario.cpp
+++ b/tools/bench/node_scenario.cpp
@@ -2,8 +2,8 @@
 
 #include "process_usage.hpp"
 #include <agatebank/harness/run_until.hpp>
-#include <node_cluster.hpp>
 
+#include <node_cluster.hpp>
 #include <stdexcept>
 
 namespace agatebank
