Estimate objectives by typical work, and ask targets to be in time both ways

Measured over expected time of idle targets was 0.7 to 0.8: the slowest of n tasks was put too high, also for one task, and a mean over a prior with a long tail stood for the usual run. So objectives were taken for a quarter longer than they are, and in a queue jobs were placed up to that edge.

Ruled out: waits in the entries (first start after 10 ms in the middle), failed targets.

Change: predictions have a typical run time beside the mean; the slowest of n follows the expected maximum of n normal variables; a target counts as in time only if it is so for four fifths and for five fourths of the expected work, as the objective grows with the work itself.

--- a/packages/core/include/agatebank/core/run_time_estimator.hpp
+++ b/packages/core/include/agatebank/core/run_time_estimator.hpp
@@ -14,8 +14,9 @@
 /// @brief What is expected of a task's run time on a target of speed 1.
 struct run_time_prediction
 {
-    duration mean{}; ///< expected value
-    duration high{}; ///< exceeded by about one task in a thousand
+    duration mean{};    ///< expected value
+    duration high{};    ///< exceeded by about one task in a thousand
+    duration typical{}; ///< exceeded by about half of the tasks
 };
 
 /// @brief Decaying histogram of the logarithm of observed over expected run
--- a/packages/core/src/run_time_estimator.cpp
+++ b/packages/core/src/run_time_estimator.cpp
@@ -171,14 +171,14 @@
     if (!learns_)
     {
         const auto d = declared.value_or(unknown_run_time);
-        return {d, d};
+        return {d, d, d};
     }
     static const service_model unknown;
     const auto it = services_.find(service);
     const auto& model = it == services_.end() ? unknown : it->second;
     const double us = std::exp(model.expected_log(declared));
     return {from_us(us * model.residuals.mean_ratio()),
-            from_us(us * model.residuals.high_ratio())};
+            from_us(us * model.residuals.high_ratio()), from_us(us)};
 }
 
 double run_time_estimator::speed(agent_incarnation agent) const
--- a/packages/fleet/include/agatebank/fleet/placement.hpp
+++ b/packages/fleet/include/agatebank/fleet/placement.hpp
@@ -20,7 +20,8 @@
     const step_plan* step = nullptr;
     run_time_prediction expected; ///< of one task on a target of speed 1
     std::size_t band = 0;         ///< of the route's priority
-    duration left{};              ///< time until the objective
+    duration left{};              ///< time until the objective, as expected
+    double stretch = 0;           ///< of the work, which the objective allows
     /// targets not to be used again for this task
     const std::set<agent_incarnation>* excluded = nullptr;
     /// tasks of the step already on a target
@@ -42,8 +43,9 @@
 /// @brief Speed of a target relative to the estimator's speed 1.
 using speed_lookup = std::function<double(agent_incarnation)>;
 
-/// @brief Ratio of the slowest of @p n alike tasks to their mean: the
-/// asymptotic expected maximum of n normal variables, exp(s sqrt(2 ln(n+1))).
+/// @brief Ratio of the slowest of @p n tasks of a step to a typical one,
+/// exp(s max(0, sqrt(2 ln n) - 0.6)): the second factor is the expected
+/// maximum of n standard normal variables, within 0.06 for n up to 100.
 double slowest_of(uint32_t n);
 
 /// @brief Chooses the target of one task: the slowest that still ends in
@@ -51,7 +53,9 @@
 ///
 /// Load pattern: long and short tasks come together and kinds of targets
 /// differ in speed; short tasks have slack for slow targets, and every fast
-/// target they take makes a long one late.
+/// target they take makes a long one late. The objective of a job grows with
+/// its work, which is known only within a third: in a queue a job that turns
+/// out short has the least time, on a slow target one that turns out long.
 /// @return nothing when no target may run the task now
 /// @complexity linear in the targets
 std::optional<placement_choice> choose_target(const target_map& targets,
--- a/packages/fleet/src/job_board.cpp
+++ b/packages/fleet/src/job_board.cpp
@@ -102,6 +102,7 @@
     rq.expected = forecast_.one_task(job.arrival.served_by.name, *rq.step);
     rq.band = to_band(job.arrival.served_by.priority);
     rq.left = job.objective - now;
+    rq.stretch = job.arrival.served_by.stretch;
     rq.remote_data_factor = options_.remote_data_factor;
     auto& record = job.steps[step];
     rq.placed = &record.placed;
--- a/packages/fleet/src/job_forecast.cpp
+++ b/packages/fleet/src/job_forecast.cpp
@@ -91,7 +91,8 @@
                                            const step_plan& step) const
 {
     const auto p = times_.predict(to_model(route), to_hint(step));
-    return {scale(p.mean, 1 / mean_speed_), scale(p.high, 1 / mean_speed_)};
+    return {scale(p.mean, 1 / mean_speed_), scale(p.high, 1 / mean_speed_),
+            scale(p.typical, 1 / mean_speed_)};
 }
 
 duration job_forecast::longest_chain(const route_name& route,
@@ -105,8 +106,8 @@
         {
             begin = std::max(begin, ends[it]);
         }
-        ends.push_back(
-            begin + scale(one_task(route, step).mean, slowest_of(step.tasks)));
+        ends.push_back(begin + scale(one_task(route, step).typical,
+                                     slowest_of(step.tasks)));
     }
     return ends.empty() ? duration(0)
                         : *std::max_element(ends.begin(), ends.end());
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -11,9 +11,14 @@
 namespace
 {
 
-/// Spread (standard deviation of the logarithm) of the run times of alike
-/// tasks around their prediction.
-constexpr double run_time_spread = 0.2;
+/// Spread (standard deviation of the logarithm) of the tasks of one step.
+constexpr double task_spread = 0.15;
+/// Four of five jobs have at least the first, at most the second multiple of
+/// the work expected of them: a spread of 0.3.
+constexpr double least_work = 0.78;
+constexpr double most_work = 1.29;
+/// Subtracted from the asymptote of an expected maximum, for small numbers.
+constexpr double maximum_offset = 0.6;
 /// Above this share of its processor a target is likely to make the next
 /// job wait: other entries place there too, between two reports.
 constexpr double crowded_share = 0.65;
@@ -63,7 +68,9 @@
 
 double slowest_of(uint32_t n)
 {
-    return std::exp(run_time_spread * std::sqrt(2 * std::log(1.0 + n)));
+    const double deviations =
+        std::sqrt(2 * std::log(std::max(1.0, double(n)))) - maximum_offset;
+    return std::exp(task_spread * std::max(0.0, deviations));
 }
 
 std::optional<placement_choice> choose_target(const target_map& targets,
@@ -73,7 +80,8 @@
 {
     std::optional<placement_choice> best;
     choice_rank best_rank;
-    const double margin = slowest_of(request.step->tasks);
+    const auto work =
+        scale(request.expected.typical, slowest_of(request.step->tasks));
     for (const auto& [agent, t] : targets)
     {
         if (!is_allowed(t, request, agent))
@@ -93,9 +101,13 @@
         const double speed_now = usual_speed / std::max(1.0, t.load().slowdown);
         const auto run = scale(request.expected.mean, 1 / usual_speed);
         const auto wait = t.expected_wait(request.step->each, request.band);
-        const auto finish =
-            wait + scale(request.expected.mean, margin / speed_now);
-        const bool on_time = finish + path_time <= request.left;
+        const auto finish = wait + scale(work, 1 / speed_now);
+        const auto is_on_time = [&](double share)
+        {
+            return wait + scale(work, share / speed_now) + path_time <=
+                   request.left + scale(work, request.stretch * (share - 1));
+        };
+        const bool on_time = is_on_time(least_work) && is_on_time(most_work);
         const double used = t.utilisation_with(request.step->each);
         const choice_rank rank =
             on_time ? choice_rank{0, used > crowded_share,
--- a/packages/fleet/tests/unit-placement.cpp
+++ b/packages/fleet/tests/unit-placement.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+
 using namespace agatebank;
 using namespace std::chrono_literals;
 
@@ -53,13 +55,15 @@
     }
 
     uint64_t choose(duration mean, duration left,
-                    const std::set<agent_incarnation>* excluded = nullptr) const
+                    const std::set<agent_incarnation>* excluded = nullptr,
+                    double stretch = 0) const
     {
         placement_request rq;
         rq.service = service_name("desk");
         rq.step = &step;
-        rq.expected = {mean, mean};
+        rq.expected = {mean, mean, mean};
         rq.left = left;
+        rq.stretch = stretch;
         rq.excluded = excluded;
         rq.remote_data_factor = 2;
         const auto c = choose_target(targets, rq, speed_of, now);
@@ -78,6 +82,50 @@
     CHECK(idle.choose(900ms, 10ms) == 1); // late anyway: the earliest end
 }
 
+TEST_CASE("placement: a target must be in time for shorter and longer work")
+{
+    struct row
+    {
+        const char* name;
+        duration work, wait_on_slow;
+        double stretch;
+        uint64_t chosen;
+    };
+    const row rows[] = {
+        {"slack on the slow one", 60ms, 0ms, 1.6, 2},
+        {"longer work would be late there", 75ms, 0ms, 1.6, 1},
+        {"a short wait there", 100ms, 60ms, 2.5, 2},
+        {"shorter work would be late after the wait", 100ms, 75ms, 2.5, 1}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        auto slow = make_load(0);
+        if (it.wait_on_slow.count() != 0)
+        {
+            // A full target frees its whole capacity once in a mean run.
+            slow.used.cpu_millis = 16000;
+            slow.queued_cpu_millis[0] = 14400;
+            slow.mean_run_us = it.wait_on_slow.count();
+        }
+        // Crowded as well, so that the slow one comes first while in time.
+        const two_targets t(make_load(12000), slow);
+        const auto left =
+            60ms + duration(static_cast<int64_t>(
+                       static_cast<double>(it.work.count()) * it.stretch));
+        CHECK(t.choose(it.work, left, nullptr, it.stretch) == it.chosen);
+    }
+}
+
+TEST_CASE("placement: the slowest of some tasks against a typical one")
+{
+    CHECK(slowest_of(0) == 1);
+    CHECK(slowest_of(1) == 1);
+    // Expected maxima of normal variables, spread 0.15 (Teichroew, 1956).
+    CHECK(slowest_of(2) == Approx(std::exp(0.15 * 0.564)).epsilon(0.01));
+    CHECK(slowest_of(8) == Approx(std::exp(0.15 * 1.424)).epsilon(0.01));
+    CHECK(slowest_of(32) == Approx(std::exp(0.15 * 2.070)).epsilon(0.01));
+}
+
 TEST_CASE("placement: a crowded slow target gives way to room elsewhere")
 {
     const two_targets t(make_load(1000), make_load(12000));
