Give orders back to another target, and no room to answers of no use

Answers later than three times their objective earn nothing by the operators' terms, but were worked on before others that were only late.

Ruled out: a slowdown believed wrongly by the agent (each order given back is now logged with the work ahead and the slowdown: 1.0 in all 290).

Change: an order given back goes to a target that has not been tried, if it ends there while it is of use; an agent's queue takes what is on time first, then what is late, then what is of no use; admission refuses what would be of no use instead of what would pass its deadline; agents are told the typical run time, as their slowdown is a mean of logarithms.

--- a/packages/core/include/agatebank/core/run_order.hpp
+++ b/packages/core/include/agatebank/core/run_order.hpp
@@ -38,13 +38,15 @@
     room each;
     uint32_t priority = 0;
     int64_t objective_us = 0; ///< the time until which an end is on time
+    int64_t useful_us = 0;    ///< the time after which an end is of no use
     int64_t deadline_us = 0;  ///< past it nobody waits for the answer
     std::vector<run_order> orders;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(job, payload, each, priority, objective_us, deadline_us, orders);
+        ar(job, payload, each, priority, objective_us, useful_us, deadline_us,
+           orders);
     }
 };
 
--- a/packages/fleet/include/agatebank/fleet/job_admission.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_admission.hpp
@@ -11,7 +11,7 @@
     bool has_target = false;    ///< some target may run each of its tasks
     duration expected_finish{}; ///< over all steps, queues included
     duration objective{};       ///< the time until which an end is on time
-    duration deadline{};        ///< past it nobody waits for the answer
+    duration latest{}; ///< past it an answer is of no use to the caller
 };
 
 /// @brief The answer of admission.
@@ -21,7 +21,7 @@
     duration retry_after{}; ///< with a refusal: when the backlog has drained
 };
 
-/// @brief Refuses at once what cannot end before its deadline.
+/// @brief Refuses at once what cannot end while it is of use.
 ///
 /// Load pattern: a burst beyond the targets' capacity. A job that would wait
 /// until its deadline and then run out of it takes a caller's time for
--- a/packages/fleet/include/agatebank/fleet/job_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_board.hpp
@@ -157,6 +157,7 @@
         std::vector<step_record> steps;
         time_point arrived;
         time_point objective;
+        time_point useful_until;
         time_point deadline;
         uint32_t undone_steps = 0;
         bool may_have_run = false;
@@ -176,6 +177,10 @@
         placement_choice choice;
     };
 
+    placement_request to_request(const job_record& job, uint32_t step,
+                                 time_point now) const;
+    std::optional<placement_choice> choose_for(const placement_request& rq,
+                                               time_point now) const;
     std::vector<placed_task> choose(job_key key, job_record& job, uint32_t step,
                                     time_point now);
     void order(job_record& job, uint32_t step,
@@ -188,6 +193,11 @@
     void stop_orders(job_record& job);
     /// @brief Whether any task ran or may still run.
     static bool has_run(const job_record& job);
+    static time_point last_useful_end(const job_record& job);
+    /// @brief Whether a task that a target gave back, as its queue there is
+    /// too long, still ends in time on a target that has not been tried.
+    bool may_end_elsewhere(const job_record& job, const order_ref& ref,
+                           time_point now) const;
     void unplace(job_record& job, uint32_t step, task_record& task);
     bool complete_task(job_key key, job_record& job, const order_ref& ref,
                        time_point now);
--- a/packages/fleet/include/agatebank/fleet/run_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_board.hpp
@@ -121,6 +121,7 @@
         room each;
         uint32_t priority = 0;
         time_point objective;
+        time_point useful_until;
         time_point deadline;
         run_order order;
         run_state state = run_state::queued;
@@ -133,10 +134,18 @@
         run_outcome outcome = run_outcome::stopped; ///< of a stop
         int percent = 0;
     };
-    /// late ones last, then by band, then by the time to start
-    using queue_rank = std::tuple<bool, std::size_t, time_point, run_key>;
+    /// What an end now expected would be to the caller.
+    enum class timeliness : uint8_t
+    {
+        on_time,
+        late,
+        useless
+    };
+    /// by timeliness, then by band, then by the time to start
+    using queue_rank = std::tuple<timeliness, std::size_t, time_point, run_key>;
     using record_map = std::map<run_key, run_record>;
 
+    static timeliness timeliness_of(const run_record& r, time_point now);
     queue_rank rank_of(const run_key& key, const run_record& r,
                        time_point now) const;
     void enqueue(const run_key& key, const run_record& r, time_point now);
--- a/packages/fleet/src/job_admission.cpp
+++ b/packages/fleet/src/job_admission.cpp
@@ -24,7 +24,7 @@
     {
         return {false, least_retry_after};
     }
-    if (question.expected_finish <= question.deadline)
+    if (question.expected_finish <= question.latest)
     {
         return {true, {}};
     }
--- a/packages/fleet/src/job_board.cpp
+++ b/packages/fleet/src/job_board.cpp
@@ -20,6 +20,9 @@
 constexpr duration answer_margin = 20ms;
 /// Retry-After of a job that waited in vain: the least that can be said.
 constexpr duration refused_late_retry = 1s;
+/// Answers later than this multiple of their objective earn nothing, by the
+/// operators' terms.
+constexpr int late_limit = 3;
 /// Each stall quadruples the time that a task is given next.
 constexpr uint32_t max_stalls = 6;
 
@@ -92,10 +95,9 @@
 
 // ----- placement -----
 
-std::vector<job_board::placed_task>
-job_board::choose(job_key key, job_record& job, uint32_t step, time_point now)
+placement_request job_board::to_request(const job_record& job, uint32_t step,
+                                        time_point now) const
 {
-    std::vector<placed_task> out;
     placement_request rq;
     rq.service = job.arrival.served_by.service;
     rq.step = &job.arrival.plan.steps[step];
@@ -104,12 +106,26 @@
     rq.left = job.objective - now;
     rq.stretch = job.arrival.served_by.stretch;
     rq.remote_data_factor = options_.remote_data_factor;
-    auto& record = job.steps[step];
-    rq.placed = &record.placed;
+    rq.placed = &job.steps[step].placed;
+    return rq;
+}
+
+std::optional<placement_choice>
+job_board::choose_for(const placement_request& rq, time_point now) const
+{
     const auto speeds = [this](agent_incarnation agent)
     {
         return forecast_.speed(agent);
     };
+    return choose_target(targets_, rq, speeds, now);
+}
+
+std::vector<job_board::placed_task>
+job_board::choose(job_key key, job_record& job, uint32_t step, time_point now)
+{
+    std::vector<placed_task> out;
+    auto rq = to_request(job, step, now);
+    auto& record = job.steps[step];
     for (uint32_t i = 0; i < record.tasks.size(); ++i)
     {
         auto& task = record.tasks[i];
@@ -118,12 +134,12 @@
             continue;
         }
         rq.excluded = &task.excluded;
-        auto choice = choose_target(targets_, rq, speeds, now);
+        auto choice = choose_for(rq, now);
         if (!choice && !task.excluded.empty())
         {
             // Every target was tried; any of them is better than none.
             rq.excluded = nullptr;
-            choice = choose_target(targets_, rq, speeds, now);
+            choice = choose_for(rq, now);
         }
         if (!choice)
         {
@@ -177,6 +193,7 @@
         batch.each = plan.steps[step].each;
         batch.priority = job.arrival.served_by.priority;
         batch.objective_us = (job.objective - now).count();
+        batch.useful_us = (job.useful_until - now).count();
         batch.deadline_us = (job.deadline - now).count();
         hooks_.send(agent, batch);
     }
@@ -227,11 +244,12 @@
         r.added_latency + duration(static_cast<int64_t>(
                               static_cast<double>(chain.count()) * r.stretch));
     job.objective = now + objective;
+    job.useful_until = now + late_limit * objective;
     job.deadline = now + job.arrival.deadline;
 
     admission_question question;
     question.objective = objective;
-    question.deadline = job.arrival.deadline - answer_margin;
+    question.latest = last_useful_end(job) - now;
     question.has_target = true;
     std::vector<std::pair<uint32_t, std::vector<placed_task>>> placed;
     duration first_steps{};
@@ -261,7 +279,7 @@
         const std::string why =
             question.has_target
                 ? "expected end after " + to_ms_text(question.expected_finish) +
-                      ", deadline " + to_ms_text(question.deadline)
+                      ", of use until " + to_ms_text(question.latest)
                 : "no target for every task";
         refuse(key, job, answer.retry_after, why);
         return;
@@ -438,6 +456,20 @@
                        });
 }
 
+time_point job_board::last_useful_end(const job_record& job)
+{
+    return std::min(job.deadline - answer_margin, job.useful_until);
+}
+
+bool job_board::may_end_elsewhere(const job_record& job, const order_ref& ref,
+                                  time_point now) const
+{
+    auto rq = to_request(job, ref.step, now);
+    rq.excluded = &job.steps[ref.step].tasks[ref.index].excluded;
+    const auto choice = choose_for(rq, now);
+    return choice && now + choice->finish <= last_useful_end(job);
+}
+
 void job_board::unplace(job_record& job, uint32_t step, task_record& task)
 {
     auto& placed = job.steps[step].placed;
@@ -537,7 +569,8 @@
         settle(ref.job, {job_result::failed, {}}, "failed", now);
         return;
     }
-    if (end.outcome == run_outcome::past_deadline)
+    if (end.outcome == run_outcome::past_deadline &&
+        !may_end_elsewhere(job, ref, now))
     {
         task.state = task_state::waiting;
         settle(ref.job,
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -99,7 +99,7 @@
                                : request.remote_data_factor;
         const double usual_speed = speed(agent) / far;
         const double speed_now = usual_speed / std::max(1.0, t.load().slowdown);
-        const auto run = scale(request.expected.mean, 1 / usual_speed);
+        const auto run = scale(request.expected.typical, 1 / usual_speed);
         const auto wait = t.expected_wait(request.step->each, request.band);
         const auto finish = wait + scale(work, 1 / speed_now);
         const auto is_on_time = [&](double share)
--- a/packages/fleet/src/run_board.cpp
+++ b/packages/fleet/src/run_board.cpp
@@ -119,6 +119,7 @@
         r.each = batch.each;
         r.priority = batch.priority;
         r.objective = now + duration(batch.objective_us);
+        r.useful_until = now + duration(batch.useful_us);
         r.deadline = now + duration(batch.deadline_us);
         r.order = o;
         r.received = now;
@@ -175,14 +176,27 @@
 
 // ----- queue -----
 
+run_board::timeliness run_board::timeliness_of(const run_record& r,
+                                               time_point now)
+{
+    const auto end = now + duration(r.order.expected_us);
+    if (end <= r.objective)
+    {
+        return timeliness::on_time;
+    }
+    return end <= r.useful_until ? timeliness::late : timeliness::useless;
+}
+
 run_board::queue_rank run_board::rank_of(const run_key& key,
                                          const run_record& r,
                                          time_point now) const
 {
-    const auto expected = duration(r.order.expected_us);
-    const bool late = now + expected > r.objective;
-    return {late, to_band(r.priority),
-            (late ? r.deadline : r.objective) - expected, key};
+    const auto how = timeliness_of(r, now);
+    const auto until = how == timeliness::on_time ? r.objective
+                       : how == timeliness::late  ? r.useful_until
+                                                  : r.deadline;
+    return {how, to_band(r.priority), until - duration(r.order.expected_us),
+            key};
 }
 
 void run_board::enqueue(const run_key& key, const run_record& r, time_point now)
@@ -249,6 +263,11 @@
         const auto expected = duration(r.order.expected_us);
         if (now + ahead + expected + report_margin > r.deadline)
         {
+            log(log_level::info, r,
+                "given back, work ahead " + to_ms_text(ahead) + ", expected " +
+                    to_ms_text(expected) + ", left " +
+                    to_ms_text(r.deadline - now) + ", slowdown " +
+                    std::to_string(slow));
             hopeless.push_back(key);
         }
         else
@@ -539,9 +558,9 @@
         expected += r.order.expected_us;
         if (r.state == run_state::queued)
         {
-            const bool late = now + duration(r.order.expected_us) > r.objective;
-            out.queued_cpu_millis[late ? priority_bands - 1
-                                       : to_band(r.priority)] +=
+            const bool on_time = timeliness_of(r, now) == timeliness::on_time;
+            out.queued_cpu_millis[on_time ? to_band(r.priority)
+                                          : priority_bands - 1] +=
                 r.each.cpu_millis;
         }
     }
--- a/packages/fleet/tests/unit-run_board.cpp
+++ b/packages/fleet/tests/unit-run_board.cpp
@@ -39,6 +39,7 @@
         b.each = {1000, 10, 0};
         b.priority = priority;
         b.objective_us = duration(200ms).count();
+        b.useful_us = duration(600ms).count();
         b.deadline_us = deadline.count();
         run_order o;
         o.id = order_id(id);
@@ -174,6 +175,38 @@
     CHECK(f.ends[2].outcome == run_outcome::past_deadline);
 }
 
+TEST_CASE("run_board: what is of use to its caller goes before what is not")
+{
+    // Objective 200 ms, of use until 600 ms, deadline 2 s.
+    struct row
+    {
+        const char* name;
+        duration waited;
+        duration expected_first; ///< of the order that came first
+        const char* next;
+    };
+    const row rows[] = {{"both on time", 0ms, 60ms, "first"},
+                        {"first would be late", 0ms, 300ms, "second"},
+                        {"both late", 400ms, 60ms, "first"},
+                        {"first would be of no use", 400ms, 300ms, "second"},
+                        {"both of no use", 700ms, 60ms, "first"}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        board_fixture f;
+        f.order(1, "a", 0, 5s);
+        f.order(2, "b", 0, 5s);
+        f.accept_all();
+        f.order(3, "first", 0, 2s, it.expected_first);
+        f.order(4, "second", 1, 2s, 60ms);
+        f.now += it.waited;
+        f.list({{f.started[1], 99}},
+               {{end_position(1), f.started[0], listed_how::done}});
+        REQUIRE(f.started.size() == 3);
+        CHECK(f.started[2].task == std::string(it.next) + ".0.0.0");
+    }
+}
+
 TEST_CASE("run_board: a closed target gives back what waits, at once")
 {
     board_fixture f;
