Read settings again on SIGHUP: seeds and log level

Cause: a process that the platform deploys re-opened its log on SIGHUP and nothing else, so an agent whose seeds had all been replaced never heard of the new entries until its restart.

Change: the node roles read and check their settings file again, add the seeds and set the log level; addresses and ports hold until the next start. A file that can't be read changes nothing and is logged with its error. The line of a target's state tells its slowdown and the learned speed.

Test: a process test, in which an agent without seeds gets one by SIGHUP and then serves; it could not pass before, as nothing read the file.

--- a/packages/daemon/include/agatebank/daemon/process_runtime.hpp
+++ b/packages/daemon/include/agatebank/daemon/process_runtime.hpp
@@ -32,6 +32,9 @@
   public:
     /// @brief Begins a graceful stop and calls back at its end.
     using stopper = std::function<void(std::function<void()>)>;
+    /// @brief Reads the settings again and applies what may change in a
+    /// process that runs.
+    using reloader = std::function<result<void>()>;
 
     // construction
     /// @return errc::settings_unreadable for the key file,
@@ -41,8 +44,8 @@
 
     // life time
     /// @brief Runs until stopped: SIGTERM and SIGINT stop gracefully, a
-    /// second one at once; SIGHUP re-opens the log.
-    exit_code run(const stopper& begin_stop);
+    /// second one at once; SIGHUP re-opens the log and reloads.
+    exit_code run(const stopper& begin_stop, const reloader& reload = {});
 
     // parts
     event_loop loop;
@@ -53,6 +56,8 @@
 
     log_sink log();
     void log_info(std::string text);
+    /// @return errc::settings_invalid for an unknown word
+    result<void> set_log_level(const std::string& word);
     /// @brief A random number for ids and jitter.
     static uint64_t random_number();
 
@@ -60,6 +65,7 @@
     process_runtime(const runtime_settings& settings, std::string key);
 
     void on_stop_signal(const stopper& begin_stop);
+    void on_reload_signal(const reloader& reload);
 
     std::unique_ptr<json_log> log_;
     bool stopping_ = false;
--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -1,4 +1,5 @@
 #include "node_metrics.hpp"
+#include <agatebank/core/json_reader.hpp>
 #include <agatebank/daemon/node_roles.hpp>
 #include <agatebank/daemon/process_runtime.hpp>
 #include <agatebank/node/node_settings.hpp>
@@ -20,6 +21,7 @@
 {
 
 constexpr const char* step_ready = "node.ready";
+constexpr const char* step_reload = "settings.reload";
 
 node_context make_context(process_runtime& rt, timer_queue& timers,
                           const node_settings& s)
@@ -66,9 +68,27 @@
     return {};
 }
 
+/// Reads and checks the settings file once more.
+using settings_reader = std::function<result<node_settings>()>;
+
 // A role's own part: builds its node and runs it until it is stopped.
-using role_body =
-    std::function<result<exit_code>(process_runtime&, const node_settings&)>;
+using role_body = std::function<result<exit_code>(
+    process_runtime&, const node_settings&, const settings_reader&)>;
+
+result<node_settings> read_settings(node_role role, const std::string& file)
+{
+    const auto text = read_file(file);
+    if (!text)
+    {
+        return tl::unexpected(text.error());
+    }
+    const auto document = parse_json(*text, step_reload, file);
+    if (!document)
+    {
+        return tl::unexpected(document.error());
+    }
+    return parse_node_settings(*document, role, file);
+}
 
 // What both roles do before they differ.
 result<exit_code> run_role(const nlohmann::json& document, node_role role,
@@ -95,23 +115,38 @@
     {
         return tl::unexpected(runtime.error());
     }
-    return body(**runtime, *settings);
+    return body(**runtime, *settings,
+                [role, &file] { return read_settings(role, file); });
 }
 
-// Runs a started node until its graceful stop has ended.
+// Runs a started node until its graceful stop has ended. Seeds and log level
+// may change meanwhile; addresses and ports hold until the next start.
 template <class Node>
 exit_code run_until_stopped(process_runtime& rt, Node& node,
-                            const std::string& role)
+                            const std::string& role,
+                            const settings_reader& read_again)
 {
     rt.log_info(role + " started");
+    const auto reload = [&rt, &node, &read_again]() -> result<void>
+    {
+        const auto settings = read_again();
+        if (!settings)
+        {
+            return tl::unexpected(settings.error());
+        }
+        node.add_seeds(settings->seeds);
+        return rt.set_log_level(settings->log_level);
+    };
     const auto code = rt.run([&node](std::function<void()> done)
-                             { node.begin_stop(std::move(done)); });
+                             { node.begin_stop(std::move(done)); },
+                             reload);
     rt.log_info(role + " stopped");
     return code;
 }
 
 result<exit_code> run_entry_role(process_runtime& rt,
-                                 const node_settings& settings)
+                                 const node_settings& settings,
+                                 const settings_reader& read_again)
 {
     timer_queue timers(rt.loop);
     entry_node node(make_context(rt, timers, settings),
@@ -143,11 +178,12 @@
         return tl::unexpected(started.error());
     }
     feed.start();
-    return run_until_stopped(rt, node, "entry");
+    return run_until_stopped(rt, node, "entry", read_again);
 }
 
 result<exit_code> run_agent_role(process_runtime& rt,
-                                 const node_settings& settings)
+                                 const node_settings& settings,
+                                 const settings_reader& read_again)
 {
     timer_queue timers(rt.loop);
     platform::target_client target(rt.loop, timers, settings.target, rt.log());
@@ -170,7 +206,7 @@
         return tl::unexpected(listening.error());
     }
     node.start();
-    return run_until_stopped(rt, node, "agent");
+    return run_until_stopped(rt, node, "agent", read_again);
 }
 
 } // namespace
--- a/packages/daemon/src/process_runtime.cpp
+++ b/packages/daemon/src/process_runtime.cpp
@@ -89,7 +89,8 @@
 {
 }
 
-exit_code process_runtime::run(const stopper& begin_stop)
+exit_code process_runtime::run(const stopper& begin_stop,
+                               const reloader& reload)
 {
     std::signal(SIGPIPE, SIG_IGN);
     const auto stop = [this, &begin_stop]
@@ -98,16 +99,8 @@
     };
     const auto on_term = loop.on_signal(SIGTERM, stop);
     const auto on_int = loop.on_signal(SIGINT, stop);
-    const auto on_hup = loop.on_signal(
-        SIGHUP,
-        [this]
-        {
-            const auto reopened = log_->reopen();
-            if (!reopened)
-            {
-                log_->sink()(to_record(log_level::error, reopened.error()));
-            }
-        });
+    const auto on_hup =
+        loop.on_signal(SIGHUP, [this, &reload] { on_reload_signal(reload); });
     loop.run();
     return exit_;
 }
@@ -123,6 +116,32 @@
     begin_stop([this] { loop.quit(); });
 }
 
+void process_runtime::on_reload_signal(const reloader& reload)
+{
+    auto done = log_->reopen();
+    if (done && reload)
+    {
+        done = reload();
+    }
+    if (!done)
+    {
+        log_->sink()(to_record(log_level::error, done.error()));
+        return;
+    }
+    log_info(reload ? "settings read again" : "log opened again");
+}
+
+result<void> process_runtime::set_log_level(const std::string& word)
+{
+    const auto level = parse_log_level(word);
+    if (!level)
+    {
+        return tl::unexpected(level.error());
+    }
+    log_->set_level(*level);
+    return {};
+}
+
 log_sink process_runtime::log()
 {
     return log_->sink();
--- a/packages/fleet/src/job_board.cpp
+++ b/packages/fleet/src/job_board.cpp
@@ -56,7 +56,10 @@
         log_record r;
         r.text = std::string("target ") +
                  (load.accepts_work ? "accepts work" : "takes no work") +
-                 (load.suspect ? ", is suspect" : "");
+                 (load.suspect ? ", is suspect" : "") + ", slowdown " +
+                 std::to_string(load.slowdown) + ", speed " +
+                 std::to_string(forecast_.speed(agent)) +
+                 (forecast_.knows_speed(agent) ? " learned" : " guessed");
         r.step = "target.state";
         r.peer = it->second.profile().target;
         hooks_.log(r);
--- a/packages/fleet/src/target_board.cpp
+++ b/packages/fleet/src/target_board.cpp
@@ -14,7 +14,8 @@
 bool target_record::set_load(const target_load& load)
 {
     const bool changed = load.accepts_work != load_.accepts_work ||
-                         load.suspect != load_.suspect;
+                         load.suspect != load_.suspect ||
+                         (load.slowdown > 1) != (load_.slowdown > 1);
     load_ = load;
     while (!unseen_.empty() &&
            unseen_.begin()->first.value() <= load.orders_seen)
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -37,6 +37,8 @@
     void start();
     /// @brief Returns what waits, and ends when the runs have ended.
     void begin_stop(std::function<void()> done);
+    /// @brief Dials further entries; those known stay.
+    void add_seeds(const std::vector<endpoint>& seeds);
 
     // announcements of the target
     void on_announcement(const target_announcement& a);
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -48,6 +48,8 @@
     /// @brief Finishes the jobs at hand; new ones are taken for a while,
     /// since connections that are open keep bringing them.
     void begin_stop(std::function<void()> done);
+    /// @brief Tells further entries; those known stay.
+    void add_seeds(const std::vector<endpoint>& seeds);
 
     // configuration
     /// @brief Takes a configuration into force unless it is older than the
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -109,11 +109,16 @@
 void agent_node::start()
 {
     last_timer_ = context_.loop.now();
-    for (const auto& it : settings_.seeds)
+    add_seeds(settings_.seeds);
+    timer_ = context_.loop.every(timer_period, [this] { on_timer(); });
+}
+
+void agent_node::add_seeds(const std::vector<endpoint>& seeds)
+{
+    for (const auto& it : seeds)
     {
         learn_entry({it.address, it.port});
     }
-    timer_ = context_.loop.every(timer_period, [this] { on_timer(); });
 }
 
 void agent_node::begin_stop(std::function<void()> done)
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -85,15 +85,20 @@
         return tl::unexpected(port.error());
     }
     roster_.add(to_address(settings_.links));
-    for (const auto& it : settings_.seeds)
-    {
-        learn_entry(to_address(it));
-    }
+    add_seeds(settings_.seeds);
     last_timer_ = context_.loop.now();
     timer_ = context_.loop.every(timer_period, [this] { on_timer(); });
     return {};
 }
 
+void entry_node::add_seeds(const std::vector<endpoint>& seeds)
+{
+    for (const auto& it : seeds)
+    {
+        learn_entry(to_address(it));
+    }
+}
+
 void entry_node::begin_stop(std::function<void()> done)
 {
     stopping_ = true;
--- a/packages/observe/include/agatebank/observe/json_log.hpp
+++ b/packages/observe/include/agatebank/observe/json_log.hpp
@@ -34,10 +34,10 @@
 
 /// @brief Writes log records as JSON lines through Boost.Log, synchronously
 /// on the caller's thread. It never waits: lines that standard output can't
-/// take now are kept up to a bound, further ones are dropped and counted. Each line has the fields time (UTC), level,
-/// process, failure_domain and text, and those of step, peer, submission,
-/// task and error that apply. Files are not rotated here: move the file away
-/// and call @ref reopen.
+/// take now are kept up to a bound, further ones are dropped and counted. Each
+/// line has the fields time (UTC), level, process, failure_domain and text, and
+/// those of step, peer, submission, task and error that apply. Files are not
+/// rotated here: move the file away and call @ref reopen.
 ///
 /// @code
 /// auto log = json_log::open({"", log_level::info, "entry-1", "sapporo"},
@@ -63,6 +63,8 @@
     /// @brief Opens the file anew, as on SIGHUP. On a failure the lines go on
     /// to the file that was open.
     result<void> reopen();
+    /// @brief Sets the level below which records are dropped.
+    void set_level(log_level level);
 
     // lookup
     /// @brief The function that records go through; valid for the log's life.
--- a/packages/observe/src/json_log.cpp
+++ b/packages/observe/src/json_log.cpp
@@ -278,6 +278,11 @@
     return {};
 }
 
+void json_log::set_level(log_level level)
+{
+    state_->options.level = level;
+}
+
 log_sink json_log::sink()
 {
     return [s = state_.get()](const log_record& r)
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -120,15 +120,41 @@
     }
 }
 
+std::string node_cluster::agent_name(std::size_t i)
+{
+    return "agent-" + std::to_string(i);
+}
+
+json node_cluster::agent_settings(std::size_t i, bool with_seed) const
+{
+    const auto ip = agent_ip(i);
+    auto seeds = json::array();
+    if (with_seed)
+    {
+        seeds.push_back(at(entry_ip(0), control_port_));
+    }
+    return {{"link_port", link_port_},
+            {"seeds", seeds},
+            {"metrics", at(ip, metrics_port_)},
+            {"announcements", at(ip, control_port_)},
+            {"target", at(ip, app_port_)}};
+}
+
+void node_cluster::write_settings(const std::string& name,
+                                  const json& settings) const
+{
+    const json document{
+        {"name", name}, {"failure_domain", "z1"}, {"node", settings}};
+    std::ofstream(file(name + ".json")) << document.dump();
+}
+
 // ----- processes -----
 
 std::unique_ptr<child_process> node_cluster::run(const char* role,
                                                  const std::string& name,
                                                  const json& settings)
 {
-    const json document{
-        {"name", name}, {"failure_domain", "z1"}, {"node", settings}};
-    std::ofstream(file(name + ".json")) << document.dump();
+    write_settings(name, settings);
     return std::make_unique<child_process>(
         loop,
         std::vector<std::string>{program_path("agatebankd"), role, "--config",
@@ -151,13 +177,32 @@
 
 void node_cluster::start_agent(std::size_t i)
 {
-    const auto ip = agent_ip(i);
-    agents_[i] = run("agent", "agent-" + std::to_string(i),
-                     {{"link_port", link_port_},
-                      {"seeds", {at(entry_ip(0), control_port_)}},
-                      {"metrics", at(ip, metrics_port_)},
-                      {"announcements", at(ip, control_port_)},
-                      {"target", at(ip, app_port_)}});
+    agents_[i] =
+        run("agent", agent_name(i), agent_settings(i, plan_.seeded_agents));
+}
+
+void node_cluster::write_agent_settings(std::size_t i, bool with_seed,
+                                        const std::string& text)
+{
+    if (text.empty())
+    {
+        write_settings(agent_name(i), agent_settings(i, with_seed));
+        return;
+    }
+    std::ofstream(file(agent_name(i) + ".json")) << text;
+}
+
+bool node_cluster::agent_logged(std::size_t i, const std::string& text) const
+{
+    std::ifstream in(file(agent_name(i) + ".log"));
+    for (std::string line; std::getline(in, line);)
+    {
+        if (line.find(text) != std::string::npos)
+        {
+            return true;
+        }
+    }
+    return false;
 }
 
 child_process& node_cluster::entry(std::size_t i)
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -21,6 +21,7 @@
     duration run_time = std::chrono::milliseconds(60);
     /// callers use open connections again
     bool keep_connections = false;
+    bool seeded_agents = true; ///< false: agents know of no entry
 };
 
 /// @brief One caller's job and its answer; status 0: none yet, or the
@@ -48,6 +49,11 @@
     // processes
     void start_entry(std::size_t i);
     void start_agent(std::size_t i);
+    /// @brief Writes an agent's settings; @p text replaces them.
+    void write_agent_settings(std::size_t i, bool with_seed,
+                              const std::string& text = {});
+    /// @brief Whether an agent's log has a line with a text.
+    bool agent_logged(std::size_t i, const std::string& text) const;
     child_process& entry(std::size_t i);
     child_process& agent(std::size_t i);
     /// @brief Waits until all entries would be given callers.
@@ -86,6 +92,10 @@
     std::string entry_ip(std::size_t i) const;
     std::string agent_ip(std::size_t i) const;
     std::string file(const std::string& name) const;
+    static std::string agent_name(std::size_t i);
+    nlohmann::json agent_settings(std::size_t i, bool with_seed) const;
+    void write_settings(const std::string& name,
+                        const nlohmann::json& settings) const;
     std::unique_ptr<child_process> run(const char* role,
                                        const std::string& name,
                                        const nlohmann::json& settings);
--- a/tests/platform/unit-node_path.cpp
+++ b/tests/platform/unit-node_path.cpp
@@ -220,3 +220,31 @@
     CHECK(c.job(j).status == 200);
     check_ledger(c);
 }
+
+TEST_CASE("node path: settings are read again on SIGHUP")
+{
+    cluster_plan plan{1, 1};
+    plan.seeded_agents = false;
+    node_cluster c(plan);
+    REQUIRE(run_until(c.loop, 10s,
+                      [&c] { return c.agent_logged(0, "agent started"); }));
+    CHECK(c.readiness(0) != 200); // no agent knows of the entry
+
+    c.write_agent_settings(0, true);
+    c.agent(0).signal(SIGHUP);
+    REQUIRE(c.wait_ready());
+    const auto served = [&c](const char* id)
+    {
+        const auto j = c.submit(0, id);
+        return c.wait_ended(j) && c.job(j).status == 200;
+    };
+    CHECK(served("000000000000000a"));
+
+    // Settings that can't be read change nothing.
+    c.write_agent_settings(0, true, "{");
+    c.agent(0).signal(SIGHUP);
+    CHECK(run_until(c.loop, 3s,
+                    [&c] { return c.agent_logged(0, "settings.reload"); }));
+    CHECK(served("000000000000000b"));
+    check_ledger(c);
+}
