--- a/packages/observe/src/json_log.cpp
+++ b/packages/observe/src/json_log.cpp
@@ -86,7 +86,7 @@
     line_output lines_;
 };
 
-bool has_room(const stream_ptr& stream)
+bool takes_more(const stream_ptr& stream)
 {
     const auto* out = dynamic_cast<const standard_output*>(stream.get());
     return out == nullptr || out->has_room();
@@ -180,7 +180,7 @@
             second = now;
             lines = 0;
         }
-        return lines < options.max_lines_per_s && agatebank::has_room(stream);
+        return lines < options.max_lines_per_s && takes_more(stream);
     }
 
     void write(const log_record& r)
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -74,6 +74,10 @@
             return 0;
         }
         po::notify(values);
+        if (!nodes && sizes.example.empty())
+        {
+            throw po::required_option("--example");
+        }
         if (nodes)
         {
             print(measure_nodes(load));
