--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -143,8 +143,10 @@
 void node_cluster::write_settings(const std::string& name,
                                   const json& settings) const
 {
-    const json document{
-        {"name", name}, {"failure_domain", "z1"}, {"node", settings}};
+    const json document{{"name", name},
+                        {"failure_domain", "z1"},
+                        {"log_level", plan_.log_level},
+                        {"node", settings}};
     std::ofstream(file(name + ".json")) << document.dump();
 }
 
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -22,6 +22,7 @@
     /// callers use open connections again
     bool keep_connections = false;
     bool seeded_agents = true; ///< false: agents know of no entry
+    std::string log_level = "info";
 };
 
 /// @brief One caller's job and its answer; status 0: none yet, or the
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -63,7 +63,8 @@
         "nodes", po::bool_switch(&nodes),
         "measure only the path with stand-ins of store and targets")(
         "jobs-per-s", po::value(&load.jobs_per_s), "load of these nodes")(
-        "duration-s", po::value(&load.duration_s), "time under this load");
+        "duration-s", po::value(&load.duration_s), "time under this load")(
+        "log-level", po::value(&load.log_level), "of these nodes");
     try
     {
         po::variables_map values;
--- a/tools/bench/node_scenario.cpp
+++ b/tools/bench/node_scenario.cpp
@@ -28,7 +28,9 @@
 
 std::vector<bench_row> measure_nodes(const node_load& load)
 {
-    node_cluster c({1, load.agents, 60ms, true});
+    cluster_plan plan{1, load.agents, 60ms, true};
+    plan.log_level = load.log_level;
+    node_cluster c(plan);
     c.configure(1);
     if (!c.wait_ready())
     {
--- a/tools/bench/node_scenario.hpp
+++ b/tools/bench/node_scenario.hpp
@@ -12,6 +12,7 @@
     unsigned tasks = 4;
     unsigned agents = 4;
     unsigned duration_s = 10;
+    std::string log_level = "info"; ///< of all processes
 };
 
 /// @brief Processor time of one entry and its agents for a steady load on the
