--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-node_cluster::node_cluster(cluster_plan plan)
+node_cluster::node_cluster(const cluster_plan& plan)
     : plan_(plan)
     , directory_(make_directory())
     , link_port_(ports_.take())
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -42,7 +42,7 @@
 {
   public:
     // construction
-    explicit node_cluster(cluster_plan plan);
+    explicit node_cluster(const cluster_plan& plan);
     ~node_cluster();
     node_cluster(const node_cluster&) = delete;
     node_cluster& operator=(const node_cluster&) = delete;
