--- a/packages/fleet/src/job_board.cpp
+++ b/packages/fleet/src/job_board.cpp
@@ -20,8 +20,8 @@
 constexpr duration answer_margin = 20ms;
 /// Retry-After of a job that waited in vain: the least that can be said.
 constexpr duration refused_late_retry = 1s;
-/// Answers later than this multiple of their objective earn nothing, by the
-/// operators' terms.
+/// The operators' terms value no answer that comes later than this multiple
+/// of its objective.
 constexpr int late_limit = 3;
 /// Each stall quadruples the time that a task is given next.
 constexpr uint32_t max_stalls = 6;
--- a/packages/observe/src/line_output.cpp
+++ b/packages/observe/src/line_output.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-/// Kept while a reader is slow: a tenth of a second at 5,000 lines a second.
+/// Kept while a reader is slow: 0.17 s of 5,000 lines of 300 bytes a second.
 constexpr std::size_t max_pending_bytes = 256U << 10U;
 
 // A pipe that polls as writable takes this many bytes without waiting.
