job_board: one place withdraws a job's orders, one drops a job

Found on reading the whole change: a refusal and a stop went over the same tasks with the same bookkeeping, and a settled and a cancelled job were erased from the same three containers, each by its own lines.

Change: withdraw_orders and stop_and_drop, used by both.

--- a/packages/fleet/include/agatebank/fleet/job_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_board.hpp
@@ -190,7 +190,11 @@
                 const std::string& why);
     void settle(job_key key, const job_outcome& outcome, const char* why,
                 time_point now);
-    void stop_orders(job_record& job);
+    using orders_by_agent = std::map<agent_incarnation, std::vector<order_id>>;
+    /// @brief Forgets the orders of a job that have not ended.
+    orders_by_agent withdraw_orders(const job_record& job);
+    /// @brief Cancels what a job still has at the agents, and forgets it.
+    void stop_and_drop(job_key key);
     /// @brief Whether any task ran or may still run.
     static bool has_run(const job_record& job);
     static time_point last_useful_end(const job_record& job);
--- a/packages/fleet/src/job_board.cpp
+++ b/packages/fleet/src/job_board.cpp
@@ -311,18 +311,7 @@
 void job_board::refuse(job_key key, job_record& job, duration retry_after,
                        const std::string& why)
 {
-    for (auto& step : job.steps)
-    {
-        for (auto& task : step.tasks)
-        {
-            if (task.state != task_state::ordered)
-            {
-                continue;
-            }
-            targets_.at(task.agent).remove_order(task.order);
-            orders_.erase(task.order);
-        }
-    }
+    withdraw_orders(job); // none has been sent
     ++counts_.refused;
     log(log_level::warning, job,
         "refused, " + why + "; retry after " + to_ms_text(retry_after));
@@ -332,18 +321,18 @@
 
 // ----- ends of jobs -----
 
-void job_board::stop_orders(job_record& job)
+job_board::orders_by_agent job_board::withdraw_orders(const job_record& job)
 {
-    std::map<agent_incarnation, std::vector<order_id>> stops;
-    for (auto& step : job.steps)
+    orders_by_agent out;
+    for (const auto& step : job.steps)
     {
-        for (auto& task : step.tasks)
+        for (const auto& task : step.tasks)
         {
             if (task.state != task_state::ordered)
             {
                 continue;
             }
-            stops[task.agent].push_back(task.order);
+            out[task.agent].push_back(task.order);
             orders_.erase(task.order);
             const auto it = targets_.find(task.agent);
             if (it != targets_.end())
@@ -352,17 +341,25 @@
             }
         }
     }
-    for (const auto& [agent, ids] : stops)
+    return out;
+}
+
+void job_board::stop_and_drop(job_key key)
+{
+    const auto it = jobs_.find(key);
+    for (const auto& [agent, ids] : withdraw_orders(it->second))
     {
         hooks_.cancel(agent, ids);
     }
+    by_id_.erase(it->second.arrival.id);
+    waiting_.erase(key);
+    jobs_.erase(it);
 }
 
 void job_board::settle(job_key key, const job_outcome& outcome, const char* why,
                        time_point now)
 {
-    auto& job = jobs_.at(key);
-    stop_orders(job);
+    const auto& job = jobs_.at(key);
     switch (outcome.result)
     {
     case job_result::succeeded:
@@ -383,9 +380,7 @@
             (now > job.objective
                  ? ", late by " + to_ms_text(now - job.objective)
                  : std::string(", on time")));
-    by_id_.erase(job.arrival.id);
-    waiting_.erase(key);
-    jobs_.erase(key);
+    stop_and_drop(key);
     hooks_.finish(key, outcome);
 }
 
@@ -398,10 +393,7 @@
     }
     ++counts_.cancelled;
     log(log_level::info, it->second, std::string("cancelled, ") + why);
-    stop_orders(it->second);
-    by_id_.erase(it->second.arrival.id);
-    waiting_.erase(key);
-    jobs_.erase(it);
+    stop_and_drop(key);
 }
 
 void job_board::abandon_all(const char* why)
