run_board: find queued and listed runs without a scan

Found on reading the whole change: dropping or finishing a queued order went over the whole queue, in two copies of the same lines, which is dearest in a burst; and each answer of the lists copied the names of all runs into a set right after every one of them had been looked up.

Change: a run keeps its rank while it is queued, so it is erased by key, and the number of the last listing that named it, so a missing one is told by that number. A state that nothing set (unsure) is gone. Not measured by itself.

--- a/packages/fleet/include/agatebank/fleet/run_board.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_board.hpp
@@ -110,10 +110,18 @@
     {
         queued,
         starting,
-        unsure, ///< the start was not answered
         running,
         stopping
     };
+    /// What an end now expected would be to the caller.
+    enum class timeliness : uint8_t
+    {
+        on_time,
+        late,
+        useless
+    };
+    /// by timeliness, then by band, then by the time to start
+    using queue_rank = std::tuple<timeliness, std::size_t, time_point, run_key>;
     struct run_record
     {
         std::string job;
@@ -133,22 +141,15 @@
         bool wanted = true; ///< its entry waits for the report
         run_outcome outcome = run_outcome::stopped; ///< of a stop
         int percent = 0;
+        uint64_t last_listing = 0; ///< number of the last one that named it
+        queue_rank rank;           ///< while it is queued
     };
-    /// What an end now expected would be to the caller.
-    enum class timeliness : uint8_t
-    {
-        on_time,
-        late,
-        useless
-    };
-    /// by timeliness, then by band, then by the time to start
-    using queue_rank = std::tuple<timeliness, std::size_t, time_point, run_key>;
     using record_map = std::map<run_key, run_record>;
 
     static timeliness timeliness_of(const run_record& r, time_point now);
     queue_rank rank_of(const run_key& key, const run_record& r,
                        time_point now) const;
-    void enqueue(const run_key& key, const run_record& r, time_point now);
+    void enqueue(const run_key& key, run_record& r, time_point now);
     void start_next(time_point now);
     void drop_hopeless(time_point now);
     void start_run(const run_key& key, run_record& r, time_point now);
@@ -161,8 +162,7 @@
     void take_ends(const std::vector<listed_end>& ended, time_point now);
     void take_running(const lease_answer& listing, time_point asked_at,
                       time_point now);
-    void check_missing(const lease_answer& listing, time_point asked_at,
-                       time_point now);
+    void check_missing(time_point asked_at, time_point now);
     void log(log_level level, const run_record& r, std::string text) const;
 
     run_board_hooks hooks_;
@@ -172,6 +172,7 @@
     record_map runs_;
     std::set<queue_rank> queue_;
     std::map<run_name, run_key> by_name_;
+    uint64_t listings_ = 0; ///< taken in so far
     std::unordered_map<std::string, uint32_t> last_run_;
     run_watch watch_;
     run_board_counts counts_;
--- a/packages/fleet/src/run_board.cpp
+++ b/packages/fleet/src/run_board.cpp
@@ -166,8 +166,7 @@
 {
     if (r.state == run_state::queued)
     {
-        std::erase_if(queue_, [&key](const queue_rank& q)
-                      { return std::get<run_key>(q) == key; });
+        queue_.erase(r.rank);
         runs_.erase(key);
         return;
     }
@@ -199,9 +198,10 @@
             key};
 }
 
-void run_board::enqueue(const run_key& key, const run_record& r, time_point now)
+void run_board::enqueue(const run_key& key, run_record& r, time_point now)
 {
-    queue_.insert(rank_of(key, r, now));
+    r.rank = rank_of(key, r, now);
+    queue_.insert(r.rank);
 }
 
 void run_board::start_next(time_point now)
@@ -216,11 +216,10 @@
             finish(key, run_outcome::past_deadline, now);
             continue;
         }
-        const auto current = rank_of(key, r, now);
-        if (current != rank)
+        if (rank_of(key, r, now) != rank)
         {
             queue_.erase(queue_.begin());
-            queue_.insert(current);
+            enqueue(key, r, now);
             continue;
         }
         if (!capacity_.holds(used_ + r.each))
@@ -320,8 +319,7 @@
     if (r.state == run_state::queued)
     {
         end.queued_us = (now - r.received).count();
-        std::erase_if(queue_, [&key](const queue_rank& q)
-                      { return std::get<run_key>(q) == key; });
+        queue_.erase(r.rank);
     }
     else
     {
@@ -425,9 +423,10 @@
 void run_board::on_listing(const lease_answer& listing, time_point asked_at,
                            time_point now)
 {
+    ++listings_;
     take_ends(listing.ended, now);
     take_running(listing, asked_at, now);
-    check_missing(listing, asked_at, now);
+    check_missing(asked_at, now);
     tick(now);
 }
 
@@ -478,6 +477,7 @@
         }
         auto& r = runs_.at(found->second);
         r.percent = it.percent;
+        r.last_listing = listings_;
         if (r.state == run_state::starting)
         {
             r.state = run_state::running;
@@ -499,14 +499,8 @@
 
 // A run that was settled before the list was asked for, and is in neither
 // list, does not run.
-void run_board::check_missing(const lease_answer& listing, time_point asked_at,
-                              time_point now)
+void run_board::check_missing(time_point asked_at, time_point now)
 {
-    std::set<run_name> listed;
-    for (const auto& it : listing.running)
-    {
-        listed.insert(it.name);
-    }
     std::vector<std::pair<run_key, run_outcome>> missing;
     for (const auto& [name, key] : by_name_)
     {
@@ -515,7 +509,7 @@
             (r.state == run_state::running ||
              (r.state == run_state::stopping && r.stop_taken)) &&
             r.settled_at < asked_at;
-        if (settled && listed.count(name) == 0)
+        if (settled && r.last_listing != listings_)
         {
             missing.emplace_back(key, r.state == run_state::stopping
                                           ? r.outcome
