job_forecast: a learned run moves the mean speed, not all targets' logs

Found on reading the whole change: since speeds are kept by target, each end of a run took the logarithm of every target's speed again, at 71 targets some hundred thousand a second over all entries.

Change: the geometric mean is multiplied by the n-th root of the ratio by which the one speed moved; a target that comes or goes still renews it whole. Not measured by itself.

--- a/packages/fleet/include/agatebank/fleet/job_forecast.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_forecast.hpp
@@ -3,7 +3,7 @@
 #include <agatebank/core/job_plan.hpp>
 #include <agatebank/core/route_table.hpp>
 #include <agatebank/core/run_time_estimator.hpp>
-#include <agatebank/fleet/target_board.hpp>
+#include <agatebank/core/target_load.hpp>
 
 #include <map>
 
--- a/packages/fleet/src/job_forecast.cpp
+++ b/packages/fleet/src/job_forecast.cpp
@@ -83,8 +83,14 @@
 void job_forecast::learn(const route_name& route, const step_plan& step,
                          agent_incarnation target, duration run)
 {
+    const double before = times_.speed(target);
     times_.observe(to_model(route), target, to_hint(step), run);
-    renew_mean_speed();
+    if (targets_.count(target) != 0)
+    {
+        // A geometric mean moves by the n-th root of what one speed does.
+        mean_speed_ *= std::pow(times_.speed(target) / before,
+                                1 / static_cast<double>(targets_.size()));
+    }
 }
 
 run_time_prediction job_forecast::one_task(const route_name& route,
