Settings: one reading of the file, one check of its errors

Found on reading the whole change: SIGHUP read and parsed the settings file by the same lines as the start, and the three parsers of settings ended with the same check, the newest a copy of the other two.

Change: read_settings beside read_file, and checked_settings beside json_errors. The step named in a failure stays each caller's. No behaviour differs.

--- a/packages/agent/src/agent_settings.cpp
+++ b/packages/agent/src/agent_settings.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace agatebank
 {
@@ -99,12 +100,7 @@
     fields.optional_text("shared_key_file", out.shared_key_file);
     read_log(fields, out);
     fields.finish();
-    if (!errors.empty())
-    {
-        return fail(errc::settings_invalid, step_settings, file,
-                    errors.first());
-    }
-    return out;
+    return checked_settings(std::move(out), errors, step_settings, file);
 }
 
 } // namespace agatebank
--- a/packages/core/include/agatebank/core/json_reader.hpp
+++ b/packages/core/include/agatebank/core/json_reader.hpp
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace agatebank
@@ -52,6 +53,20 @@
     std::string first_;
 };
 
+/// @brief Settings that were read, unless there was an error.
+/// @param file named in the failure
+/// @return errc::settings_invalid with the first error
+template <class T>
+result<T> checked_settings(T settings, const json_errors& errors,
+                           const std::string& step, const std::string& file)
+{
+    if (!errors.empty())
+    {
+        return fail(errc::settings_invalid, step, file, errors.first());
+    }
+    return settings;
+}
+
 /// @brief Reads the fields of one JSON object. Fields that nobody read are
 /// errors, reported by @ref finish.
 ///
--- a/packages/daemon/include/agatebank/daemon/process_runtime.hpp
+++ b/packages/daemon/include/agatebank/daemon/process_runtime.hpp
@@ -9,6 +9,8 @@
 #include <agatebank/observe/metrics_registry.hpp>
 #include <agatebank/wire/authenticator.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -75,4 +77,9 @@
 /// @brief Reads a whole file. @return errc::settings_unreadable
 result<std::string> read_file(const std::string& path);
 
+/// @brief Reads a settings file as one JSON document.
+/// @param step named in the failure
+/// @return errc::settings_unreadable, or as @ref parse_json
+result<nlohmann::json> read_settings(const std::string& path, const char* step);
+
 } // namespace agatebank
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,4 +1,3 @@
-#include <agatebank/core/json_reader.hpp>
 #include <agatebank/daemon/command_line.hpp>
 #include <agatebank/daemon/node_roles.hpp>
 #include <agatebank/daemon/process_runtime.hpp>
@@ -25,12 +24,7 @@
 
 result<exit_code> run(const daemon_command& command)
 {
-    const auto text = read_file(command.config_file);
-    if (!text)
-    {
-        return tl::unexpected(text.error());
-    }
-    const auto document = parse_json(*text, step_settings, command.config_file);
+    const auto document = read_settings(command.config_file, step_settings);
     if (!document)
     {
         return tl::unexpected(document.error());
--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -1,5 +1,4 @@
 #include "node_metrics.hpp"
-#include <agatebank/core/json_reader.hpp>
 #include <agatebank/daemon/node_roles.hpp>
 #include <agatebank/daemon/process_runtime.hpp>
 #include <agatebank/node/node_settings.hpp>
@@ -75,14 +74,10 @@
 using role_body = std::function<result<exit_code>(
     process_runtime&, const node_settings&, const settings_reader&)>;
 
-result<node_settings> read_settings(node_role role, const std::string& file)
+result<node_settings> read_node_settings(node_role role,
+                                         const std::string& file)
 {
-    const auto text = read_file(file);
-    if (!text)
-    {
-        return tl::unexpected(text.error());
-    }
-    const auto document = parse_json(*text, step_reload, file);
+    const auto document = read_settings(file, step_reload);
     if (!document)
     {
         return tl::unexpected(document.error());
@@ -116,7 +111,7 @@
         return tl::unexpected(runtime.error());
     }
     return body(**runtime, *settings,
-                [role, &file] { return read_settings(role, file); });
+                [role, &file] { return read_node_settings(role, file); });
 }
 
 // Runs a started node until its graceful stop has ended. Seeds and log level
--- a/packages/daemon/src/process_runtime.cpp
+++ b/packages/daemon/src/process_runtime.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/core/json_reader.hpp>
 #include <agatebank/daemon/process_runtime.hpp>
 
 #include <glib.h>
@@ -46,6 +47,16 @@
     return out;
 }
 
+result<nlohmann::json> read_settings(const std::string& path, const char* step)
+{
+    const auto text = read_file(path);
+    if (!text)
+    {
+        return tl::unexpected(text.error());
+    }
+    return parse_json(*text, step, path);
+}
+
 result<std::unique_ptr<process_runtime>>
 process_runtime::open(const runtime_settings& settings)
 {
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -1,6 +1,8 @@
 #include <agatebank/core/json_reader.hpp>
 #include <agatebank/entry/entry_settings.hpp>
 
+#include <utility>
+
 namespace agatebank
 {
 
@@ -147,12 +149,7 @@
     fields.optional_object("limits", [&](const json& v, const std::string& at)
                            { read_limits(v, at, errors, out.submissions); });
     fields.finish();
-    if (!errors.empty())
-    {
-        return fail(errc::settings_invalid, step_settings, file,
-                    errors.first());
-    }
-    return out;
+    return checked_settings(std::move(out), errors, step_settings, file);
 }
 
 } // namespace agatebank
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -2,6 +2,7 @@
 #include <agatebank/node/node_settings.hpp>
 
 #include <charconv>
+#include <utility>
 
 namespace agatebank
 {
@@ -100,12 +101,7 @@
     fields.object("node", [&](const json& v, const std::string& at)
                   { read_node(v, at, errors, role, out); });
     fields.finish();
-    if (!errors.empty())
-    {
-        return fail(errc::settings_invalid, step_settings, file,
-                    errors.first());
-    }
-    return out;
+    return checked_settings(std::move(out), errors, step_settings, file);
 }
 
 } // namespace agatebank
