agent_node: opening the board tells the entries, in one place

Found on reading the whole change: each of the six calls of renew_open was followed by schedule_flush. The second is now part of the first.

--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -80,6 +80,7 @@
     void on_lease_answer(const lease_answer& a, time_point sent);
     void on_lease_failure(const lease_failure& f);
     void schedule_lease(duration delay);
+    /// @brief Opens or closes the board, and tells the entries.
     void renew_open();
     void raise_token();
     void start_run(const run_name& name, const std::string& payload);
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -131,7 +131,6 @@
                 "stopping with " + std::to_string(board_.running()) + " runs",
                 step_process));
     renew_open();
-    schedule_flush();
 }
 
 void agent_node::on_timer()
@@ -153,7 +152,6 @@
         board_.on_runs_gone("the lease has lapsed", now);
     }
     renew_open();
-    schedule_flush();
     if (stopping_ && stopped_)
     {
         const auto age = now - stop_began_;
@@ -189,7 +187,6 @@
                     a.draining ? "target is draining" : "target is ready",
                     step_target, a.profile.target));
         renew_open();
-        schedule_flush();
     }
 }
 
@@ -201,7 +198,6 @@
             to_line(log_level::info, "target ends", step_target, target));
         target_->draining = true;
         renew_open();
-        schedule_flush();
     }
 }
 
@@ -307,7 +303,6 @@
     }
     board_.on_listing(a, sent, now);
     renew_open();
-    schedule_flush();
     schedule_lease(duration(0));
 }
 
@@ -335,7 +330,6 @@
         break;
     }
     renew_open();
-    schedule_flush();
     schedule_lease(lease_retry);
 }
 
@@ -353,6 +347,7 @@
 {
     const auto now = context_.loop.now();
     board_.set_open(is_open(now), now);
+    schedule_flush();
 }
 
 // ----- runs -----
