Agents and entries keep links to a selection of the entries only

Cause: with 55 entries and 240 agents, every agent linked to every entry and every entry to every other: 13,200 and 2,970 links, each with heartbeats every 200 ms both ways and up to 40 load reports a second, and the whole roster told over every link at each of 54 discoveries. Control traffic used the whole processor share of the small entries.

Change: a process selects entries by rendezvous hashing, the best of each failure domain first: an agent 8, an entry 6. An entry that can't be reached is replaced by the next until it answers. Rosters merge by version, only changes are passed on, once a link and at most every 100 ms; an entry that can't be reached for 30 s leaves them. A link with other traffic sends no heartbeats. A link that is no longer selected is closed after its orders have ended, 500 ms after the entry was told that the target accepts no more of its work.

Grows with: links of an agent 8; links of an entry with its share of the agents (8 x agents / entries) and 12 to entries; roster messages with the changes, memory and the message on a new link with the entries.

--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -112,6 +112,8 @@
     /// nothing if there is no run.
     std::optional<duration> time_to_next_end(time_point now) const;
     std::size_t running() const noexcept;
+    /// @brief Whether an entry has orders that have not ended.
+    bool has_orders(order_source from) const;
     std::size_t queued() const noexcept;
     const run_scheduler_counts& counts() const noexcept;
 
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -609,6 +609,12 @@
     return started_runs_.size();
 }
 
+bool run_scheduler::has_orders(order_source from) const
+{
+    const auto it = orders_.lower_bound({from, order_id()});
+    return it != orders_.end() && it->first.first == from;
+}
+
 std::size_t run_scheduler::queued() const noexcept
 {
     return queue_.size();
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -2,7 +2,7 @@
 
 #include <agatebank/core/target_interface.hpp>
 #include <agatebank/fleet/run_scheduler.hpp>
-#include <agatebank/node/entry_roster.hpp>
+#include <agatebank/node/entry_links.hpp>
 #include <agatebank/node/node_context.hpp>
 #include <agatebank/node/target_lease.hpp>
 #include <agatebank/wire/link_hub.hpp>
@@ -39,7 +39,7 @@
     /// @brief Returns queued orders to their entries as not run.
     /// @param done called once, when all runs have ended or the stop timed out
     void begin_stop(std::function<void()> done);
-    /// @brief Dials further entries. No entry is removed.
+    /// @brief Adds entries to the roster. No entry is removed.
     void add_seeds(const std::vector<endpoint>& seeds);
 
     // announcements of the target
@@ -52,6 +52,7 @@
     bool ready() const;
     const run_scheduler& scheduler() const noexcept;
     const link_hub& links() const noexcept;
+    const entry_links& entries() const noexcept;
 
   private:
     struct entry_link
@@ -60,14 +61,17 @@
         target_load reported_load;        ///< last load sent
         time_point reported_at;
         std::vector<order_result> pending_results; ///< not yet sent
+        /// since when the link is to be closed, once its orders have ended
+        std::optional<time_point> closing_since;
     };
 
     // links
-    void on_connected(std::size_t position,
-                      object_ptr<GSocketConnection> connection);
+    void on_opened(link_id link);
+    void on_unneeded(link_id link);
+    /// @brief Closes the links that are not needed and have no orders left.
+    void close_unneeded(time_point now);
     void on_message(link_id link, message&& m);
     void on_closed(link_id link, const failure& why);
-    void add_known_entry(const entry_address& entry);
     void queue_order_result(order_source to, const order_result& result);
     /// @brief Sends the pending order results, and the load where it has
     /// changed and its period has passed.
@@ -101,9 +105,7 @@
     target_interface port_;
     run_scheduler scheduler_;
     link_hub hub_;
-    endpoint_dialer dialer_;
-    entry_roster roster_;
-    std::map<std::size_t, link_id> dialed_links_;
+    entry_links entry_links_;
     std::map<link_id, entry_link> entries_;
     std::optional<target_announcement> target_;
     target_lease lease_;
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -2,13 +2,14 @@
 
 #include <agatebank/core/route_table.hpp>
 #include <agatebank/fleet/job_scheduler.hpp>
-#include <agatebank/node/entry_roster.hpp>
+#include <agatebank/node/entry_links.hpp>
 #include <agatebank/node/node_context.hpp>
 #include <agatebank/wire/link_hub.hpp>
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -52,7 +53,7 @@
     /// connections are still accepted.
     /// @param done called once, when no job runs or the stop timed out
     void begin_stop(std::function<void()> done);
-    /// @brief Dials further entries. No entry is removed.
+    /// @brief Adds entries to the roster. No entry is removed.
     void add_seeds(const std::vector<endpoint>& seeds);
 
     // configuration
@@ -82,6 +83,7 @@
     bool stopping() const noexcept;
     const job_scheduler& scheduler() const noexcept;
     const link_hub& links() const noexcept;
+    const entry_links& entries() const noexcept;
 
   private:
     struct waiting_caller
@@ -95,9 +97,7 @@
     void on_heartbeat(link_id link, const heartbeat& beat);
     void on_closed(link_id link, const failure& why);
     void on_target_hello(link_id link, const target_hello& hello);
-    void on_entry_list(const entry_list& m);
-    void add_known_entry(const entry_address& entry);
-    void broadcast_roster();
+    void pass_on(const roster_update& changes);
     void send_batch(agent_incarnation agent, const run_batch& batch);
     void send_cancel(agent_incarnation agent,
                      const std::vector<order_id>& orders);
@@ -115,9 +115,8 @@
     job_scheduler scheduler_;
     link_hub hub_;
     tcp_listener listener_;
-    endpoint_dialer dialer_;
-    entry_roster roster_;
-    std::map<std::size_t, link_id> dialed_links_; ///< links to entries
+    entry_links entry_links_;
+    std::set<link_id> peers_; ///< links to entries, dialed here or there
     std::map<link_id, agent_incarnation> agents_;
     std::map<agent_incarnation, link_id> agent_links_;
     std::map<job_key, waiting_caller> callers_;
--- a/packages/node/include/agatebank/node/node_context.hpp
+++ b/packages/node/include/agatebank/node/node_context.hpp
@@ -34,12 +34,20 @@
     link_options options;
     options.heartbeat_period = std::chrono::milliseconds(200);
     options.silence_timeout = std::chrono::milliseconds(800);
+    options.heartbeat_only_when_idle = true;
     return options;
 }
 
 /// @brief Longest back-off between two attempts to dial a process.
 constexpr duration longest_dial_delay = std::chrono::milliseconds(600);
 
+/// @brief Number of entries that an agent keeps links to. Each entry is then
+/// linked to this many agents for each agent there is, divided by the entries.
+constexpr std::size_t agent_link_count = 8;
+/// @brief Number of entries that an entry dials. Changes of the roster and of
+/// the configuration reach all entries over these links in a few steps.
+constexpr std::size_t entry_link_count = 6;
+
 /// @brief A log record that belongs to no request.
 inline log_record to_line(log_level level, std::string text, std::string step,
                           std::string peer = {})
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -38,6 +38,9 @@
 /// First increment of a token that the target rejected, doubled each time.
 /// Tokens begin at Unix milliseconds, so this skips one day.
 constexpr uint64_t first_fencing_token_step = 86'400'000;
+/// An entry whose link will be closed is told this long before that the target
+/// accepts no more of its work, so that no order is on its way at the end.
+constexpr duration closing_notice_time = 500ms;
 /// A graceful stop ends by then, before the process is killed with runs active.
 constexpr duration max_stop_duration = 5400ms;
 /// Shortest graceful stop: leaves time to send the last order results to the
@@ -94,16 +97,18 @@
                 return config_version();
             }},
            {[this](link_id l, message&& m) { on_message(l, std::move(m)); },
-            {},
+            [this](link_id l, const heartbeat&)
+            { entry_links_.on_received(l); },
             [this](link_id l, const failure& f)
             {
                 on_closed(l, f);
             }})
-    , dialer_(
-          context_.timers, {}, context_.random, context_.log,
-          [this](std::size_t i, object_ptr<GSocketConnection> c)
-          { on_connected(i, std::move(c)); },
-          longest_dial_delay)
+    , entry_links_(context_, hub_,
+                   {context_.self.name, std::nullopt, agent_link_count, false},
+                   {[this](link_id l) { on_opened(l); },
+                    [this](link_id l) { on_unneeded(l); },
+                    [](const roster_update&) {
+                    }})
     , lease_(settings_.lease)
     , fencing_token_(static_cast<uint64_t>(g_get_real_time()) / 1000)
     , fencing_token_step_(first_fencing_token_step)
@@ -121,10 +126,7 @@
 
 void agent_node::add_seeds(const std::vector<endpoint>& seeds)
 {
-    for (const auto& it : seeds)
-    {
-        add_known_entry({it.address, it.port});
-    }
+    entry_links_.add_seeds(seeds);
 }
 
 void agent_node::begin_stop(std::function<void()> done)
@@ -152,6 +154,8 @@
                                  " ms, longer than the links' silence timeout",
                              step_process));
     }
+    entry_links_.tick();
+    close_unneeded(now);
     scheduler_.tick(now);
     const bool expired = lease_.has_expired(now);
     if (expired && !runs_ended_)
@@ -401,21 +405,47 @@
 
 // links
 
-void agent_node::on_connected(std::size_t position,
-                              object_ptr<GSocketConnection> connection)
+void agent_node::on_opened(link_id link)
 {
-    const auto link = hub_.add(std::move(connection));
-    dialed_links_[position] = link;
     entries_[link] = {};
-    dialer_.reset_backoff(position);
     context_.log(to_line(log_level::info, "connected to an entry", step_link,
-                         dialer_.endpoints()[position].to_string()));
+                         hub_.find(link)->peer()));
     if (target_)
     {
         send_hello(link);
     }
 }
 
+void agent_node::on_unneeded(link_id link)
+{
+    entries_.at(link).closing_since = context_.loop.now();
+    schedule_flush();
+}
+
+void agent_node::close_unneeded(time_point now)
+{
+    std::vector<link_id> idle;
+    for (const auto& [link, entry] : entries_)
+    {
+        if (entry.closing_since &&
+            now - *entry.closing_since >= closing_notice_time &&
+            entry.pending_results.empty() &&
+            !scheduler_.has_orders(to_source(link)))
+        {
+            idle.push_back(link);
+        }
+    }
+    for (const auto link : idle)
+    {
+        context_.log(to_line(log_level::info,
+                             "closing the link to an entry that is no longer "
+                             "selected",
+                             step_link, hub_.find(link)->peer()));
+        entries_.erase(link);
+        entry_links_.close(link);
+    }
+}
+
 void agent_node::on_message(link_id link, message&& m)
 {
     const auto found = entries_.find(link);
@@ -423,6 +453,7 @@
     {
         return;
     }
+    entry_links_.on_received(link);
     const auto now = context_.loop.now();
     if (const auto* batch = std::get_if<run_batch>(&m))
     {
@@ -439,12 +470,9 @@
         scheduler_.on_cancel(to_source(link), cancel->orders, now);
         schedule_flush();
     }
-    else if (const auto* entries = std::get_if<entry_list>(&m))
+    else if (const auto* update = std::get_if<roster_update>(&m))
     {
-        for (const auto& it : entries->entries)
-        {
-            add_known_entry(it);
-        }
+        entry_links_.merge(*update);
     }
 }
 
@@ -452,33 +480,11 @@
 {
     context_.log(to_record(log_level::warning, why));
     entries_.erase(link);
-    for (auto it = dialed_links_.begin(); it != dialed_links_.end(); ++it)
-    {
-        if (it->second == link)
-        {
-            const auto position = it->first;
-            dialed_links_.erase(it);
-            dialer_.schedule_dial(position);
-            break;
-        }
-    }
+    entry_links_.on_closed(link);
     scheduler_.on_source_lost(to_source(link), context_.loop.now());
     schedule_flush();
 }
 
-void agent_node::add_known_entry(const entry_address& entry)
-{
-    if (!roster_.add(entry))
-    {
-        return;
-    }
-    dialer_.dial(dialer_.add({entry.address, entry.port}));
-    for (const auto& [link, e] : entries_)
-    {
-        hub_.send(link, roster_.to_message());
-    }
-}
-
 target_load agent_node::current_load() const
 {
     const auto now = context_.loop.now();
@@ -500,7 +506,6 @@
     entry.reported_load.last_order_received = entry.last_order_received;
     hub_.send(link, target_hello{context_.self, target_->profile,
                                  entry.reported_load});
-    hub_.send(link, roster_.to_message());
 }
 
 void agent_node::send_hello_to_all()
@@ -544,10 +549,12 @@
         return;
     }
     const auto now = context_.loop.now();
-    auto load = current_load();
+    const auto current = current_load();
     bool has_unsent_load = false;
     for (auto& [link, entry] : entries_)
     {
+        auto load = current;
+        load.accepts_work = load.accepts_work && !entry.closing_since;
         if (!entry.pending_results.empty())
         {
             hub_.send(link,
@@ -603,4 +610,9 @@
     return hub_;
 }
 
+const entry_links& agent_node::entries() const noexcept
+{
+    return entry_links_;
+}
+
 } // namespace agatebank
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -59,23 +59,36 @@
                 return routes_.version();
             }},
            {[this](link_id l, message&& m) { on_message(l, std::move(m)); },
-            [this](link_id l, const heartbeat& b) { on_heartbeat(l, b); },
+            [this](link_id l, const heartbeat& b)
+            {
+                entry_links_.on_received(l);
+                on_heartbeat(l, b);
+            },
             [this](link_id l, const failure& f)
             {
                 on_closed(l, f);
             }})
     , listener_([this](object_ptr<GSocketConnection> c)
                 { hub_.add(std::move(c)); })
-    , dialer_(
-          context_.timers, {}, context_.random, context_.log,
-          [this](std::size_t i, object_ptr<GSocketConnection> c)
-          {
-              const auto link = hub_.add(std::move(c));
-              dialed_links_[i] = link;
-              hub_.send(link, peer_hello{context_.self});
-              hub_.send(link, roster_.to_message());
-          },
-          longest_dial_delay)
+    , entry_links_(context_, hub_,
+                   {context_.self.name,
+                    entry_record{to_address(settings_.links),
+                                 context_.self.failure_domain, 1, false},
+                    entry_link_count, true},
+                   {[this](link_id l)
+                    {
+                        peers_.insert(l);
+                        hub_.send(l, peer_hello{context_.self});
+                    },
+                    [this](link_id l)
+                    {
+                        peers_.erase(l);
+                        entry_links_.close(l);
+                    },
+                    [this](const roster_update& u)
+                    {
+                        pass_on(u);
+                    }})
 {
 }
 
@@ -88,7 +101,6 @@
     {
         return tl::unexpected(port.error());
     }
-    roster_.add(to_address(settings_.links));
     add_seeds(settings_.seeds);
     last_timer_ = context_.loop.now();
     timer_ = context_.loop.every(timer_period, [this] { on_timer(); });
@@ -97,10 +109,7 @@
 
 void entry_node::add_seeds(const std::vector<endpoint>& seeds)
 {
-    for (const auto& it : seeds)
-    {
-        add_known_entry(to_address(it));
-    }
+    entry_links_.add_seeds(seeds);
 }
 
 void entry_node::begin_stop(std::function<void()> done)
@@ -129,6 +138,7 @@
             step_process));
         scheduler_.abandon_all("given up (entry process was paused)");
     }
+    entry_links_.tick();
     scheduler_.tick(now);
     if (stopping_)
     {
@@ -266,11 +276,17 @@
     return hub_;
 }
 
+const entry_links& entry_node::entries() const noexcept
+{
+    return entry_links_;
+}
+
 // links
 
 void entry_node::on_message(link_id link, message&& m)
 {
     const auto now = context_.loop.now();
+    entry_links_.on_received(link);
     if (const auto* hello = std::get_if<target_hello>(&m))
     {
         on_target_hello(link, *hello);
@@ -295,13 +311,14 @@
             }
         }
     }
-    else if (const auto* entries = std::get_if<entry_list>(&m))
+    else if (const auto* changes = std::get_if<roster_update>(&m))
     {
-        on_entry_list(*entries);
+        entry_links_.merge(*changes);
     }
     else if (std::holds_alternative<peer_hello>(m))
     {
-        hub_.send(link, roster_.to_message());
+        peers_.insert(link);
+        hub_.send(link, entry_links_.roster());
     }
     else if (std::holds_alternative<configuration_query>(m))
     {
@@ -327,16 +344,8 @@
 
 void entry_node::on_closed(link_id link, const failure& why)
 {
-    for (auto it = dialed_links_.begin(); it != dialed_links_.end(); ++it)
-    {
-        if (it->second == link)
-        {
-            const auto position = it->first;
-            dialed_links_.erase(it);
-            dialer_.schedule_dial(position);
-            return;
-        }
-    }
+    entry_links_.on_closed(link);
+    peers_.erase(link);
     const auto it = agents_.find(link);
     if (it == agents_.end())
     {
@@ -374,39 +383,18 @@
                          step_link, hello.self.name));
     scheduler_.put_target(agent, hello.target, now);
     scheduler_.set_load(agent, hello.load, now);
-    hub_.send(link, roster_.to_message());
-}
-
-void entry_node::on_entry_list(const entry_list& m)
-{
-    for (const auto& it : m.entries)
-    {
-        add_known_entry(it);
-    }
-}
-
-void entry_node::add_known_entry(const entry_address& entry)
-{
-    if (!roster_.add(entry))
-    {
-        return;
-    }
-    context_.log(to_line(log_level::info, "discovered another entry", step_link,
-                         entry.address));
-    dialer_.dial(dialer_.add({entry.address, entry.port}));
-    broadcast_roster();
+    hub_.send(link, entry_links_.roster());
 }
 
-void entry_node::broadcast_roster()
+void entry_node::pass_on(const roster_update& changes)
 {
-    const auto m = roster_.to_message();
     for (const auto& [link, agent] : agents_)
     {
-        hub_.send(link, m);
+        hub_.send(link, changes);
     }
-    for (const auto& [position, link] : dialed_links_)
+    for (const auto link : peers_)
     {
-        hub_.send(link, m);
+        hub_.send(link, changes);
     }
 }
 
--- a/packages/wire/include/agatebank/wire/endpoint_dialer.hpp
+++ b/packages/wire/include/agatebank/wire/endpoint_dialer.hpp
@@ -32,11 +32,14 @@
   public:
     using on_connected =
         std::function<void(std::size_t, object_ptr<GSocketConnection>)>;
+    using on_failed = std::function<void(std::size_t)>;
 
     // construction
+    /// @param failed called after each failed attempt; may be empty
     endpoint_dialer(timer_queue& timers, std::vector<endpoint> endpoints,
                     random_source random, log_sink log, on_connected connected,
-                    duration max_delay = std::chrono::seconds(2));
+                    duration max_delay = std::chrono::seconds(2),
+                    on_failed failed = {});
 
     // modifiers
     /// @brief Adds an endpoint. @return its index
@@ -57,6 +60,7 @@
 
   private:
     void on_timeout(std::size_t index);
+    void retry_after_failure(std::size_t index);
 
     struct attempt
     {
@@ -70,6 +74,7 @@
     random_source random_;
     log_sink log_;
     on_connected connected_;
+    on_failed failed_;
     tcp_connector connector_;
     std::vector<attempt> attempts_;
     duration max_delay_;
--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -2,6 +2,7 @@
 
 #include <agatebank/core/configuration.hpp>
 #include <agatebank/core/credit_allocator.hpp>
+#include <agatebank/core/entry_record.hpp>
 #include <agatebank/core/event.hpp>
 #include <agatebank/core/execution_status.hpp>
 #include <agatebank/core/ids.hpp>
@@ -481,30 +482,16 @@
     }
 };
 
-/// @brief Address and port at which an entry accepts links.
-struct entry_address
+/// @brief Records of entries: all that the sender knows, as the first message
+/// on a link, and later those that have changed.
+struct roster_update
 {
-    std::string address; ///< IP address
-    uint16_t port = 0;
-
-    auto operator<=>(const entry_address&) const = default;
-
-    template <class Archive>
-    void serialize(Archive& ar)
-    {
-        ar(address, port);
-    }
-};
-
-/// @brief All entries known to the sender, including the sender itself.
-struct entry_list
-{
-    std::vector<entry_address> entries;
+    std::vector<entry_record> records;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(entries);
+        ar(records);
     }
 };
 
@@ -517,7 +504,7 @@
                  agent_configuration, gather_query, peer_hello, forward_request,
                  forward_reply, configuration_query, configuration_document,
                  event_query, event_reply, target_hello, target_update,
-                 run_batch, order_results, cancel_orders, entry_list>;
+                 run_batch, order_results, cancel_orders, roster_update>;
 
 /// @brief Datagram that an entry sends periodically to the other entries. May
 /// be lost.
--- a/packages/wire/include/agatebank/wire/tcp_link.hpp
+++ b/packages/wire/include/agatebank/wire/tcp_link.hpp
@@ -22,6 +22,9 @@
     duration silence_timeout = std::chrono::milliseconds(1200);
     std::size_t max_frame_bytes = 16U << 20U;
     std::size_t max_queued_bytes = 64U << 20U;
+    /// If true, a heartbeat is sent only if nothing else was sent within the
+    /// heartbeat period.
+    bool heartbeat_only_when_idle = false;
     /// If false, the link has no timer and its owner calls
     /// @ref tcp_link::on_heartbeat_timer, so that many links can share one
     /// timer.
--- a/packages/wire/src/endpoint_dialer.cpp
+++ b/packages/wire/src/endpoint_dialer.cpp
@@ -34,12 +34,14 @@
 endpoint_dialer::endpoint_dialer(timer_queue& timers,
                                  std::vector<endpoint> endpoints,
                                  random_source random, log_sink log,
-                                 on_connected connected, duration max_delay)
+                                 on_connected connected, duration max_delay,
+                                 on_failed failed)
     : timers_(timers)
     , endpoints_(std::move(endpoints))
     , random_(std::move(random))
     , log_(std::move(log))
     , connected_(std::move(connected))
+    , failed_(std::move(failed))
     , connector_(connector_timeout)
     , attempts_(endpoints_.size())
     , max_delay_(max_delay)
@@ -74,7 +76,7 @@
                 return;
             }
             log_(to_record(log_level::debug, c.error()));
-            schedule_dial(index);
+            retry_after_failure(index);
         });
 }
 
@@ -86,7 +88,16 @@
                     endpoints_[index].to_string(),
                     "not connected within " +
                         std::to_string(connect_timeout.count()) + " us"}));
+    retry_after_failure(index);
+}
+
+void endpoint_dialer::retry_after_failure(std::size_t index)
+{
     schedule_dial(index);
+    if (failed_)
+    {
+        failed_(index);
+    }
 }
 
 void endpoint_dialer::schedule_dial(std::size_t index)
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -93,6 +93,7 @@
     bool open = true;
     bool flush_pending = false;
     time_point last_heartbeat;
+    time_point last_message_sent;
     time_point last_received;
     int64_t remote_clock_us = 0;
     time_point remote_clock_read_at;
@@ -177,6 +178,7 @@
         // nonce has been received.
         auto payload = encode(context.clock.tick(), m);
         ++traffic.messages_sent;
+        last_message_sent = context.loop.now();
         if (remote_nonce.empty() && context.auth.enabled())
         {
             untagged_payloads.push_back(std::move(payload));
@@ -439,7 +441,11 @@
             close(errc::peer_silent, step_silence);
             return;
         }
-        if (now - last_heartbeat >= context.options.heartbeat_period)
+        const auto last_sign_of_life =
+            context.options.heartbeat_only_when_idle
+                ? std::max(last_heartbeat, last_message_sent)
+                : last_heartbeat;
+        if (now - last_sign_of_life >= context.options.heartbeat_period)
         {
             last_heartbeat = now;
             send_heartbeat();
