--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -5,6 +5,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <utility>
 
 namespace agatebank
@@ -229,6 +230,26 @@
     return status.value_or(0);
 }
 
+double node_cluster::agent_metric(std::size_t i, const std::string& name)
+{
+    http_call call;
+    call.url = "http://" + at(agent_ip(i), metrics_port_) + "/metrics";
+    call.timeout = 1s;
+    std::optional<std::string> body;
+    const auto handle = client_.send(call, [&body](const auto& r)
+                                     { body = r ? r->body : std::string(); });
+    run_until(loop, 2s, [&body] { return body.has_value(); });
+    std::istringstream lines(body.value_or(""));
+    for (std::string line; std::getline(lines, line);)
+    {
+        if (line.rfind(name + " ", 0) == 0)
+        {
+            return std::stod(line.substr(name.size()));
+        }
+    }
+    return -1;
+}
+
 // An entry is ready with its first target. The last wait lets every entry learn
 // of all targets, so that each can place jobs on all.
 bool node_cluster::wait_ready(duration timeout)
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -63,6 +63,9 @@
     bool wait_ready(duration timeout = std::chrono::seconds(10));
     /// @brief HTTP status of an entry's readiness check; 0 without a response.
     unsigned readiness(std::size_t i);
+    /// @brief Value of a metric without labels on an agent's metrics page;
+    /// negative without a response.
+    double agent_metric(std::size_t i, const std::string& name);
 
     // callers
     /// @brief Submits a job of equal tasks. @return the number of the job
--- a/tests/platform/unit-node_path.cpp
+++ b/tests/platform/unit-node_path.cpp
@@ -226,6 +226,58 @@
     check_ledger(c);
 }
 
+// Guards against links that grow with the entries, against an agent that keeps
+// too few links while entries are down, and against entries that get no agent
+// back after a restart.
+TEST_CASE("node path: an agent links to eight of ten entries, replaces those "
+          "that were killed, and returns to them")
+{
+    constexpr std::size_t entries = 10;
+    constexpr std::size_t agents = 6;
+    constexpr double selected = 8;
+    node_cluster c({entries, agents});
+    REQUIRE(c.wait_ready(20s));
+    const auto all_have = [&c](double links)
+    {
+        for (std::size_t i = 0; i < agents; ++i)
+        {
+            if (c.agent_metric(i, "agatebank_links") != links)
+            {
+                return false;
+            }
+        }
+        return true;
+    };
+    const auto become = [&](double links)
+    {
+        const auto end = c.loop.now() + 10s;
+        while (!all_have(links) && c.loop.now() < end)
+        {
+            run_for(c.loop, 100ms);
+        }
+        return all_have(links);
+    };
+    CHECK(become(selected));
+    for (std::size_t i = 1; i < 4; ++i)
+    {
+        c.entry(i).kill();
+    }
+    CHECK(become(entries - 3));
+    for (std::size_t i = 1; i < 4; ++i)
+    {
+        c.start_entry(i);
+    }
+    REQUIRE(c.wait_ready(20s));
+    CHECK(become(selected));
+    for (std::size_t i = 0; i < entries; ++i)
+    {
+        const auto j = c.submit(i, "00000000000000a" + std::to_string(i));
+        REQUIRE(c.wait_ended(j));
+        CHECK(c.job(j).status == 200);
+    }
+    check_ledger(c);
+}
+
 TEST_CASE(
     "node path: SIGHUP reloads the settings, and invalid ones change nothing")
 {
