Counters of messages by kind and peer, loop lag, share and start phases

For measuring what grows with the number of machines: messages and bytes by kind and class of the peer, the lag of the loop's periodic timer as a distribution, processor time beside the share in the settings, and the time from the start until the first link, configuration and working target. The gauges cost nothing until the page is read; the counters one addition a message. Grows with: kinds of messages for each link.

--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -1,5 +1,8 @@
 #include "node_metrics.hpp"
 
+#include <algorithm>
+#include <string_view>
+
 namespace agatebank
 {
 
@@ -25,13 +28,77 @@
     }
 }
 
-void add_link_gauges(metrics_registry& metrics, const link_hub& links)
+// Kinds of messages that entries and agents of this form exchange.
+constexpr const char* exchanged_kinds[] = {
+    "heartbeat",    "peer_hello",    "configuration_query",
+    "target_hello", "target_update", "configuration_document",
+    "run_batch",    "order_results", "cancel_orders",
+    "roster_update"};
+
+struct class_row
+{
+    const char* name;
+    link_class peer;
+};
+
+struct traffic_row
+{
+    const char* name;
+    const char* help;
+    uint64_t kind_traffic::*field;
+};
+
+void add_traffic_gauges(metrics_registry& metrics, const link_hub& links,
+                        std::size_t kind)
+{
+    constexpr class_row classes[] = {{"agent", link_class::agent},
+                                     {"entry", link_class::entry}};
+    constexpr traffic_row rows[] = {
+        {"agatebank_link_kind_messages_sent",
+         "Messages sent, by kind and peer.", &kind_traffic::messages_sent},
+        {"agatebank_link_kind_messages_received",
+         "Messages received, by kind and peer.",
+         &kind_traffic::messages_received},
+        {"agatebank_link_kind_bytes_sent", "Bytes sent, by kind and peer.",
+         &kind_traffic::bytes_sent},
+        {"agatebank_link_kind_bytes_received",
+         "Bytes received, by kind and peer.", &kind_traffic::bytes_received}};
+    for (const auto& row : rows)
+    {
+        for (const auto& peer : classes)
+        {
+            metrics.add_gauge(
+                {row.name,
+                 row.help,
+                 {{"kind", to_kind_name(kind)}, {"peer", peer.name}}},
+                [&links, kind, field = row.field, peer = peer.peer] {
+                    return static_cast<double>(links.traffic(peer).kinds[kind].*
+                                               field);
+                });
+        }
+    }
+}
+
+void add_link_gauges(metrics_registry& metrics, const link_hub& links,
+                     const entry_links& entries)
 {
     metrics.add_gauge({"agatebank_links", "Open links to processes.", {}},
                       [&links] { return static_cast<double>(links.size()); });
     metrics.add_gauge(
         {"agatebank_link_bytes_sent", "Bytes sent to processes.", {}}, [&links]
         { return static_cast<double>(links.total_traffic().bytes_sent); });
+    metrics.add_gauge(
+        {"agatebank_known_entries", "Other entries in the roster.", {}},
+        [&entries] { return static_cast<double>(entries.known_entries()); });
+    for (std::size_t kind = 0; kind < message_kind_count; ++kind)
+    {
+        if (std::find(std::begin(exchanged_kinds), std::end(exchanged_kinds),
+                      std::string_view(to_kind_name(kind))) !=
+            std::end(exchanged_kinds))
+        {
+            add_traffic_gauges(metrics, links, kind);
+        }
+    }
 }
 
 } // namespace
@@ -63,7 +130,7 @@
     metrics.add_gauge(
         {"agatebank_configuration_version", "Version in force.", {}}, [&node]
         { return static_cast<double>(node.routes().version().value()); });
-    add_link_gauges(metrics, node.links());
+    add_link_gauges(metrics, node.links(), node.entries());
 }
 
 void add_node_metrics(metrics_registry& metrics, const agent_node& node)
@@ -88,7 +155,7 @@
     metrics.add_gauge({"agatebank_orders_queued", "Orders that wait.", {}},
                       [&scheduler]
                       { return static_cast<double>(scheduler.queued()); });
-    add_link_gauges(metrics, node.links());
+    add_link_gauges(metrics, node.links(), node.entries());
 }
 
 } // namespace agatebank
--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -1,4 +1,5 @@
 #include "node_metrics.hpp"
+#include "process_metrics.hpp"
 #include <agatebank/daemon/node_roles.hpp>
 #include <agatebank/daemon/process_runtime.hpp>
 #include <agatebank/node/node_settings.hpp>
@@ -23,15 +24,16 @@
 constexpr const char* step_reload = "settings.reload";
 
 node_context make_context(process_runtime& rt, timer_queue& timers,
-                          const node_settings& s)
+                          const node_settings& s, process_metrics& measured)
 {
     process_identity self;
     self.incarnation = process_runtime::random_number();
     self.name = s.name;
     self.failure_domain = s.failure_domain;
-    return {rt.loop, timers,   rt.clock,
-            rt.auth, rt.log(), process_runtime::random_number,
-            self};
+    return {rt.loop,  timers,
+            rt.clock, rt.auth,
+            rt.log(), process_runtime::random_number,
+            self,     measured.observer()};
 }
 
 http_server_options to_server_options(const endpoint& e)
@@ -146,7 +148,9 @@
                                  const settings_reader& reread_settings)
 {
     timer_queue timers(rt.loop);
-    entry_node node(make_context(rt, timers, settings),
+    process_metrics measured(rt.metrics, rt.loop, settings.processor_share,
+                             {phase_link, phase_configuration, phase_target});
+    entry_node node(make_context(rt, timers, settings, measured),
                     {{settings.address, settings.link_port},
                      settings.seeds,
                      settings.remote_data_factor},
@@ -186,8 +190,10 @@
     platform::target_client target(rt.loop, timers, settings.target, rt.log());
     lease_options lease;
     lease.max_duration = settings.max_lease;
-    agent_node node(make_context(rt, timers, settings), {settings.seeds, lease},
-                    target.port());
+    process_metrics measured(rt.metrics, rt.loop, settings.processor_share,
+                             {phase_link, phase_target});
+    agent_node node(make_context(rt, timers, settings, measured),
+                    {settings.seeds, lease}, target.port());
     http_server announcements(rt.loop,
                               to_server_options(settings.announcements));
     platform::add_announcement_routes(
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -97,6 +97,7 @@
     void on_heartbeat(link_id link, const heartbeat& beat);
     void on_closed(link_id link, const failure& why);
     void on_target_hello(link_id link, const target_hello& hello);
+    void add_peer(link_id link);
     void pass_on(const roster_update& changes);
     void send_batch(agent_incarnation agent, const run_batch& batch);
     void send_cancel(agent_incarnation agent,
--- a/packages/node/include/agatebank/node/node_context.hpp
+++ b/packages/node/include/agatebank/node/node_context.hpp
@@ -9,9 +9,27 @@
 #include <agatebank/wire/messages.hpp>
 #include <agatebank/wire/tcp_link.hpp>
 
+#include <functional>
+
 namespace agatebank
 {
 
+/// @brief Receives what a node measures of its process.
+struct node_observer
+{
+    /// time by which the node's periodic timer was late
+    std::function<void(duration)> on_loop_lag = [](duration) {
+    };
+    /// a phase of the start is complete; also called again later
+    std::function<void(const char*)> on_phase = [](const char*) {
+    };
+};
+
+/// Phases of the start of a node, see node_observer.
+constexpr const char* phase_link = "link"; ///< first link to an entry or agent
+constexpr const char* phase_configuration = "configuration";
+constexpr const char* phase_target = "target"; ///< first that accepts work
+
 /// @brief Services and identity that a process supplies to its entry or agent
 /// node. The references must outlive the node.
 struct node_context
@@ -23,6 +41,7 @@
     log_sink log;
     random_source random;
     process_identity self;
+    node_observer observer;
 };
 
 /// @brief Heartbeat period and silence timeout of the links between entries and
--- a/packages/node/include/agatebank/node/node_settings.hpp
+++ b/packages/node/include/agatebank/node/node_settings.hpp
@@ -24,12 +24,14 @@
     std::string address;         ///< entry: IP address that it listens on
     uint16_t link_port = 0;      ///< for links; the same for all entries
     std::vector<endpoint> seeds; ///< link addresses of entries to dial first
-    endpoint metrics;            ///< serves metrics
-    endpoint callers;            ///< entry: serves callers
-    endpoint readiness;          ///< entry: serves readiness checks
-    std::string table_service;   ///< entry: address of the table service
-    endpoint announcements;      ///< agent: receives the target's announcements
-    std::string target;          ///< agent: address of the target
+    /// cores that the process may use on average; 0: not limited
+    double processor_share = 0;
+    endpoint metrics;          ///< serves metrics
+    endpoint callers;          ///< entry: serves callers
+    endpoint readiness;        ///< entry: serves readiness checks
+    std::string table_service; ///< entry: address of the table service
+    endpoint announcements;    ///< agent: receives the target's announcements
+    std::string target;        ///< agent: address of the target
     duration max_lease = std::chrono::milliseconds(1000);
     /// entry: multiple of the run time away from the data's rack
     double remote_data_factor = 1;
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -146,6 +146,7 @@
 {
     const auto now = context_.loop.now();
     const auto pause = now - std::exchange(last_timer_, now);
+    context_.observer.on_loop_lag(std::max(duration(0), pause - timer_period));
     if (pause > node_link_options().silence_timeout)
     {
         context_.log(to_line(log_level::warning,
@@ -312,6 +313,7 @@
                              step_lease, target_->profile.target));
     }
     target_connected_ = true;
+    context_.observer.on_phase(phase_target);
     lease_.on_answer(answer.clock, now);
     for (const auto& it : answer.ended)
     {
@@ -408,6 +410,8 @@
 void agent_node::on_opened(link_id link)
 {
     entries_[link] = {};
+    hub_.set_class(link, link_class::entry);
+    context_.observer.on_phase(phase_link);
     context_.log(to_line(log_level::info, "connected to an entry", step_link,
                          hub_.find(link)->peer()));
     if (target_)
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -77,7 +77,7 @@
                     entry_link_count, true},
                    {[this](link_id l)
                     {
-                        peers_.insert(l);
+                        add_peer(l);
                         hub_.send(l, peer_hello{context_.self});
                     },
                     [this](link_id l)
@@ -128,6 +128,7 @@
 {
     const auto now = context_.loop.now();
     const auto pause = now - std::exchange(last_timer_, now);
+    context_.observer.on_loop_lag(std::max(duration(0), pause - timer_period));
     if (pause > max_pause)
     {
         context_.log(to_line(
@@ -177,6 +178,7 @@
     }
     routes_ = std::move(*read);
     configuration_text_ = text;
+    context_.observer.on_phase(phase_configuration);
     context_.log(to_line(
         log_level::info,
         "configuration version " + std::to_string(routes_.version().value()) +
@@ -297,6 +299,10 @@
         if (it != agents_.end())
         {
             scheduler_.set_load(it->second, update->load, now);
+            if (update->load.accepts_work)
+            {
+                context_.observer.on_phase(phase_target);
+            }
         }
     }
     else if (const auto* results = std::get_if<order_results>(&m))
@@ -317,7 +323,7 @@
     }
     else if (std::holds_alternative<peer_hello>(m))
     {
-        peers_.insert(link);
+        add_peer(link);
         hub_.send(link, entry_links_.roster());
     }
     else if (std::holds_alternative<configuration_query>(m))
@@ -376,6 +382,7 @@
         scheduler_.remove_target(agent, now);
     }
     agents_[link] = agent;
+    hub_.set_class(link, link_class::agent);
     agent_links_[agent] = link;
     context_.log(to_line(log_level::info,
                          "agent " + hello.self.name + " connected, target " +
@@ -383,9 +390,20 @@
                          step_link, hello.self.name));
     scheduler_.put_target(agent, hello.target, now);
     scheduler_.set_load(agent, hello.load, now);
+    context_.observer.on_phase(phase_link);
+    if (hello.load.accepts_work)
+    {
+        context_.observer.on_phase(phase_target);
+    }
     hub_.send(link, entry_links_.roster());
 }
 
+void entry_node::add_peer(link_id link)
+{
+    peers_.insert(link);
+    hub_.set_class(link, link_class::entry);
+}
+
 void entry_node::pass_on(const roster_update& changes)
 {
     for (const auto& [link, agent] : agents_)
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -14,6 +14,7 @@
 
 constexpr const char* step_settings = "settings.read";
 constexpr int64_t max_port = 65535;
+constexpr double max_processor_share = 1024; // cores
 constexpr number_range lease_range{100, 60'000};
 
 endpoint to_endpoint(const std::string& text, const std::string& path,
@@ -61,6 +62,8 @@
         out.seeds.push_back(to_endpoint(it, path + "/seeds", errors));
         out.seeds.back().port = out.link_port;
     }
+    fields.optional_double("processor_share", out.processor_share, 0,
+                           max_processor_share);
     read_endpoint(fields, "metrics", out.metrics);
     if (role == node_role::entry)
     {
--- a/packages/wire/include/agatebank/wire/tcp_link.hpp
+++ b/packages/wire/include/agatebank/wire/tcp_link.hpp
@@ -4,6 +4,7 @@
 #include <agatebank/loop/event_loop.hpp>
 #include <agatebank/wire/authenticator.hpp>
 #include <agatebank/wire/codec.hpp>
+#include <agatebank/wire/link_traffic.hpp>
 
 #include <gio/gio.h>
 
@@ -31,14 +32,11 @@
     bool own_timer = true;
 };
 
-/// @brief Messages and bytes sent and received over a link.
-struct link_traffic
-{
-    uint64_t messages_sent = 0;
-    uint64_t messages_received = 0;
-    uint64_t bytes_sent = 0;
-    uint64_t bytes_received = 0;
-};
+/// @brief Returns whether a link sends a heartbeat now.
+/// @param last_heartbeat when the link last sent one
+/// @param last_message when the link last sent any message
+bool is_heartbeat_due(const link_options& options, time_point now,
+                      time_point last_heartbeat, time_point last_message);
 
 /// @brief Dependencies and options that all links of a process share.
 struct link_context
--- a/packages/wire/src/link_hub.cpp
+++ b/packages/wire/src/link_hub.cpp
@@ -6,19 +6,6 @@
 namespace agatebank
 {
 
-namespace
-{
-
-void add_traffic(link_traffic& sum, const link_traffic& t)
-{
-    sum.messages_sent += t.messages_sent;
-    sum.messages_received += t.messages_received;
-    sum.bytes_sent += t.bytes_sent;
-    sum.bytes_received += t.bytes_received;
-}
-
-} // namespace
-
 link_hub::link_hub(link_context context, hub_handlers handlers)
     : context_(std::move(context)), handlers_(std::move(handlers))
 {
@@ -48,9 +35,8 @@
         links_.erase(id);
         handlers_.on_closed(id, why);
     };
-    links_.emplace(id,
-                   std::make_unique<tcp_link>(context_, std::move(connection),
-                                              std::move(handlers)));
+    links_[id].link = std::make_unique<tcp_link>(
+        context_, std::move(connection), std::move(handlers));
     return id;
 }
 
@@ -59,7 +45,16 @@
     const auto it = links_.find(id);
     if (it != links_.end())
     {
-        it->second->send(m);
+        it->second.link->send(m);
+    }
+}
+
+void link_hub::set_class(link_id id, link_class peer)
+{
+    const auto it = links_.find(id);
+    if (it != links_.end())
+    {
+        it->second.peer = peer;
     }
 }
 
@@ -72,7 +67,7 @@
 const tcp_link* link_hub::find(link_id id) const
 {
     const auto it = links_.find(id);
-    return it == links_.end() ? nullptr : it->second.get();
+    return it == links_.end() ? nullptr : it->second.link.get();
 }
 
 std::size_t link_hub::size() const noexcept
@@ -82,10 +77,26 @@
 
 link_traffic link_hub::total_traffic() const
 {
-    auto sum = closed_traffic_;
-    for (const auto& it : links_)
+    link_traffic sum;
+    for (const auto peer :
+         {link_class::unidentified, link_class::agent, link_class::entry})
+    {
+        sum += traffic(peer);
+    }
+    return sum;
+}
+
+link_traffic link_hub::traffic(link_class peer) const
+{
+    const auto closed = closed_traffic_.find(peer);
+    auto sum =
+        closed == closed_traffic_.end() ? link_traffic() : closed->second;
+    for (const auto& [id, it] : links_)
     {
-        add_traffic(sum, it.second->traffic());
+        if (it.peer == peer)
+        {
+            sum += it.link->traffic();
+        }
     }
     return sum;
 }
@@ -103,16 +114,17 @@
         const auto it = links_.find(id);
         if (it != links_.end())
         {
-            it->second->on_heartbeat_timer();
+            it->second.link->on_heartbeat_timer();
         }
     }
 }
 
 void link_hub::add_closed_traffic(link_id id)
 {
-    if (const auto* link = find(id))
+    const auto it = links_.find(id);
+    if (it != links_.end())
     {
-        add_traffic(closed_traffic_, link->traffic());
+        closed_traffic_[it->second.peer] += it->second.link->traffic();
     }
 }
 
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -76,6 +76,15 @@
 
 } // namespace
 
+bool is_heartbeat_due(const link_options& options, time_point now,
+                      time_point last_heartbeat, time_point last_message)
+{
+    const auto last = options.heartbeat_only_when_idle
+                          ? std::max(last_heartbeat, last_message)
+                          : last_heartbeat;
+    return now - last >= options.heartbeat_period;
+}
+
 struct tcp_link::state : std::enable_shared_from_this<tcp_link::state>
 {
     link_context context;
@@ -178,6 +187,9 @@
         // nonce has been received.
         auto payload = encode(context.clock.tick(), m);
         ++traffic.messages_sent;
+        auto& kind = traffic.kinds[m.index()];
+        ++kind.messages_sent;
+        kind.bytes_sent += payload.size();
         last_message_sent = context.loop.now();
         if (remote_nonce.empty() && context.auth.enabled())
         {
@@ -379,6 +391,9 @@
         }
         context.clock.receive(m->stamp);
         ++traffic.messages_received;
+        auto& kind = traffic.kinds[m->body.index()];
+        ++kind.messages_received;
+        kind.bytes_received += payload.size();
         if (const auto* beat = std::get_if<heartbeat>(&m->body))
         {
             process_heartbeat(*beat);
@@ -441,11 +456,8 @@
             close(errc::peer_silent, step_silence);
             return;
         }
-        const auto last_sign_of_life =
-            context.options.heartbeat_only_when_idle
-                ? std::max(last_heartbeat, last_message_sent)
-                : last_heartbeat;
-        if (now - last_sign_of_life >= context.options.heartbeat_period)
+        if (is_heartbeat_due(context.options, now, last_heartbeat,
+                             last_message_sent))
         {
             last_heartbeat = now;
             send_heartbeat();
--- a/packages/wire/tests/unit-tcp_link.cpp
+++ b/packages/wire/tests/unit-tcp_link.cpp
@@ -28,7 +28,6 @@
     std::unique_ptr<tcp_link> right;
     link_handlers left_handlers;
     link_handlers right_handlers;
-
     link_pair(const std::string& left_key, const std::string& right_key)
         : left_auth(left_key)
         , right_auth(right_key)
@@ -111,6 +110,67 @@
     }
 }
 
+// Guards against heartbeats on links that have other traffic: with hundreds of
+// processes they would be most of the messages.
+TEST_CASE("tcp_link: with the option, a heartbeat is due only after a period "
+          "without any message")
+{
+    using std::chrono::milliseconds;
+    struct row
+    {
+        int heartbeat_age_ms;
+        int message_age_ms;
+        bool due;
+        bool due_when_idle;
+    };
+    const row rows[] = {{49, 49, false, false},
+                        {50, 50, true, true},
+                        {90, 49, true, false},
+                        {49, 90, false, false},
+                        {90, 90, true, true}};
+    for (const auto& it : rows)
+    {
+        const time_point now{std::chrono::hours(1)};
+        link_options options;
+        options.heartbeat_period = milliseconds(50);
+        const auto is_due = [&](bool only_when_idle)
+        {
+            options.heartbeat_only_when_idle = only_when_idle;
+            return is_heartbeat_due(options, now,
+                                    now - milliseconds(it.heartbeat_age_ms),
+                                    now - milliseconds(it.message_age_ms));
+        };
+        CHECK(is_due(false) == it.due);
+        CHECK(is_due(true) == it.due_when_idle);
+    }
+}
+
+TEST_CASE("tcp_link: traffic is counted by kind of message")
+{
+    link_pair pair("", "");
+    pair.right_handlers.on_message = [](message&&) {
+    };
+    int heartbeats = 0;
+    pair.left_handlers.on_heartbeat = [&](const heartbeat&)
+    {
+        if (++heartbeats == 3)
+        {
+            pair.loop.quit();
+        }
+    };
+    pair.start();
+    pair.run();
+    const auto kind = message(acknowledgement()).index();
+    CHECK(std::string(to_kind_name(kind)) == "acknowledgement");
+    const auto& sent = pair.left->traffic().kinds[kind];
+    const auto& received = pair.right->traffic().kinds[kind];
+    CHECK(sent.messages_sent == 1);
+    CHECK(sent.messages_received == 0);
+    CHECK(received.messages_received == 1);
+    CHECK(received.bytes_received == sent.bytes_sent);
+    CHECK(pair.left->traffic().kinds[0].messages_received == 3);
+}
+
 TEST_CASE("tcp_link: a link is closed before delivery when the peer has "
           "another key")
 {
