Agents learn the speed of their target and tell it with its load

An entry needs 16 runs of a target to know its speed; among 55 entries it sees too few, and a restarted entry knows nothing.

Change: an order carries the run time expected at speed 1; the agent learns reference over measured time from all runs of its target and tells the speed with its load. Entries take it over in place of their own guess. References are sent only after 64 runs of the route, so that a new entry does not disturb the speeds that others use. The measured slowdown compares with the learned speed.

Grows with: nothing; 8 bytes more an order and a load report.

--- a/packages/core/include/agatebank/core/run_order.hpp
+++ b/packages/core/include/agatebank/core/run_order.hpp
@@ -21,11 +21,13 @@
     uint32_t index = 0;      ///< of the task within its step
     uint32_t attempt = 1;    ///< increases with each order of the same task
     int64_t expected_us = 0; ///< expected run time at this target
+    /// expected run time at a target of speed 1; 0: not learned yet
+    int64_t reference_us = 0;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(id, step, index, attempt, expected_us);
+        ar(id, step, index, attempt, expected_us, reference_us);
     }
 };
 
--- a/packages/core/include/agatebank/core/run_time_estimator.hpp
+++ b/packages/core/include/agatebank/core/run_time_estimator.hpp
@@ -87,6 +87,11 @@
     void remove(agent_incarnation agent);
     /// @brief Sets the initial speed of a target, from which learning proceeds.
     void set_initial_speed(agent_incarnation agent, double speed);
+    /// @brief Sets a speed that was learned elsewhere. Runs observed here no
+    /// longer change it.
+    /// @param samples number of runs from which it was learned
+    void set_learned_speed(agent_incarnation agent, double speed,
+                           double samples);
 
     // lookup
     run_time_prediction predict(const service_name& service,
@@ -96,6 +101,8 @@
     double speed(agent_incarnation agent) const;
     /// @brief Number of runs from which a target's speed was learned.
     double samples(agent_incarnation agent) const;
+    /// @brief Number of runs from which the model of a service was learned.
+    double samples(const service_name& service) const;
 
   private:
     struct service_model
@@ -114,6 +121,7 @@
     {
         double count = 0;
         double log_speed = 0;
+        bool learned_elsewhere = false;
     };
 
     bool learns_;
--- a/packages/core/include/agatebank/core/target_load.hpp
+++ b/packages/core/include/agatebank/core/target_load.hpp
@@ -52,6 +52,9 @@
     std::array<int64_t, priority_bands> queued_cpu_millis{};
     int64_t mean_run_us = 0; ///< expected, over running and queued orders
     double slowdown = 1;     ///< measured run time / expected run time
+    /// learned by the agent, in the scale of run_order::reference_us; 0:
+    /// unknown
+    double speed = 0;
     uint64_t last_order_received =
         0; ///< id of the last order received on this link
 
@@ -65,7 +68,7 @@
         {
             ar(it);
         }
-        ar(mean_run_us, slowdown, last_order_received);
+        ar(mean_run_us, slowdown, speed, last_order_received);
     }
 };
 
--- a/packages/core/src/run_time_estimator.cpp
+++ b/packages/core/src/run_time_estimator.cpp
@@ -150,6 +150,10 @@
     model.residuals.add(residual);
     model.count += 1;
 
+    if (target.learned_elsewhere)
+    {
+        return;
+    }
     target.count += 1;
     target.log_speed -= step / std::min(target.count + 2, speed_window);
 }
@@ -162,7 +166,13 @@
 void run_time_estimator::set_initial_speed(agent_incarnation agent,
                                            double speed)
 {
-    speeds_[agent] = {0, std::log(speed)};
+    speeds_[agent] = {0, std::log(speed), false};
+}
+
+void run_time_estimator::set_learned_speed(agent_incarnation agent,
+                                           double speed, double samples)
+{
+    speeds_[agent] = {samples, std::log(speed), true};
 }
 
 run_time_prediction
@@ -194,4 +204,10 @@
     return it == speeds_.end() ? 0 : it->second.count;
 }
 
+double run_time_estimator::samples(const service_name& service) const
+{
+    const auto it = services_.find(service);
+    return it == services_.end() ? 0 : it->second.count;
+}
+
 } // namespace agatebank
--- a/packages/fleet/include/agatebank/fleet/job_forecast.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_forecast.hpp
@@ -6,6 +6,7 @@
 #include <agatebank/core/target_load.hpp>
 
 #include <map>
+#include <optional>
 
 namespace agatebank
 {
@@ -26,6 +27,9 @@
     /// learned, or over all targets if there is none.
     void put_target(agent_incarnation agent, const target_profile& profile);
     void remove_target(agent_incarnation agent);
+    /// @brief Takes over a speed that the target's agent has learned.
+    /// @param speed in the scale of @ref reference_time
+    void set_learned_speed(agent_incarnation agent, double speed);
     /// @brief Updates the estimates with the run time of one task.
     /// @param run measured run time
     void learn(const route_name& route, const step_plan& step,
@@ -38,6 +42,14 @@
     /// @brief Returns the expected run time of the critical path of a job at
     /// speed 1. A step takes as long as its slowest task.
     duration longest_chain(const route_name& route, const job_plan& plan) const;
+    /// @brief Converts the expected run time at a target to the time at a
+    /// target whose speed is 1 in the scale that entries and agents share.
+    /// That scale is the estimator's own: entries that take over the speeds of
+    /// the same agents come to the same scale.
+    /// @return nothing before the run times of the route are learned
+    std::optional<duration> reference_time(const route_name& route,
+                                           agent_incarnation target,
+                                           duration expected) const;
     /// @brief Returns the speed of a target relative to speed 1.
     double speed(agent_incarnation target) const;
     /// @brief Returns whether enough runs were observed to know the usual speed
@@ -47,6 +59,7 @@
   private:
     double initial_speed(const std::string& kind) const;
     void update_mean_speed();
+    void scale_mean_speed(double factor);
 
     run_time_estimator times_{true};
     std::map<agent_incarnation, target_profile> targets_;
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -7,6 +7,7 @@
 #include <agatebank/core/target_load.hpp>
 #include <agatebank/core/units.hpp>
 #include <agatebank/fleet/target_health_estimator.hpp>
+#include <agatebank/fleet/target_speed_estimator.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -181,6 +182,8 @@
                             time_point now);
     void process_ended_runs(const std::vector<ended_run>& ended,
                             time_point now);
+    /// @brief Updates health and speed with a run that has ended as done.
+    void learn_from_run(const order_record& r, time_point now);
     void process_active_runs(const lease_answer& listing, time_point asked_at,
                              time_point now);
     void finish_unlisted_runs(time_point asked_at, time_point now);
@@ -196,6 +199,7 @@
     uint64_t listing_count_ = 0; ///< listings processed so far
     std::unordered_map<std::string, uint32_t> last_run_numbers_;
     target_health_estimator health_;
+    target_speed_estimator speed_;
     run_scheduler_counts counts_;
 };
 
--- a/packages/fleet/src/job_forecast.cpp
+++ b/packages/fleet/src/job_forecast.cpp
@@ -1,6 +1,7 @@
 #include <agatebank/core/duration_math.hpp>
 #include <agatebank/fleet/job_forecast.hpp>
 #include <agatebank/fleet/placement.hpp>
+#include <agatebank/fleet/target_speed_estimator.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -13,10 +14,10 @@
 namespace
 {
 
-/// Number of runs after which a speed counts as learned. Run times of similar
-/// tasks deviate from their estimates by some 40 %, so the mean of 16 runs is
-/// off by about 10 %.
-constexpr double min_learned_runs = 16;
+/// Number of runs of a route from which its reference times are told to
+/// agents. Fewer would mix the error of this entry's first runs into speeds
+/// that other entries use.
+constexpr double min_route_runs = 64;
 
 std::optional<duration> to_declared_time(const step_plan& step)
 {
@@ -55,6 +56,17 @@
     update_mean_speed();
 }
 
+void job_forecast::set_learned_speed(agent_incarnation agent, double speed)
+{
+    if (targets_.count(agent) == 0)
+    {
+        return;
+    }
+    const double before = times_.speed(agent);
+    times_.set_learned_speed(agent, speed, min_learned_runs);
+    scale_mean_speed(speed / before);
+}
+
 double job_forecast::initial_speed(const std::string& kind) const
 {
     double sum = 0;
@@ -88,11 +100,30 @@
     times_.observe(to_model_name(route), target, to_declared_time(step), run);
     if (targets_.count(target) != 0)
     {
-        // If one of n speeds changes by a factor, their geometric mean changes
-        // by the n-th root of that factor.
-        mean_speed_ *= std::pow(times_.speed(target) / before,
-                                1 / static_cast<double>(targets_.size()));
+        scale_mean_speed(times_.speed(target) / before);
+    }
+}
+
+// If one of n speeds changes by a factor, their geometric mean changes by the
+// n-th root of that factor.
+void job_forecast::scale_mean_speed(double factor)
+{
+    if (factor != 1)
+    {
+        mean_speed_ *=
+            std::pow(factor, 1 / static_cast<double>(targets_.size()));
+    }
+}
+
+std::optional<duration> job_forecast::reference_time(const route_name& route,
+                                                     agent_incarnation target,
+                                                     duration expected) const
+{
+    if (times_.samples(to_model_name(route)) < min_route_runs)
+    {
+        return std::nullopt;
     }
+    return scale(expected, times_.speed(target));
 }
 
 run_time_prediction job_forecast::task_run_time(const route_name& route,
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -55,6 +55,10 @@
     {
         return;
     }
+    if (load.speed > 0)
+    {
+        forecast_.set_learned_speed(agent, load.speed);
+    }
     if (it->second.set_load(load))
     {
         log_record r;
@@ -197,8 +201,12 @@
         // If the estimate is far too low, every attempt would be stopped as
         // stalled. Raising it with each stall lets the task finish eventually.
         const auto expected = it.choice.run_time * (1 << (2 * task.stalls));
+        const auto reference =
+            forecast_.reference_time(job.submission.matched_route.name,
+                                     it.choice.agent, it.choice.run_time);
         batches[it.choice.agent].orders.push_back(
-            {task.order, step, it.index, task.attempt, expected.count()});
+            {task.order, step, it.index, task.attempt, expected.count(),
+             reference.value_or(duration(0)).count()});
     }
     const auto& plan = job.submission.plan;
     for (auto& [agent, batch] : batches)
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -83,6 +83,7 @@
     }
     finish_runs_except(listed, "the target has started a new incarnation", now);
     health_.reset();
+    speed_.reset();
 }
 
 void run_scheduler::finish_runs_except(const std::set<run_id>& kept,
@@ -463,8 +464,7 @@
         switch (e.status)
         {
         case ended_run_status::done:
-            health_.on_done(now - r.started, duration(r.order.expected_us),
-                            now);
+            learn_from_run(r, now);
             finish(key, run_outcome::done, now);
             break;
         case ended_run_status::failed:
@@ -483,6 +483,23 @@
     }
 }
 
+// Once the speed is learned, runs during a slowdown are ignored, as they don't
+// show the usual speed.
+void run_scheduler::learn_from_run(const order_record& r, time_point now)
+{
+    const duration measured = now - r.started;
+    const duration reference(r.order.reference_us);
+    const bool learned = speed_.is_learned() && reference.count() > 0;
+    health_.on_done(measured,
+                    learned ? scale(reference, 1 / speed_.speed())
+                            : duration(r.order.expected_us),
+                    now);
+    if (!learned || health_.slowdown(now) == 1)
+    {
+        speed_.observe(reference, measured);
+    }
+}
+
 void run_scheduler::process_active_runs(const lease_answer& listing,
                                         time_point asked_at, time_point now)
 {
@@ -570,6 +587,7 @@
     out.used = used_;
     out.suspect = health_.suspect(now);
     out.slowdown = health_.slowdown(now);
+    out.speed = speed_.is_learned() ? speed_.speed() : 0;
     int64_t expected = 0;
     for (const auto& [key, r] : orders_)
     {
--- a/packages/fleet/tests/unit-job_forecast.cpp
+++ b/packages/fleet/tests/unit-job_forecast.cpp
@@ -110,3 +110,47 @@
     plan.steps[0].tasks = 20;
     CHECK(f.longest_chain(desk_route, plan) > one);
 }
+
+TEST_CASE("job_forecast: a speed that the agent has learned replaces the own "
+          "one, and own runs no longer change it")
+{
+    const agent_incarnation fast(1);
+    const agent_incarnation slow(2);
+    job_forecast f;
+    f.put_target(fast, of_kind("a"));
+    f.put_target(slow, of_kind("a"));
+    f.set_learned_speed(fast, 2);
+    f.set_learned_speed(slow, 0.5);
+    CHECK(f.has_learned_speed(fast));
+    CHECK(f.speed(fast) == Approx(2));
+    CHECK(f.speed(slow) == Approx(0.5));
+    learn(f, {100ms, 100ms}, 50);
+    CHECK(f.speed(fast) == Approx(2));
+    CHECK(f.speed(slow) == Approx(0.5));
+    f.set_learned_speed(agent_incarnation(3), 9); // not connected
+    CHECK(f.speed(fast) == Approx(2));
+}
+
+TEST_CASE("job_forecast: reference times are known once the route has been "
+          "learned, and don't depend on the target")
+{
+    job_forecast f;
+    f.put_target(agent_incarnation(1), of_kind("a"));
+    f.put_target(agent_incarnation(2), of_kind("a"));
+    const auto reference = [&f](uint64_t target)
+    {
+        const agent_incarnation id(target);
+        const auto typical =
+            f.task_run_time(desk_route, declared_100ms()).typical;
+        return f.reference_time(
+            desk_route, id,
+            duration(static_cast<int64_t>(static_cast<double>(typical.count()) /
+                                          f.speed(id))));
+    };
+    learn(f, {50ms, 200ms}, 10);
+    CHECK_FALSE(reference(1));
+    learn(f, {50ms, 200ms}, 200);
+    REQUIRE(reference(1));
+    CHECK(static_cast<double>(reference(1)->count()) ==
+          Approx(static_cast<double>(reference(2)->count())).epsilon(0.01));
+}
