--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -140,10 +140,15 @@
 
 // requests
 
+void target_stand_in::set_checks_fences(bool checks)
+{
+    checks_fences_ = checks;
+}
+
 bool target_stand_in::fenced(const json& body)
 {
     const auto token = body.value("fencingToken", uint64_t{0});
-    if (token < fencing_token_)
+    if (token < fencing_token_ && checks_fences_)
     {
         return true;
     }
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -47,6 +47,8 @@
 
     // modifiers
     void set_mode(target_mode mode);
+    /// @brief Sets whether calls with an outdated fencing token are refused.
+    void set_checks_fences(bool checks);
     void set_draining();
     /// @brief Ends all runs and starts a new incarnation with the same id.
     void restart();
@@ -105,6 +107,7 @@
     std::vector<http_call_handle> calls_;
     watch heartbeat_timer_;
     target_mode mode_ = target_mode::healthy;
+    bool checks_fences_ = true;
     bool draining_ = false;
     int64_t born_ms_ = 1000;
     time_point incarnation_began_;
--- a/tests/platform/unit-node_path.cpp
+++ b/tests/platform/unit-node_path.cpp
@@ -97,19 +97,76 @@
 TEST_CASE("node path: tasks of a killed agent run on another target, and none "
           "runs twice at the same time")
 {
-    node_cluster c({1, 2, 800ms});
-    REQUIRE(c.wait_ready());
-    const auto j = c.submit(0, "000000000000000a", 8, 9s);
-    REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 8; }));
-    c.agent(0).kill();
-    REQUIRE(c.wait_ended(j, 11s));
-    CHECK(c.job(j).status == 200);
-    c.start_agent(0);
-    run_for(c.loop, 1500ms);
-    const auto k = c.submit(0, "000000000000000b", 16, 9s);
-    REQUIRE(c.wait_ended(k, 11s));
-    CHECK(c.job(k).status == 200);
-    check_ledger(c);
+    // Targets that don't check fencing tokens rely on leases, run numbers and
+    // the grace of the entry alone.
+    for (const bool checks_fences : {true, false})
+    {
+        INFO("targets check fencing tokens: " << checks_fences);
+        node_cluster c({1, 2, 800ms});
+        for (const auto& it : c.targets)
+        {
+            it->set_checks_fences(checks_fences);
+        }
+        REQUIRE(c.wait_ready());
+        const auto j = c.submit(0, "000000000000000a", 8, 9s);
+        REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 8; }));
+        c.agent(0).kill();
+        REQUIRE(c.wait_ended(j, 11s));
+        CHECK(c.job(j).status == 200);
+        c.start_agent(0);
+        run_for(c.loop, 1500ms);
+        const auto k = c.submit(0, "000000000000000b", 16, 9s);
+        REQUIRE(c.wait_ended(k, 11s));
+        CHECK(c.job(k).status == 200);
+        check_ledger(c);
+    }
+}
+
+// Guards against processes that wait for each other after all of them were
+// stopped at the same moment, and against runs that outlive their agent.
+TEST_CASE("node path: after all processes were killed at once, jobs are served "
+          "again, and no task runs twice at the same time")
+{
+    constexpr std::size_t entries = 3;
+    constexpr std::size_t agents = 3;
+    for (const bool checks_fences : {true, false})
+    {
+        INFO("targets check fencing tokens: " << checks_fences);
+        node_cluster c({entries, agents, 800ms});
+        for (const auto& it : c.targets)
+        {
+            it->set_checks_fences(checks_fences);
+        }
+        REQUIRE(c.wait_ready());
+        c.submit(0, "000000000000000a", 8, 9s);
+        REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 8; }));
+        for (std::size_t i = 0; i < entries; ++i)
+        {
+            c.entry(i).kill();
+        }
+        for (std::size_t i = 0; i < agents; ++i)
+        {
+            c.agent(i).kill();
+        }
+        for (std::size_t i = 0; i < entries; ++i)
+        {
+            c.start_entry(i);
+        }
+        for (std::size_t i = 0; i < agents; ++i)
+        {
+            c.start_agent(i);
+        }
+        // Callers submit a job again 1.3 s after their connection broke.
+        run_for(c.loop, 1300ms);
+        const auto again = c.submit(1, "000000000000000a", 8, 9s);
+        REQUIRE(c.wait_ready());
+        const auto other = c.submit(2, "000000000000000b", 8, 9s);
+        REQUIRE(c.wait_ended(again, 11s));
+        REQUIRE(c.wait_ended(other, 11s));
+        CHECK(c.job(again).status == 200);
+        CHECK(c.job(other).status == 200);
+        check_ledger(c);
+    }
 }
 
 TEST_CASE("node path: tasks are run again when their target restarts with the "
