--- a/packages/fleet/tests/unit-entry_roster.cpp
+++ b/packages/fleet/tests/unit-entry_roster.cpp
@@ -26,13 +26,12 @@
 
 std::vector<entry_record> random_records()
 {
-    std::vector<entry_record> out;
-    const auto n = *rc::gen::inRange(0, 12);
-    for (int i = 0; i < n; ++i)
+    std::vector<entry_record> out(*rc::gen::inRange<std::size_t>(0, 12));
+    for (auto& it : out)
     {
-        out.push_back(record(*rc::gen::inRange<uint16_t>(1, 5),
-                             *rc::gen::inRange<uint64_t>(0, 4),
-                             *rc::gen::arbitrary<bool>()));
+        it = record(*rc::gen::inRange<uint16_t>(1, 5),
+                    *rc::gen::inRange<uint64_t>(0, 4),
+                    *rc::gen::arbitrary<bool>());
     }
     return out;
 }
