Tell runs that ended with their target from stopped ones

Cause: a run that ended because its target crashed was reported and logged like one that was stopped, without its age, so the logs could not tell a request that crashes targets from targets that fail by themselves.

Change: outcome target_lost, handled like stopped; the agent's line says how long ago the run was started and how many were lost with it; counters agatebank_runs_lost and agatebank_target_losses. No decision changes.

--- a/packages/core/include/agatebank/core/run_order.hpp
+++ b/packages/core/include/agatebank/core/run_order.hpp
@@ -56,11 +56,12 @@
 enum class run_outcome : uint8_t
 {
     done,
-    failed,       ///< the run failed
-    stopped,      ///< the run was stopped or its lease expired
-    stalled,      ///< stopped because it made too little progress
-    not_run,      ///< not started at this target and never will be
-    past_deadline ///< not started because it could not end in time
+    failed,        ///< the run failed
+    stopped,       ///< the run was stopped
+    stalled,       ///< stopped because it made too little progress
+    not_run,       ///< not started at this target and never will be
+    past_deadline, ///< not started because it could not end in time
+    target_lost    ///< ended with its target, which crashed or went silent
 };
 
 /// @brief Returns the name of an outcome, such as "not_run".
--- a/packages/core/src/run_order.cpp
+++ b/packages/core/src/run_order.cpp
@@ -19,6 +19,8 @@
         return "not_run";
     case run_outcome::past_deadline:
         return "past_deadline";
+    case run_outcome::target_lost:
+        return "target_lost";
     }
     return "unknown";
 }
--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -144,6 +144,10 @@
         {"agatebank_runs_stopped", "Runs that were stopped.", &counts::stopped},
         {"agatebank_runs_stalled", "Runs stopped without progress.",
          &counts::stalled},
+        {"agatebank_runs_lost", "Runs that ended with the target.",
+         &counts::lost_runs},
+        {"agatebank_target_losses", "Times that runs ended with the target.",
+         &counts::target_losses},
         {"agatebank_orders_not_run", "Orders returned.", &counts::not_run},
         {"agatebank_starts_unanswered", "Starts without an answer.",
          &counts::unanswered_starts}};
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -45,6 +45,8 @@
     uint64_t stalled = 0;
     uint64_t not_run = 0;
     uint64_t unanswered_starts = 0;
+    uint64_t target_losses = 0; ///< times that runs ended with the target
+    uint64_t lost_runs = 0;     ///< runs that ended with the target
 };
 
 /// @brief Schedules the runs of one target: queues orders until the target has
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -95,14 +95,19 @@
         if (kept.count(id) == 0)
         {
             unlisted.push_back(key);
-            log(log_level::warning, orders_.at(key),
-                std::string("run ended without a report from the target: ") +
-                    why);
         }
     }
+    counts_.target_losses += unlisted.empty() ? 0 : 1;
     for (const auto& it : unlisted)
     {
-        finish(it, run_outcome::stopped, now);
+        // The run that started last before a crash is the most likely cause.
+        const auto& r = orders_.at(it);
+        log(log_level::warning, r,
+            std::string("run ended without a report from the target: ") + why +
+                "; started " + to_ms_text(now - r.started) + " ago, attempt " +
+                std::to_string(r.order.attempt) + ", lost together with " +
+                std::to_string(unlisted.size() - 1) + " other runs");
+        finish(it, run_outcome::target_lost, now);
     }
 }
 
@@ -359,6 +364,9 @@
     case run_outcome::stalled:
         ++counts_.stalled;
         break;
+    case run_outcome::target_lost:
+        ++counts_.lost_runs;
+        break;
     case run_outcome::not_run:
     case run_outcome::past_deadline:
         ++counts_.not_run;
--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -48,7 +48,7 @@
 void load_minimal(const Archive&, run_outcome& outcome,
                   const std::underlying_type_t<run_outcome>& number)
 {
-    outcome = cereal::to_enumeration(number, run_outcome::past_deadline);
+    outcome = cereal::to_enumeration(number, run_outcome::target_lost);
 }
 
 // Messages of any process
