A call that was read is not reported as not received

Callers saw 503 'not run' or a task tried again although a target had started it, when that start crashed the target.

Cause: the agent's call to start a run is hedged. The target read the first copy and crashed; the second copy was refused, and its failure, which said that nothing had been received, became that of the whole call. The same happened below: the library sends a call again whose kept connection broke, and only the last try was looked at. The agent then reported not_run for a run that had crashed its target, so the crash counted nowhere.

Both new tests failed before (may_have_been_received was false).

Change: a call may have been received if any try or copy may have been. A lease call's 'unreachable' goes by the reason, not by that flag.

--- a/packages/core/include/agatebank/core/target_interface.hpp
+++ b/packages/core/include/agatebank/core/target_interface.hpp
@@ -108,7 +108,7 @@
 enum class lease_error : uint8_t
 {
     no_answer,    ///< the target may be running
-    unreachable,  ///< the request was not received; nothing listens there
+    unreachable,  ///< nothing listens there; the target has ended
     fenced,       ///< another agent controls the target
     wrong_target, ///< another target than the expected one answered
     refused       ///< rejected without any effect
--- a/packages/http/include/agatebank/http/hedged_caller.hpp
+++ b/packages/http/include/agatebank/http/hedged_caller.hpp
@@ -35,7 +35,8 @@
 
     // calls
     /// @brief Sends a call. @p done is called once: with the first answer, or
-    /// with a failure when the peer is unreachable or no copy was answered.
+    /// with a failure when the peer is unreachable or no copy was answered. The
+    /// call may have been received if any of its copies may have been.
     /// @pre call.may_resend
     void send(const http_call& call, const hedge_options& options,
               http_completion done);
--- a/packages/http/include/agatebank/http/http_client.hpp
+++ b/packages/http/include/agatebank/http/http_client.hpp
@@ -28,7 +28,9 @@
     bool may_resend = false;
 };
 
-/// @brief A failed call and whether the request may have reached the peer.
+/// @brief A failed call and whether the request may have reached the peer. It
+/// may have also if the reason is errc::peer_unreachable: the peer can end
+/// after an earlier try was sent.
 struct http_failure
 {
     failure reason;
--- a/packages/http/src/hedged_caller.cpp
+++ b/packages/http/src/hedged_caller.cpp
@@ -12,6 +12,7 @@
     http_completion done; ///< empty after it has been called
     timer_id timer;
     uint64_t last_copy = 0;
+    bool may_have_been_received = false; ///< some copy
     std::map<uint64_t, http_call_handle> copies; ///< not yet completed
 };
 
@@ -65,23 +66,35 @@
     p.copies.erase(copy);
     http_completion done;
     const bool has_other_copy = p.timer != timer_id() || !p.copies.empty();
+    p.may_have_been_received |=
+        outcome || outcome.error().may_have_been_received || !p.copies.empty();
     // A peer that cannot be connected to would not receive another copy either.
     const bool final_failure =
         !outcome &&
-        (!has_other_copy || !outcome.error().may_have_been_received);
+        (!has_other_copy ||
+         outcome.error().reason.code == make_error_code(errc::peer_unreachable));
     if (outcome || final_failure)
     {
         timers_.cancel(std::exchange(p.timer, timer_id()));
         done = std::exchange(p.done, nullptr);
     }
+    const bool may_have_been_received = p.may_have_been_received;
     if (p.copies.empty() && p.timer == timer_id())
     {
         pending_.erase(number);
     }
-    if (done)
+    if (!done)
+    {
+        return;
+    }
+    if (outcome)
     {
         done(outcome);
+        return;
     }
+    auto error = outcome.error();
+    error.may_have_been_received = may_have_been_received;
+    done(tl::unexpected(std::move(error)));
 }
 
 } // namespace agatebank
--- a/packages/http/src/http_client.cpp
+++ b/packages/http/src/http_client.cpp
@@ -24,6 +24,8 @@
     bool connected = false;
     bool connecting = false;
     bool timed_out = false;
+    /// written to some connection, also one that broke and was replaced
+    bool written = false;
 
     pending_call() = default;
     pending_call(const pending_call&) = delete;
@@ -56,6 +58,11 @@
     }
 }
 
+void on_headers_written(SoupMessage*, gpointer data)
+{
+    static_cast<pending_call*>(data)->written = true;
+}
+
 http_failure make_failure(const pending_call& p, const GError* error)
 {
     // No connect events are emitted for a call on a reused connection.
@@ -71,7 +78,7 @@
     }
     return {{make_error_code(code), step_call, p.peer,
              error == nullptr ? "" : error->message},
-            !never_connected};
+            !never_connected || p.written};
 }
 
 bool is_open(GSocket* socket)
@@ -229,6 +236,8 @@
     soup_message_set_flags(p->message.get(), flags);
     g_signal_connect(p->message.get(), "network-event",
                      G_CALLBACK(on_network_event), p.get());
+    g_signal_connect(p->message.get(), "wrote-headers",
+                     G_CALLBACK(on_headers_written), p.get());
     p->timer = loop_.after(call.timeout,
                            [raw = p.get()]
                            {
--- a/packages/http/tests/unit-hedged_caller.cpp
+++ b/packages/http/tests/unit-hedged_caller.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <vector>
 
 using namespace agatebank;
@@ -82,3 +83,32 @@
         CHECK(s.received.size() == it.received);
     }
 }
+
+// Guards against a start that crashed its target being reported as not run:
+// the target read the first copy, and nothing listened for the second.
+TEST_CASE("hedged_caller: a call whose first copy was read may have been "
+          "received, though a later copy was refused")
+{
+    silent_server s(9);
+    std::optional<http_failure> failed;
+    s.caller.send(s.call, {30ms, 3},
+                  [&](const auto& r)
+                  {
+                      REQUIRE_FALSE(r);
+                      failed = r.error();
+                  });
+    const auto poll = s.loop.every(1ms,
+                                   [&s]
+                                   {
+                                       if (s.received.size() == 1)
+                                       {
+                                           s.server.stop_accepting();
+                                       }
+                                   });
+    const auto stop = s.loop.after(200ms, [&s] { s.loop.quit(); });
+    s.loop.run();
+    REQUIRE(failed);
+    CHECK(s.received.size() == 1);
+    CHECK(failed->reason.code == errc::peer_unreachable);
+    CHECK(failed->may_have_been_received);
+}
--- a/packages/http/tests/unit-http_client.cpp
+++ b/packages/http/tests/unit-http_client.cpp
@@ -296,3 +296,47 @@
     CHECK(got->error().reason.code == errc::peer_unreachable);
     CHECK_FALSE(got->error().may_have_been_received);
 }
+
+// Guards against a start that crashed its target being reported as not run:
+// the connection broke after the request was read, and the library then found
+// no listener for its second try.
+TEST_CASE("http_client: a request that was read on a kept connection may have "
+          "been received, though the peer refused the next connection")
+{
+    event_loop loop;
+    http_client client(loop);
+    std::unique_ptr<raw_listener> peer;
+    int requests = 0;
+    peer = std::make_unique<raw_listener>(
+        [&](raw_connection& c)
+        {
+            if (c.ended())
+            {
+                return;
+            }
+            if (++requests == 1)
+            {
+                c.send(complete_answer);
+                return;
+            }
+            c.close(true);
+            loop.defer([&peer] { peer.reset(); });
+        });
+    http_call rq;
+    rq.url = "http://127.0.0.1:" + std::to_string(peer->port()) + "/";
+    rq.may_resend = true;
+    std::optional<outcome> got;
+    for (int i = 0; i < 2; ++i)
+    {
+        const auto handle = client.send(rq,
+                                        [&](const outcome& o)
+                                        {
+                                            got = o;
+                                            loop.quit();
+                                        });
+        loop.run();
+    }
+    REQUIRE_FALSE(*got);
+    CHECK(requests == 2);
+    CHECK(got->error().may_have_been_received);
+}
