Tests with jobs that crash their targets, listed as red

A stand-in target crashes 10 ms after the start of a task with a certain payload, and is back after 3 s under another id. Both tests fail on this code: one task crashes 18 targets in turn (19 with its entry killed), 15 (16) starts follow its third crash, where fewer than three are allowed; of 100 jobs of another route 28 are served.

--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -274,9 +274,10 @@
 
 std::size_t node_cluster::submit(std::size_t entry, const std::string& id,
                                  unsigned tasks, duration deadline,
-                                 const std::string& prefix)
+                                 const std::string& prefix,
+                                 const std::string& payload)
 {
-    const json body{{"spec", "x"},
+    const json body{{"spec", payload},
                     {"bestEffort", true},
                     {"steps",
                      {{{"count", tasks},
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -72,7 +72,8 @@
     std::size_t submit(std::size_t entry, const std::string& id,
                        unsigned tasks = 4,
                        duration deadline = std::chrono::seconds(3),
-                       const std::string& prefix = "/q/");
+                       const std::string& prefix = "/q/",
+                       const std::string& payload = "x");
     /// @brief Closes the connection of a job's caller.
     void disconnect(std::size_t job);
     const caller_job& job(std::size_t n) const;
--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -17,6 +17,10 @@
 
 constexpr duration heartbeat_period = 150ms;
 constexpr int64_t longest_lease_ms = 1000;
+/// Time from the start of a crashing task to the crash, and until the target
+/// is back.
+constexpr duration crash_delay = 10ms;
+constexpr duration crash_duration = 3s;
 constexpr std::size_t capacity_in_tasks =
     16; ///< of 1,000 thousandths of a core
 
@@ -34,28 +38,35 @@
     : loop_(loop)
     , timers_(timers)
     , ledger_(ledger)
-    , id_(std::move(id))
+    , name_(std::move(id))
+    , id_(name_)
     , agent_address_(std::move(agent_address))
     , run_time_(run_time)
-    , server_(loop, listen_at(address, port))
+    , listen_options_(listen_at(address, port))
     , client_(loop)
     , incarnation_began_(loop.now())
 {
+    open_server();
+    heartbeat_timer_ = loop_.every(heartbeat_period, [this] { announce(); });
+}
+
+void target_stand_in::open_server()
+{
+    server_ = std::make_unique<http_server>(loop_, listen_options_);
     const auto add = [this](const char* path, auto handler)
     {
-        server_.route("POST", path,
-                      [this, handler](const http_request& rq, const auto& r)
-                      { (this->*handler)(json::parse(rq.body), r); });
+        server_->route("POST", path,
+                       [this, handler](const http_request& rq, const auto& r)
+                       { (this->*handler)(json::parse(rq.body), r); });
     };
     add("/v1/run-start", &target_stand_in::start);
     add("/v1/run-stop", &target_stand_in::stop);
     add("/v1/hold", &target_stand_in::extend_and_list);
-    if (!server_.listen())
+    if (!server_->listen())
     {
         throw std::runtime_error(
             "the target stand-in failed to listen on its port");
     }
-    heartbeat_timer_ = loop_.every(heartbeat_period, [this] { announce(); });
 }
 
 // modifiers
@@ -74,8 +85,36 @@
 void target_stand_in::restart()
 {
     end_all("lapsed");
+    begin_incarnation();
+}
+
+void target_stand_in::crash(duration away)
+{
+    if (!server_)
+    {
+        return;
+    }
+    end_all("lost");
+    for (const auto& [n, w] : std::exchange(waiting_, {}))
+    {
+        timers_.cancel(w.timer);
+    }
+    timers_.cancel(lease_timer_);
+    server_.reset();
+    timers_.schedule(away,
+                     [this]
+                     {
+                         id_ = name_ + "-" + std::to_string(++lives_);
+                         open_server();
+                         begin_incarnation();
+                     });
+}
+
+void target_stand_in::begin_incarnation()
+{
     unseen_ends_.clear();
     ended_runs_.clear();
+    lease_until_ = {};
     last_end_ = 0;
     fencing_token_ = 0;
     sequence_ = 0;
@@ -88,8 +127,7 @@
 
 std::string target_stand_in::address() const
 {
-    return server_.options().address + ":" +
-           std::to_string(server_.options().port);
+    return listen_options_.address + ":" + std::to_string(listen_options_.port);
 }
 
 std::size_t target_stand_in::running() const noexcept
@@ -97,6 +135,11 @@
     return runs_.size();
 }
 
+bool target_stand_in::is_away() const noexcept
+{
+    return !server_;
+}
+
 int target_stand_in::starts() const noexcept
 {
     return starts_;
@@ -111,6 +154,10 @@
 
 void target_stand_in::announce()
 {
+    if (!server_)
+    {
+        return;
+    }
     const json body{
         {"service", "desk"},
         {"address", address()},
@@ -197,6 +244,23 @@
     ++ledger_.running[task];
     ++ledger_.starts[task];
     ++starts_;
+    constexpr int crashes_that_show_the_cause = 3;
+    if (ledger_.crashes[task] >= crashes_that_show_the_cause)
+    {
+        ++ledger_.starts_after_crashes[task];
+    }
+    if (body.at("spec") == crashing_payload && task.ends_with(".0.0"))
+    {
+        timers_.schedule(crash_delay,
+                         [this, task]
+                         {
+                             if (runs_.count(task) != 0)
+                             {
+                                 ++ledger_.crashes[task];
+                                 crash(crash_duration);
+                             }
+                         });
+    }
     run_record r;
     r.run = run;
     r.started = loop_.now();
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,8 +23,14 @@
     std::map<std::string, int> starts;  ///< number of starts, by task
     int overlaps = 0;      ///< starts of a task that was running on some target
     int over_capacity = 0; ///< starts beyond a target's capacity
+    std::map<std::string, int> crashes; ///< targets that crashed, by task
+    /// starts of a task after it had crashed three targets, by task
+    std::map<std::string, int> starts_after_crashes;
 };
 
+/// @brief Payload of a job whose first task crashes each target that starts it.
+inline const std::string crashing_payload = "crash";
+
 /// @brief How a target handles starts.
 enum class target_mode
 {
@@ -52,11 +59,16 @@
     void set_draining();
     /// @brief Ends all runs and starts a new incarnation with the same id.
     void restart();
+    /// @brief Ends without a word: no run is reported, connections break and
+    /// are refused. A new incarnation with another id starts @p away later.
+    void crash(duration away);
 
     // lookup
     std::string address() const;
     std::size_t running() const noexcept;
     int starts() const noexcept;
+    /// @brief Whether the target has crashed and is not back.
+    bool is_away() const noexcept;
 
   private:
     struct run_record
@@ -80,6 +92,8 @@
         timer_id timer;
     };
 
+    void open_server();
+    void begin_incarnation();
     void announce();
     void start(const nlohmann::json& body, const http_responder& respond);
     void stop(const nlohmann::json& body, const http_responder& respond);
@@ -99,16 +113,19 @@
     event_loop& loop_;
     timer_queue& timers_;
     run_ledger& ledger_;
+    std::string name_; ///< the same in all incarnations
     std::string id_;
     std::string agent_address_;
     duration run_time_;
-    http_server server_;
+    http_server_options listen_options_;
+    std::unique_ptr<http_server> server_; ///< null while the target is away
     http_client client_;
     std::vector<http_call_handle> calls_;
     watch heartbeat_timer_;
     target_mode mode_ = target_mode::healthy;
     bool checks_fences_ = true;
     bool draining_ = false;
+    int lives_ = 1; ///< incarnations so far
     int64_t born_ms_ = 1000;
     time_point incarnation_began_;
     uint64_t sequence_ = 0;
--- a/tests/platform/unit-node_path.cpp
+++ b/tests/platform/unit-node_path.cpp
@@ -363,3 +363,83 @@
     CHECK(served("000000000000000b"));
     check_ledger(c);
 }
+
+// Guards against a task that is sent to one target after the other, since a
+// run that ends with its target counts as no attempt, and against a count that
+// is lost with the entry.
+TEST_CASE("node path: a task that crashes its targets is given up, also after "
+          "its entry was killed")
+{
+    // What the platform allows: fewer than three starts after three crashes.
+    constexpr int allowed_starts = 2;
+    for (const bool kills_entry : {false, true})
+    {
+        INFO("the entry is killed: " << kills_entry);
+        node_cluster c({2, 6});
+        c.configure(2, {"/h/"});
+        REQUIRE(c.wait_ready());
+        const std::string id = "000000000000000c";
+        const auto task = id + ".0.0.0";
+        const auto first = c.submit(0, id, 4, 9s, "/h/", crashing_payload);
+        REQUIRE(run_until(c.loop, 5s, [&] { return c.ledger.crashes[task] > 0; }));
+        if (kills_entry)
+        {
+            c.entry(0).kill();
+            // Callers submit a job again 1.3 s after their connection broke.
+            run_for(c.loop, 1300ms);
+        }
+        else
+        {
+            REQUIRE(c.wait_ended(first, 11s));
+        }
+        // Callers submit a job again that was answered without a result.
+        const auto again = c.submit(1, id, 4, 9s, "/h/", crashing_payload);
+        REQUIRE(c.wait_ended(again, 11s));
+        CHECK(c.job(again).body == R"({"state":"failed"})");
+        const auto third = c.submit(1, id, 4, 9s, "/h/", crashing_payload);
+        REQUIRE(c.wait_ended(third, 11s));
+        CHECK(c.job(third).body == R"({"state":"failed"})");
+        CHECK(c.ledger.crashes[task] <= 3);
+        CHECK(c.ledger.starts_after_crashes[task] <= allowed_starts);
+        check_ledger(c);
+    }
+}
+
+// Guards against requests of one route that take all targets from the callers
+// of other routes: 2 harmful jobs a second, each with one crash of 3 s, would
+// keep all of 6 targets away.
+TEST_CASE("node path: callers of other routes are served while the jobs of one "
+          "route crash their targets")
+{
+    node_cluster c({2, 6});
+    c.configure(2, {"/h/"});
+    REQUIRE(c.wait_ready());
+    std::vector<std::size_t> others;
+    std::size_t away = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        const auto n = std::to_string(1000 + i);
+        if (i % 10 == 0 && i < 80)
+        {
+            c.submit(i / 10 % 2, "00000000000c" + n, 4, 2s, "/h/",
+                     crashing_payload);
+        }
+        others.push_back(c.submit(i % 2, "00000000000a" + n, 2, 1500ms));
+        run_for(c.loop, 50ms);
+        std::size_t gone = 0;
+        for (const auto& it : c.targets)
+        {
+            gone += it->is_away() ? 1 : 0;
+        }
+        away = std::max(away, gone);
+    }
+    std::size_t served = 0;
+    for (const auto j : others)
+    {
+        REQUIRE(c.wait_ended(j));
+        served += c.job(j).body == R"({"state":"succeeded"})" ? 1 : 0;
+    }
+    CHECK(served == others.size());
+    CHECK(away < c.targets.size());
+    check_ledger(c);
+}
