Keep requests that crash targets to a few targets

Cause: a run that ended with its target was no attempt and no evidence. The task was sent to target after target until its deadline (8 attempts, 5 crashes by one task), together with whatever ran beside it.

Change: agents report the tasks that were running when their target was lost. Entries remember these crashes, pass them on, and give them to entries that start, so that they outlive an entry. A task with two crashes that no other route explains runs alone, on a third of the targets; its route is on probation for 10 s after each crash that is known to be its own. Jobs of such a route start with one task alone on that third, and others keep to the rest. A task fails its job after two crashes, one of them alone, or three. When the third of the targets is away, further jobs of the route are refused at once.

It grows with: crashes x tasks that ran there x links of a process; the memory is bounded by 4,096 tasks and a minute.

--- a/packages/core/include/agatebank/core/run_order.hpp
+++ b/packages/core/include/agatebank/core/run_order.hpp
@@ -23,11 +23,13 @@
     int64_t expected_us = 0; ///< expected run time at this target
     /// expected run time at a target of speed 1; 0: not learned yet
     int64_t reference_us = 0;
+    /// no other run may be active at the target at the same time
+    bool isolated = false;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(id, step, index, attempt, expected_us, reference_us);
+        ar(id, step, index, attempt, expected_us, reference_us, isolated);
     }
 };
 
@@ -35,7 +37,8 @@
 /// to the moment of sending, because clocks differ between processes.
 struct run_batch
 {
-    std::string job; ///< id given by the caller
+    std::string job;   ///< id given by the caller
+    std::string route; ///< name of the job's route
     std::string payload;
     resources task_resources; ///< resources needed by each task
     uint32_t priority = 0;
@@ -47,7 +50,7 @@
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(job, payload, task_resources, priority, objective_us,
+        ar(job, route, payload, task_resources, priority, objective_us,
            useful_until_us, deadline_us, orders);
     }
 };
--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -33,7 +33,7 @@
     "heartbeat",    "peer_hello",    "configuration_query",
     "target_hello", "target_update", "configuration_document",
     "run_batch",    "order_results", "cancel_orders",
-    "roster_update"};
+    "roster_update", "crash_reports"};
 
 struct class_row
 {
@@ -118,7 +118,15 @@
          &counts::cancelled},
         {"agatebank_orders_sent", "Orders sent to agents.", &counts::orders},
         {"agatebank_orders_repeated", "Orders beyond a task's first.",
-         &counts::repeated_orders}};
+         &counts::repeated_orders},
+        {"agatebank_orders_isolated", "Orders that run alone at a target.",
+         &counts::isolated_orders},
+        {"agatebank_jobs_failed_by_crashes",
+         "Jobs with a task that crashes its targets.",
+         &counts::failed_by_crashes},
+        {"agatebank_jobs_refused_on_probation",
+         "Jobs refused while their route is on probation.",
+         &counts::refused_on_probation}};
     const auto& scheduler = node.scheduler();
     add_count_gauges(metrics, scheduler.counts(), rows);
     metrics.add_gauge(
--- /dev/null
+++ b/packages/fleet/include/agatebank/fleet/crash_history.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <agatebank/core/crash_report.hpp>
+#include <agatebank/core/units.hpp>
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief What the crashes of a task's targets say about the task.
+enum class crash_standing : uint8_t
+{
+    clear,   ///< no target crashed while it ran there
+    hit,     ///< a crash that another task may explain
+    suspect, ///< it should run alone, so that its next crash proves the cause
+    proven   ///< it crashes its targets and must not run again
+};
+
+/// @brief Remembers which tasks were running at targets that crashed, and
+/// which routes are on probation. All agents report to the entries, and the
+/// entries to each other, so the memory outlives an entry, and a job that is
+/// submitted again to another one.
+///
+/// Load pattern: a share of the jobs of one route crash each target that starts
+/// them. Retrying each of them a fixed number of times would still keep all
+/// targets away: 3.3 such jobs a second with two crashes of 3.2 s each are 21
+/// targets. Hence a route is put on probation as soon as one of its tasks is
+/// known to have caused a crash; see job_scheduler for what that means.
+///
+/// A task is suspect after two crashes, or one while it was the only one
+/// there. A crash in which a task of another route on probation took part does
+/// not count, as that task explains it.
+class crash_history
+{
+  public:
+    // modifiers
+    /// @brief Adds reports. Those of one loss should come in one call.
+    /// @return the reports that were not known
+    std::vector<crash_report> merge(const std::vector<crash_report>& reports,
+                                    time_point now);
+    /// @brief Forgets what is older than the retention.
+    void expire(time_point now);
+
+    // lookup
+    crash_standing standing(const task_position& task, time_point now) const;
+    /// @brief Number of targets that were lost while a task ran there.
+    std::size_t losses(const task_position& task) const;
+    /// @brief Whether a target was lost while this task alone ran there.
+    bool crashed_alone(const task_position& task) const;
+    bool on_probation(const route_name& route, time_point now) const;
+    /// @brief Whether any route of a service is on probation.
+    bool has_probation(const service_name& service, time_point now) const;
+    /// @brief All that is remembered, for an entry that has just started.
+    std::vector<crash_report> reports() const;
+
+  private:
+    struct task_record
+    {
+        route_name route;
+        std::map<target_loss_id, crash_report> losses;
+        time_point latest;
+    };
+    struct probation_record
+    {
+        service_name service;
+        time_point until;
+    };
+
+    std::size_t unexplained_losses(const task_record& task,
+                                   time_point now) const;
+    void update_probation(const std::vector<crash_report>& added,
+                          time_point now);
+
+    std::map<task_position, task_record> tasks_;
+    std::map<target_loss_id, std::set<route_name>> routes_at_loss_;
+    std::map<route_name, probation_record> probations_;
+};
+
+} // namespace agatebank
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -6,6 +6,7 @@
 #include <agatebank/core/result.hpp>
 #include <agatebank/core/route_table.hpp>
 #include <agatebank/core/run_order.hpp>
+#include <agatebank/fleet/crash_history.hpp>
 #include <agatebank/fleet/job_forecast.hpp>
 #include <agatebank/fleet/placement.hpp>
 #include <agatebank/fleet/target_load_tracker.hpp>
@@ -35,7 +36,8 @@
 enum class job_result : uint8_t
 {
     succeeded,
-    failed,   ///< a task failed as often as the route allows
+    failed,   ///< a task failed as often as the route allows, or crashes
+              ///< its targets
     not_run,  ///< refused; none of its tasks has run or will run
     abandoned ///< no result; tasks may have run, none keeps running
 };
@@ -67,6 +69,9 @@
     uint64_t cancelled = 0;
     uint64_t orders = 0;
     uint64_t repeated_orders = 0; ///< orders of a task after its first
+    uint64_t isolated_orders = 0; ///< orders that run alone at their target
+    uint64_t failed_by_crashes = 0;   ///< jobs whose task crashes its targets
+    uint64_t refused_on_probation = 0; ///< jobs of a route on probation
 };
 
 /// @brief Settings of a job_scheduler.
@@ -85,6 +90,12 @@
 /// A task is waiting, ordered at one agent, or done. It becomes waiting again
 /// only after the agent has reported the end of its order, or after the time
 /// in which a lost agent stops the run, so it never runs twice at once.
+///
+/// A task that is suspect of crashing its targets runs alone, on one of the few
+/// targets of select_probation_targets. A job of a route on probation starts
+/// with one task in this way; its other tasks run on the other targets once it
+/// is done. While all probation targets are taken or away, further jobs of the
+/// route are refused. Tasks that are known to crash targets fail their job.
 class job_scheduler
 {
   public:
@@ -116,6 +127,10 @@
     void abandon_all(const char* why);
 
     // reports
+    /// @brief Remembers which tasks ran at targets that crashed.
+    /// @return the reports that were not known
+    std::vector<crash_report>
+    on_crashes(const std::vector<crash_report>& reports, time_point now);
     void on_end(agent_incarnation agent, const order_result& end,
                 time_point now);
     /// @brief Places waiting tasks and ends jobs that reached their deadline.
@@ -125,13 +140,15 @@
     std::size_t running_jobs() const noexcept;
     const job_scheduler_counts& counts() const noexcept;
     const target_map& targets() const noexcept;
+    const crash_history& crashes() const noexcept;
     /// @brief Finds a running job by the caller's id.
     std::optional<job_key> find(const std::string& id) const;
 
   private:
     enum class task_state : uint8_t
     {
-        blocked, ///< a step that it depends on is not complete
+        blocked, ///< a step that it depends on is not complete, or the first
+                 ///< task of a job on probation is not done
         waiting,
         ordered,
         lost, ///< ordered at a lost agent, which may still run it
@@ -147,6 +164,7 @@
         uint32_t failures = 0;
         uint32_t stalls = 0;
         time_point lost_until;
+        bool isolated = false; ///< runs alone, on a probation target
         std::set<agent_incarnation> excluded;
     };
 
@@ -167,6 +185,7 @@
         time_point deadline;
         uint32_t unfinished_steps = 0;
         bool may_have_run = false;
+        bool first_task_pending = false; ///< the others wait for its end
         uint32_t waiting_tasks = 0; ///< tasks in state waiting or lost
     };
 
@@ -189,6 +208,28 @@
     choose_target_for(const placement_request& request, time_point now) const;
     std::vector<placed_task> choose_targets(job_key key, job_record& job,
                                             uint32_t step, time_point now);
+    /// @brief Sends each task that may run alone to a probation target without
+    /// such a task of this entry, and all others to the remaining targets.
+    std::optional<placement_choice>
+    choose_target_around_crashes(placement_request& request,
+                                 const task_record& task, time_point now);
+    const std::set<agent_incarnation>&
+    probation_targets(const service_name& service);
+    void forget_isolated_order(agent_incarnation agent, order_id order);
+    task_position position_of(const job_record& job, uint32_t step,
+                              uint32_t index) const;
+    /// @brief Sets the tasks of a new job that may not start yet, or must run
+    /// alone. @return whether the job may run at all
+    bool apply_crash_history(job_record& job, time_point now);
+    bool has_free_probation_target(const service_name& service);
+    void unblock_after_first_task(job_key key, job_record& job);
+    /// @brief Ends a job, or has its task run again, after the task's target
+    /// was lost. @return whether the job has ended
+    bool handle_target_loss(job_key key, job_record& job, const order_ref& ref,
+                            time_point now);
+    /// @brief Returns whether a task waits for a probation target for so long
+    /// that the job's answer would be useless.
+    bool waits_in_vain(const job_record& job, time_point now) const;
     void send_orders(job_record& job, uint32_t step,
                      const std::vector<placed_task>& placed, time_point now);
     bool place_waiting(job_key key, job_record& job, time_point now);
@@ -229,6 +270,10 @@
     job_scheduler_hooks hooks_;
     job_forecast forecast_;
     target_map targets_;
+    crash_history crashes_;
+    time_point next_expiry_;
+    std::map<service_name, std::set<agent_incarnation>> probation_targets_;
+    std::map<agent_incarnation, order_id> isolated_orders_;
     std::map<job_key, job_record> jobs_;
     std::unordered_map<std::string, job_key> by_id_;
     std::unordered_map<order_id, order_ref> orders_;
--- a/packages/fleet/include/agatebank/fleet/placement.hpp
+++ b/packages/fleet/include/agatebank/fleet/placement.hpp
@@ -26,6 +26,10 @@
     double stretch = 0;
     /// targets that must not be used for this task
     const std::set<agent_incarnation>* excluded = nullptr;
+    /// the only targets that may be used; null: all
+    const std::set<agent_incarnation>* allowed = nullptr;
+    /// targets that are kept for tasks that may crash them
+    const std::set<agent_incarnation>* reserved = nullptr;
     /// number of tasks of the step already placed on each target
     const std::map<agent_incarnation, uint32_t>* placed = nullptr;
     /// factor on the run time on targets outside the rack of the step's data
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <agatebank/core/crash_report.hpp>
 #include <agatebank/core/log.hpp>
 #include <agatebank/core/run_order.hpp>
 #include <agatebank/core/strong_id.hpp>
@@ -25,12 +26,22 @@
 /// @brief Identifies the link, and so the entry, that an order came from.
 using order_source = strong_id<struct order_source_tag, uint64_t>;
 
+/// @brief A run that ended because its target crashed or went silent.
+struct lost_run
+{
+    task_position task;
+    route_name route;
+    bool isolated = false; ///< it was the only run
+};
+
 /// @brief Callbacks that carry out the decisions of a run_scheduler.
 struct run_scheduler_hooks
 {
     std::function<void(const run_id&, const std::string& payload)> start;
     std::function<void(const run_id&)> stop;
     std::function<void(order_source, const order_result&)> report;
+    /// called before the reports of runs that ended with the target
+    std::function<void(const std::vector<lost_run>&)> report_loss;
     log_sink log;
 };
 
@@ -59,6 +70,9 @@
 /// finish before their deadline are returned to the entry as not run without
 /// waiting for their turn.
 ///
+/// An isolated order starts only while no other run is active, and none starts
+/// beside it: if the target crashes then, the cause is known.
+///
 /// A run keeps its resources until the target lists its end, or until it is
 /// certain that it never started. An order is reported as ended only then, so
 /// that its entry may place the task on another target at once without the
@@ -143,6 +157,7 @@
     struct order_record
     {
         std::string job;
+        std::string route;
         std::string payload;
         resources task_resources;
         uint32_t priority = 0;
@@ -176,6 +191,7 @@
     void start_next(time_point now);
     void return_infeasible(time_point now);
     void start_run(const order_key& key, order_record& r, time_point now);
+    void release_resources(const order_record& r);
     void stop_run(order_record& r, run_outcome outcome, time_point now);
     void cancel_order(const order_key& key, order_record& r,
                       run_outcome outcome, time_point now);
@@ -198,6 +214,7 @@
     record_map orders_;
     std::set<queue_rank> queue_;
     std::map<run_id, order_key> started_runs_;
+    uint32_t isolated_runs_ = 0; ///< of the started ones
     uint64_t listing_count_ = 0; ///< listings processed so far
     std::unordered_map<std::string, uint32_t> last_run_numbers_;
     target_health_estimator health_;
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -1,8 +1,10 @@
 #include <agatebank/core/duration_math.hpp>
 #include <agatebank/fleet/job_admission.hpp>
 #include <agatebank/fleet/job_scheduler.hpp>
+#include <agatebank/fleet/probation_targets.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace agatebank
@@ -25,6 +27,8 @@
 /// Under the terms agreed with the operators, an answer that takes longer than
 /// this multiple of the job's objective has no value.
 constexpr int useful_objective_multiple = 3;
+/// Period in which old crashes are removed from the memory.
+constexpr duration crash_expiry_period = 1s;
 /// Stalls of a task that are counted. Each multiplies the expected run time of
 /// its next attempt by 4, so the factor is at most 4096.
 constexpr uint32_t max_counted_stalls = 6;
@@ -43,6 +47,7 @@
                                const target_profile& profile, time_point now)
 {
     targets_.insert_or_assign(agent, target_load_tracker(profile));
+    probation_targets_.clear();
     forecast_.put_target(agent, profile);
     tick(now);
 }
@@ -81,6 +86,8 @@
 void job_scheduler::remove_target(agent_incarnation agent, time_point now)
 {
     targets_.erase(agent);
+    probation_targets_.clear();
+    isolated_orders_.erase(agent);
     forecast_.remove_target(agent);
     for (auto& [key, job] : jobs_)
     {
@@ -148,14 +155,7 @@
             continue;
         }
         request.excluded = &task.excluded;
-        auto choice = choose_target_for(request, now);
-        if (!choice && !task.excluded.empty())
-        {
-            // Every suitable target was tried without success; retrying one
-            // of them is better than not running the task.
-            request.excluded = nullptr;
-            choice = choose_target_for(request, now);
-        }
+        const auto choice = choose_target_around_crashes(request, task, now);
         if (!choice)
         {
             continue;
@@ -169,6 +169,11 @@
         {
             target.set_next_probe(now + probe_period);
         }
+        if (task.isolated)
+        {
+            isolated_orders_[choice->agent] = task.order;
+            ++counts_.isolated_orders;
+        }
         ++record.placed[choice->agent];
         orders_[task.order] = {key, step, i};
         task.state = task_state::ordered;
@@ -177,6 +182,237 @@
     return out;
 }
 
+// crashes
+
+task_position job_scheduler::position_of(const job_record& job, uint32_t step,
+                                         uint32_t index) const
+{
+    return {job.submission.id, step, index};
+}
+
+const std::set<agent_incarnation>&
+job_scheduler::probation_targets(const service_name& service)
+{
+    const auto it = probation_targets_.find(service);
+    return it != probation_targets_.end()
+               ? it->second
+               : probation_targets_
+                     .emplace(service,
+                              select_probation_targets(targets_, service))
+                     .first->second;
+}
+
+void job_scheduler::forget_isolated_order(agent_incarnation agent,
+                                          order_id order)
+{
+    const auto it = isolated_orders_.find(agent);
+    if (it != isolated_orders_.end() && it->second == order)
+    {
+        isolated_orders_.erase(it);
+    }
+}
+
+std::optional<placement_choice>
+job_scheduler::choose_target_around_crashes(placement_request& request,
+                                            const task_record& task,
+                                            time_point now)
+{
+    const auto& probation = probation_targets(request.service);
+    std::set<agent_incarnation> free;
+    request.allowed = nullptr;
+    request.reserved = nullptr;
+    if (task.isolated)
+    {
+        std::copy_if(probation.begin(), probation.end(),
+                     std::inserter(free, free.end()),
+                     [this](agent_incarnation a)
+                     { return isolated_orders_.count(a) == 0; });
+        const auto fits = [&](agent_incarnation a)
+        {
+            const auto& t = targets_.at(a);
+            const auto& label = request.step->required_label;
+            return t.profile().capacity.can_fit(request.step->task_resources) &&
+                   (label.empty() || t.has_label(label));
+        };
+        if (std::any_of(probation.begin(), probation.end(), fits))
+        {
+            request.allowed = &free;
+        }
+    }
+    else if (crashes_.has_probation(request.service, now))
+    {
+        request.reserved = &probation;
+    }
+    request.excluded = &task.excluded;
+    auto choice = choose_target_for(request, now);
+    if (!choice && !task.excluded.empty())
+    {
+        // Every suitable target was tried without success; retrying one of
+        // them is better than not running the task.
+        request.excluded = nullptr;
+        choice = choose_target_for(request, now);
+    }
+    if (!choice && request.reserved != nullptr)
+    {
+        request.reserved = nullptr;
+        choice = choose_target_for(request, now);
+    }
+    return choice;
+}
+
+bool job_scheduler::apply_crash_history(job_record& job, time_point now)
+{
+    const bool on_probation =
+        crashes_.on_probation(job.submission.matched_route.name, now);
+    for (uint32_t i = 0; i < job.steps.size(); ++i)
+    {
+        for (uint32_t k = 0; k < job.steps[i].tasks.size(); ++k)
+        {
+            auto& task = job.steps[i].tasks[k];
+            const auto standing =
+                crashes_.standing(position_of(job, i, k), now);
+            if (standing == crash_standing::proven)
+            {
+                return false;
+            }
+            task.isolated =
+                standing == crash_standing::suspect ||
+                (standing == crash_standing::hit && on_probation);
+            if (!on_probation || task.state != task_state::waiting)
+            {
+                continue;
+            }
+            if (!job.first_task_pending)
+            {
+                job.first_task_pending = true;
+                task.isolated = true;
+                continue;
+            }
+            task.state = task_state::blocked;
+            --job.waiting_tasks;
+        }
+    }
+    return true;
+}
+
+bool job_scheduler::has_free_probation_target(const service_name& service)
+{
+    const auto& probation = probation_targets(service);
+    const auto usable = std::count_if(
+        probation.begin(), probation.end(), [this](agent_incarnation a)
+        { return targets_.at(a).load().accepts_work; });
+    const auto waiting = std::count_if(
+        waiting_jobs_.begin(), waiting_jobs_.end(), [this](job_key key)
+        { return jobs_.at(key).first_task_pending; });
+    return waiting < usable;
+}
+
+void job_scheduler::unblock_after_first_task(job_key key, job_record& job)
+{
+    job.first_task_pending = false;
+    const auto& steps = job.submission.plan.steps;
+    for (std::size_t i = 0; i < job.steps.size(); ++i)
+    {
+        for (auto& task : job.steps[i].tasks)
+        {
+            if (steps[i].after.empty() && task.state == task_state::blocked)
+            {
+                task.state = task_state::waiting;
+                ++job.waiting_tasks;
+                waiting_jobs_.insert(key);
+            }
+        }
+    }
+}
+
+std::vector<crash_report>
+job_scheduler::on_crashes(const std::vector<crash_report>& reports,
+                          time_point now)
+{
+    std::set<route_name> routes;
+    for (const auto& it : reports)
+    {
+        routes.insert(it.route);
+    }
+    std::map<route_name, bool> before;
+    for (const auto& it : routes)
+    {
+        before[it] = crashes_.on_probation(it, now);
+    }
+    auto added = crashes_.merge(reports, now);
+    for (const auto& it : routes)
+    {
+        if (!before[it] && crashes_.on_probation(it, now))
+        {
+            log_record r;
+            r.level = log_level::warning;
+            r.text = "route " + it.value() +
+                     " is on probation: a task of it crashed targets; its jobs "
+                     "start with one task, on a third of the targets";
+            r.step = "crash";
+            hooks_.log(r);
+        }
+    }
+    return added;
+}
+
+bool job_scheduler::handle_target_loss(job_key key, job_record& job,
+                                       const order_ref& ref, time_point now)
+{
+    const auto position = position_of(job, ref.step, ref.index);
+    auto& task = job.steps[ref.step].tasks[ref.index];
+    const auto standing = crashes_.standing(position, now);
+    const bool on_probation =
+        crashes_.on_probation(job.submission.matched_route.name, now);
+    const auto losses = crashes_.losses(position);
+    if (standing == crash_standing::proven)
+    {
+        ++counts_.failed_by_crashes;
+        const auto why =
+            "failed, task " + std::to_string(ref.index) + " of step " +
+            std::to_string(ref.step) + " crashed " + std::to_string(losses) +
+            " targets";
+        end_job(key, {job_result::failed, {}}, why.c_str(), now);
+        return true;
+    }
+    if (on_probation && crashes_.crashed_alone(position))
+    {
+        // A second crash would take another probation target from the jobs
+        // that are harmless.
+        task.state = task_state::waiting;
+        end_job(key, {job_result::abandoned, {}},
+                "given up, a task crashed its target while it ran alone, and "
+                "others of its route have done so",
+                now);
+        return true;
+    }
+    task.isolated =
+        standing == crash_standing::suspect ||
+        (standing == crash_standing::hit && on_probation);
+    return false;
+}
+
+bool job_scheduler::waits_in_vain(const job_record& job, time_point now) const
+{
+    for (uint32_t i = 0; i < job.steps.size(); ++i)
+    {
+        const auto& tasks = job.steps[i].tasks;
+        const bool waits = std::any_of(
+            tasks.begin(), tasks.end(), [](const task_record& t)
+            { return t.state == task_state::waiting && t.isolated; });
+        if (waits && now + forecast_
+                               .task_run_time(
+                                   job.submission.matched_route.name,
+                                   job.submission.plan.steps[i])
+                               .typical >
+                         last_useful_end(job))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 void job_scheduler::send_orders(job_record& job, uint32_t step,
                                 const std::vector<placed_task>& placed,
                                 time_point now)
@@ -206,12 +442,13 @@
                                      it.choice.agent, it.choice.run_time);
         batches[it.choice.agent].orders.push_back(
             {task.order, step, it.index, task.attempt, expected.count(),
-             reference.value_or(duration(0)).count()});
+             reference.value_or(duration(0)).count(), task.isolated});
     }
     const auto& plan = job.submission.plan;
     for (auto& [agent, batch] : batches)
     {
         batch.job = job.submission.id;
+        batch.route = job.submission.matched_route.name.value();
         batch.payload = plan.payload;
         batch.task_resources = plan.steps[step].task_resources;
         batch.priority = job.submission.matched_route.priority;
@@ -261,6 +498,7 @@
             }
         }
     }
+    const bool may_run = apply_crash_history(job, now);
     const auto chain =
         forecast_.longest_chain(job.submission.matched_route.name, plan);
     const auto& r = job.submission.matched_route;
@@ -271,6 +509,17 @@
     job.useful_until = now + useful_objective_multiple * objective;
     job.deadline = now + job.submission.deadline;
 
+    if (!may_run)
+    {
+        ++counts_.failed;
+        ++counts_.failed_by_crashes;
+        log(log_level::warning, job,
+            "job failed without a run: a task of it has crashed its targets");
+        jobs_.erase(key);
+        hooks_.finish(key, {job_result::failed, {}});
+        return;
+    }
+
     admission_input admission;
     admission.objective = objective;
     admission.latest_useful = last_useful_end(job) - now;
@@ -283,9 +532,14 @@
         {
             continue;
         }
+        const auto startable = std::count_if(
+            job.steps[i].tasks.begin(), job.steps[i].tasks.end(),
+            [](const task_record& t)
+            { return t.state == task_state::waiting; });
         auto chosen = choose_targets(key, job, i, now);
         admission.has_target =
-            admission.has_target && chosen.size() == plan.steps[i].tasks;
+            admission.has_target &&
+            chosen.size() == static_cast<std::size_t>(startable);
         for (const auto& it : chosen)
         {
             first_steps = std::max(first_steps, it.choice.finish);
@@ -297,6 +551,15 @@
     {
         admission.expected_finish = first_steps;
     }
+    if (job.first_task_pending)
+    {
+        // The other tasks follow the first one.
+        admission.expected_finish = first_steps + chain;
+        admission.has_target =
+            admission.has_target || has_free_probation_target(r.service);
+        counts_.refused_on_probation +=
+            decide_admission(admission).admitted ? 0 : 1;
+    }
     const auto decision = decide_admission(admission);
     if (!decision.admitted)
     {
@@ -305,7 +568,10 @@
                                        to_ms_text(admission.expected_finish) +
                                        ", answer useful only within " +
                                        to_ms_text(admission.latest_useful)
-                                 : "not every task has a suitable target";
+            : job.first_task_pending
+                ? "route " + r.name.value() +
+                      " is on probation and its targets are taken or away"
+                : "not every task has a suitable target";
         refuse(key, job, decision.retry_after, why);
         return;
     }
@@ -358,6 +624,7 @@
             }
             out[task.agent].push_back(task.order);
             orders_.erase(task.order);
+            forget_isolated_order(task.agent, task.order);
             const auto it = targets_.find(task.agent);
             if (it != targets_.end())
             {
@@ -553,6 +820,7 @@
     {
         target->second.remove_order(end.id);
     }
+    forget_isolated_order(agent, end.id);
     const auto found = orders_.find(end.id);
     if (found == orders_.end())
     {
@@ -569,6 +837,10 @@
     if (end.outcome == run_outcome::done)
     {
         learn_run_time(job, ref.step, agent, end);
+        if (job.first_task_pending)
+        {
+            unblock_after_first_task(ref.job, job);
+        }
         if (!complete_task(ref.job, job, ref, now) && job.waiting_tasks != 0)
         {
             place_waiting(ref.job, job, now);
@@ -594,6 +866,11 @@
         end_job(ref.job, {job_result::failed, {}}, "failed", now);
         return;
     }
+    if (end.outcome == run_outcome::target_lost &&
+        handle_target_loss(ref.job, job, ref, now))
+    {
+        return;
+    }
     if (end.outcome == run_outcome::past_deadline &&
         !can_finish_elsewhere(job, ref, now))
     {
@@ -616,6 +893,12 @@
 
 void job_scheduler::tick(time_point now)
 {
+    if (now >= next_expiry_)
+    {
+        next_expiry_ = now + crash_expiry_period;
+        crashes_.expire(now);
+    }
+    std::vector<job_key> in_vain;
     for (auto it = waiting_jobs_.begin(); it != waiting_jobs_.end();)
     {
         const auto key = *it;
@@ -630,8 +913,24 @@
                 }
             }
         }
-        it = place_waiting(key, job, now) ? waiting_jobs_.erase(it)
-                                          : std::next(it);
+        if (place_waiting(key, job, now))
+        {
+            it = waiting_jobs_.erase(it);
+            continue;
+        }
+        if (waits_in_vain(job, now))
+        {
+            in_vain.push_back(key);
+        }
+        ++it;
+    }
+    for (const auto key : in_vain)
+    {
+        end_job(key,
+                {any_task_may_have_run(jobs_.at(key)) ? job_result::abandoned
+                                                      : job_result::not_run,
+                 queue_timeout_retry_after},
+                "given up, no probation target became free in time", now);
     }
     while (!deadlines_.empty() && deadlines_.begin()->first <= now)
     {
@@ -662,6 +961,11 @@
     return targets_;
 }
 
+const crash_history& job_scheduler::crashes() const noexcept
+{
+    return crashes_;
+}
+
 std::optional<job_key> job_scheduler::find(const std::string& id) const
 {
     const auto it = by_id_.find(id);
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -40,7 +40,12 @@
     {
         return false;
     }
-    if (request.excluded != nullptr && request.excluded->count(agent) != 0)
+    const auto contains = [agent](const std::set<agent_incarnation>* set)
+    {
+        return set != nullptr && set->count(agent) != 0;
+    };
+    if (contains(request.excluded) || contains(request.reserved) ||
+        (request.allowed != nullptr && !contains(request.allowed)))
     {
         return false;
     }
--- /dev/null
+++ b/packages/fleet/src/probation_targets.cpp
@@ -0,0 +1,47 @@
+#include <agatebank/fleet/probation_targets.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace agatebank
+{
+
+namespace
+{
+
+/// Targets that may be lost to tasks which crash them; the others have to bear
+/// the remaining load.
+constexpr double probation_share = 0.34;
+
+} // namespace
+
+std::set<agent_incarnation>
+select_probation_targets(const target_map& targets, const service_name& service)
+{
+    std::vector<std::pair<uint64_t, agent_incarnation>> ranked;
+    for (const auto& [agent, target] : targets)
+    {
+        if (target.profile().service == service)
+        {
+            const auto n = agent.value();
+            ranked.emplace_back(XXH3_64bits(&n, sizeof n), agent);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    const auto count = std::max<std::size_t>(
+        1, static_cast<std::size_t>(probation_share *
+                                    static_cast<double>(ranked.size())));
+    std::set<agent_incarnation> out;
+    for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i)
+    {
+        out.insert(ranked[i].second);
+    }
+    return out;
+}
+
+} // namespace agatebank
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -97,7 +97,20 @@
             unlisted.push_back(key);
         }
     }
-    counts_.target_losses += unlisted.empty() ? 0 : 1;
+    if (unlisted.empty())
+    {
+        return;
+    }
+    ++counts_.target_losses;
+    std::vector<lost_run> lost;
+    for (const auto& it : unlisted)
+    {
+        const auto& r = orders_.at(it);
+        lost.push_back({{r.job, r.order.step, r.order.index},
+                        route_name(r.route),
+                        r.order.isolated});
+    }
+    hooks_.report_loss(lost);
     for (const auto& it : unlisted)
     {
         // The run that started last before a crash is the most likely cause.
@@ -128,6 +141,7 @@
         }
         order_record r;
         r.job = batch.job;
+        r.route = batch.route;
         r.payload = batch.payload;
         r.task_resources = batch.task_resources;
         r.priority = batch.priority;
@@ -237,7 +251,9 @@
             enqueue(key, r, now);
             continue;
         }
-        if (!capacity_.can_fit(used_ + r.task_resources))
+        const bool must_wait =
+            isolated_runs_ > 0 || (r.order.isolated && !started_runs_.empty());
+        if (must_wait || !capacity_.can_fit(used_ + r.task_resources))
         {
             return;
         }
@@ -257,10 +273,14 @@
     const auto processing_time =
         [capacity_millis, slowdown_factor](const order_record& r)
     {
+        const double share =
+            r.order.isolated
+                ? 1
+                : static_cast<double>(r.task_resources.cpu_millis) /
+                      capacity_millis;
         return duration(static_cast<int64_t>(
             static_cast<double>(r.order.expected_us) * slowdown_factor *
-            static_cast<double>(r.task_resources.cpu_millis) /
-            capacity_millis));
+            share));
     };
     duration ahead{};
     for (const auto& [id, key] : started_runs_)
@@ -313,11 +333,19 @@
     r.state = run_state::starting;
     r.started = now;
     used_ += r.task_resources;
+    isolated_runs_ += r.order.isolated ? 1 : 0;
     started_runs_[r.current_run] = key;
     ++counts_.starts;
     hooks_.start(r.current_run, r.payload);
 }
 
+void run_scheduler::release_resources(const order_record& r)
+{
+    used_ -= r.task_resources;
+    isolated_runs_ -= r.order.isolated ? 1 : 0;
+    started_runs_.erase(r.current_run);
+}
+
 void run_scheduler::stop_run(order_record& r, run_outcome outcome,
                              time_point now)
 {
@@ -347,8 +375,7 @@
     {
         end.queued_us = (r.started - r.received).count();
         end.run_us = (now - r.started).count();
-        used_ -= r.task_resources;
-        started_runs_.erase(r.current_run);
+        release_resources(r);
     }
     switch (outcome)
     {
@@ -421,8 +448,7 @@
             "run number superseded at the target; trying the next one");
         [[fallthrough]];
     case start_answer::no_capacity:
-        used_ -= r.task_resources;
-        started_runs_.erase(it);
+        release_resources(r);
         r.state = run_state::queued;
         enqueue(key, r, now);
         return;
--- /dev/null
+++ b/packages/fleet/tests/unit-crash_history.cpp
@@ -0,0 +1,169 @@
+#include <agatebank/fleet/crash_history.hpp>
+#include <agatebank/fleet/probation_targets.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point start{1h};
+
+task_position task(const std::string& job)
+{
+    return {job, 0, 0};
+}
+
+// The report of a task at the only loss of an agent's target. A job's route is
+// the first letter of its id.
+crash_report report(const std::string& job, uint64_t agent,
+                    bool isolated = false)
+{
+    return {task(job),
+            route_name(job.substr(0, 1)),
+            service_name("desk"),
+            {agent_incarnation(agent), loss_number(1)},
+            isolated};
+}
+
+} // namespace
+
+TEST_CASE("crash_history: tells a task that crashes its targets from those "
+          "that were there")
+{
+    using s = crash_standing;
+    struct row
+    {
+        const char* name;
+        std::vector<std::vector<crash_report>> crashes;
+        s a;
+        s b;
+        bool a_on_probation;
+        bool b_on_probation;
+    };
+    const row rows[] = {
+        {"one crash", {{report("a1", 1), report("b1", 1)}}, s::hit, s::hit, {}, {}},
+        {"the same report twice",
+         {{report("a1", 1)}, {report("a1", 1)}},
+         s::hit,
+         s::clear,
+         false,
+         false},
+        {"two crashes with different neighbours",
+         {{report("a1", 1), report("b1", 1)}, {report("a1", 2), report("c1", 2)}},
+         s::suspect,
+         s::hit,
+         true,
+         false},
+        {"two crashes with the same neighbour prove nothing",
+         {{report("a1", 1), report("b1", 1)}, {report("a1", 2), report("b1", 2)}},
+         s::suspect,
+         s::suspect,
+         false,
+         false},
+        {"one crash alone",
+         {{report("a1", 1, true)}},
+         s::suspect,
+         s::clear,
+         true,
+         false},
+        {"a second crash alone",
+         {{report("a1", 1)}, {report("a1", 2, true)}},
+         s::proven,
+         s::clear,
+         true,
+         false},
+        {"three crashes",
+         {{report("a1", 1)}, {report("a1", 2)}, {report("a1", 3)}},
+         s::proven,
+         s::clear,
+         true,
+         false},
+        {"crashes that a route on probation explains",
+         {{report("a2", 1, true)},
+          {report("a3", 2), report("b1", 2)},
+          {report("a4", 3), report("b1", 3)}},
+         s::clear,
+         s::hit,
+         true,
+         false}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        crash_history h;
+        for (const auto& crash : it.crashes)
+        {
+            h.merge(crash, start);
+        }
+        CHECK(h.standing(task("a1"), start) == it.a);
+        CHECK(h.standing(task("b1"), start) == it.b);
+        CHECK(h.on_probation(route_name("a"), start) == it.a_on_probation);
+        CHECK(h.on_probation(route_name("b"), start) == it.b_on_probation);
+    }
+}
+
+TEST_CASE("crash_history: returns each report once, and a copy of the history "
+          "judges alike")
+{
+    crash_history h;
+    const std::vector<crash_report> crash{report("a1", 1), report("b1", 1)};
+    CHECK(h.merge(crash, start).size() == 2);
+    CHECK(h.merge(crash, start).empty());
+    h.merge({report("a1", 2, true)}, start);
+    crash_history copy;
+    CHECK(copy.merge(h.reports(), start).size() == 3);
+    CHECK(copy.standing(task("a1"), start) == crash_standing::proven);
+    CHECK(copy.on_probation(route_name("a"), start));
+}
+
+TEST_CASE("crash_history: probation ends after ten seconds, memory after a "
+          "minute, and it is bounded")
+{
+    crash_history h;
+    h.merge({report("a1", 1, true)}, start);
+    CHECK(h.has_probation(service_name("desk"), start + 9s));
+    CHECK_FALSE(h.has_probation(service_name("other"), start + 9s));
+    CHECK_FALSE(h.on_probation(route_name("a"), start + 10s));
+    h.expire(start + 59s);
+    CHECK(h.losses(task("a1")) == 1);
+    h.expire(start + 61s);
+    CHECK(h.losses(task("a1")) == 0);
+    for (uint64_t i = 0; i < 5000; ++i)
+    {
+        h.merge({report("a" + std::to_string(i), i)}, start);
+    }
+    CHECK(h.reports().size() <= 4096);
+}
+
+TEST_CASE("select_probation_targets: takes a third of a service's targets, at "
+          "least one, in any order of arrival")
+{
+    struct row
+    {
+        uint64_t targets;
+        std::size_t selected;
+    };
+    const row rows[] = {{0, 0}, {1, 1}, {2, 1}, {3, 1}, {6, 2}, {11, 3}, {71, 24}};
+    for (const auto& it : rows)
+    {
+        INFO(it.targets);
+        target_map targets;
+        for (uint64_t i = 0; i < it.targets; ++i)
+        {
+            target_profile p;
+            p.service = service_name("desk");
+            targets.emplace(agent_incarnation(i), target_load_tracker(p));
+        }
+        target_profile other;
+        other.service = service_name("other");
+        targets.emplace(agent_incarnation(1000), target_load_tracker(other));
+        const auto selected =
+            select_probation_targets(targets, service_name("desk"));
+        CHECK(selected.size() == it.selected);
+        CHECK(selected.count(agent_incarnation(1000)) == 0);
+    }
+}
--- a/packages/fleet/tests/unit-job_scheduler.cpp
+++ b/packages/fleet/tests/unit-job_scheduler.cpp
@@ -1,4 +1,5 @@
 #include <agatebank/fleet/job_scheduler.hpp>
+#include <agatebank/fleet/probation_targets.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -23,6 +24,7 @@
     std::map<uint64_t, job_outcome> answers;
     time_point now = start;
     uint64_t last_key = 0;
+    uint64_t losses = 0;
     job_scheduler scheduler{
         {1100ms, 1},
         {[this](agent_incarnation a, const run_batch& b) {
@@ -48,11 +50,12 @@
     }
 
     uint64_t admit(uint32_t tasks, duration deadline = 2s,
-                   std::vector<step_plan> steps = {})
+                   std::vector<step_plan> steps = {},
+                   const char* route = "r")
     {
         job_submission a;
         a.id = "job" + std::to_string(++last_key);
-        a.matched_route.name = route_name("r");
+        a.matched_route.name = route_name(route);
         a.matched_route.service = service_name("desk");
         a.matched_route.max_attempts = 2;
         a.matched_route.stretch = 1.6;
@@ -86,6 +89,18 @@
         scheduler.on_end(agent, {o.id, outcome, 60'000, 0}, now);
     }
 
+    // Loses the target of an agent while the first task of a job ran there.
+    void lose(uint64_t job, uint64_t agent, bool isolated,
+              const char* route = "r")
+    {
+        scheduler.on_crashes({{{"job" + std::to_string(job), 0, 0},
+                               route_name(route),
+                               service_name("desk"),
+                               {agent_incarnation(agent), loss_number(++losses)},
+                               isolated}},
+                             now);
+    }
+
     std::size_t open_orders() const
     {
         std::size_t n = 0;
@@ -339,3 +354,116 @@
         CHECK(f.open_orders() == (it.admitted ? 1 : 0));
     }
 }
+
+TEST_CASE("job_scheduler: ends or isolates a task by the crashes of its "
+          "targets")
+{
+    // A crash of another agent's target before the order's own one.
+    struct row
+    {
+        const char* name;
+        std::size_t earlier;
+        bool isolated; ///< the order's crash
+        std::optional<job_result> answer;
+        bool next_isolated;
+    };
+    const row rows[] = {
+        {"first crash", 0, false, std::nullopt, false},
+        {"second crash", 1, false, std::nullopt, true},
+        {"second crash, alone", 1, true, job_result::failed, false},
+        {"third crash", 2, false, job_result::failed, false},
+        {"first crash, alone", 0, true, job_result::abandoned, false}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        scheduler_fixture f;
+        f.add_target(1);
+        f.add_target(2);
+        const auto key = f.admit(1);
+        for (std::size_t i = 0; i < it.earlier; ++i)
+        {
+            f.lose(key, 10 + i, false);
+        }
+        f.lose(key, f.sent.front().agent.value(), it.isolated);
+        f.end_next(run_outcome::target_lost);
+        CHECK((f.answers.count(key) == 1) == it.answer.has_value());
+        if (it.answer)
+        {
+            CHECK(f.answers[key].result == *it.answer);
+            continue;
+        }
+        REQUIRE(f.open_orders() == 1);
+        CHECK(f.sent.front().batch.orders.front().isolated == it.next_isolated);
+    }
+}
+
+TEST_CASE("job_scheduler: a job of a route on probation starts with one task, "
+          "away from the jobs of other routes")
+{
+    scheduler_fixture f;
+    for (uint64_t agent = 1; agent <= 6; ++agent)
+    {
+        f.add_target(agent);
+    }
+    const auto probation = select_probation_targets(f.scheduler.targets(),
+                                                    service_name("desk"));
+    f.lose(100, 10, true, "h");
+    f.admit(4, 2s, {}, "h");
+    REQUIRE(f.open_orders() == 1);
+    CHECK(probation.count(f.sent.front().agent) == 1);
+    CHECK(f.sent.front().batch.orders.front().isolated);
+    f.end_next(run_outcome::done);
+    f.admit(40, 2s, {}, "r");
+    CHECK(f.open_orders() == 43);
+    for (const auto& it : f.sent)
+    {
+        CHECK(probation.count(it.agent) == 0);
+        CHECK_FALSE(it.batch.orders.front().isolated);
+    }
+}
+
+TEST_CASE("job_scheduler: while all probation targets are away, jobs of the "
+          "route are refused at once and others are served")
+{
+    scheduler_fixture f;
+    for (uint64_t agent = 1; agent <= 6; ++agent)
+    {
+        f.add_target(agent);
+    }
+    f.lose(100, 10, true, "h");
+    for (const auto agent : select_probation_targets(f.scheduler.targets(),
+                                                     service_name("desk")))
+    {
+        f.scheduler.set_load(agent, {}, f.now);
+    }
+    const auto refused = f.admit(4, 2s, {}, "h");
+    CHECK(f.answers.at(refused).result == job_result::not_run);
+    CHECK(f.scheduler.counts().refused_on_probation == 1);
+    f.admit(4, 2s, {}, "r");
+    CHECK(f.open_orders() == 4);
+    f.now += 11s;
+    f.admit(4, 2s, {}, "h");
+    CHECK(f.open_orders() == 8);
+}
+
+TEST_CASE("job_scheduler: a job that waited in vain for a probation target is "
+          "not run, and one whose task crashes targets fails without a run")
+{
+    scheduler_fixture f;
+    f.add_target(1);
+    f.add_target(2);
+    f.lose(100, 10, true, "h");
+    f.admit(1, 2s, {}, "h");
+    const auto waiting = f.admit(1, 2s, {}, "h");
+    CHECK(f.answers.empty());
+    f.now += 1s;
+    f.scheduler.tick(f.now);
+    REQUIRE(f.answers.count(waiting) == 1);
+    CHECK(f.answers.at(waiting).result == job_result::not_run);
+    f.lose(f.last_key + 1, 11, false, "h");
+    f.lose(f.last_key + 1, 12, true, "h");
+    f.sent.clear();
+    const auto proven = f.admit(1, 2s, {}, "h");
+    CHECK(f.answers.at(proven).result == job_result::failed);
+    CHECK(f.sent.empty());
+}
--- a/packages/fleet/tests/unit-run_scheduler.cpp
+++ b/packages/fleet/tests/unit-run_scheduler.cpp
@@ -16,11 +16,14 @@
     std::vector<run_id> started;
     std::vector<run_id> stopped;
     std::vector<order_result> ends;
+    std::vector<lost_run> losses;
     time_point now = start;
     run_scheduler scheduler{
         {[this](const run_id& n, const std::string&) { started.push_back(n); },
          [this](const run_id& n) { stopped.push_back(n); },
          [this](order_source, const order_result& e) { ends.push_back(e); },
+         [this](const std::vector<lost_run>& lost)
+         { losses.insert(losses.end(), lost.begin(), lost.end()); },
          [](const log_record&) {
          }}};
 
@@ -31,10 +34,12 @@
     }
 
     void order(uint64_t id, const char* job, uint32_t priority = 0,
-               duration deadline = 2s, duration expected = 60ms)
+               duration deadline = 2s, duration expected = 60ms,
+               bool isolated = false)
     {
         run_batch b;
         b.job = job;
+        b.route = "r";
         b.task_resources = {1000, 10, 0};
         b.priority = priority;
         b.objective_us = duration(200ms).count();
@@ -43,6 +48,7 @@
         run_order o;
         o.id = order_id(id);
         o.expected_us = expected.count();
+        o.isolated = isolated;
         b.orders = {o};
         scheduler.on_batch(entry, b, now);
     }
@@ -293,3 +299,42 @@
     CHECK(f.scheduler.running() == 2);
     CHECK(f.scheduler.queued() >= 2);
 }
+
+TEST_CASE("run_scheduler: an isolated run shares the target with no other")
+{
+    scheduler_fixture f;
+    f.order(1, "a");
+    f.order(2, "b", 0, 2s, 60ms, true);
+    f.order(3, "c", 1);
+    REQUIRE(f.started.size() == 1);
+    f.accept_all();
+    f.list({}, {{end_position(1), f.started[0], ended_run_status::done}});
+    REQUIRE(f.started.size() == 2);
+    CHECK(f.started[1].task == "b.0.0.0");
+    f.accept_all();
+    f.list({}, {{end_position(2), f.started[1], ended_run_status::done}});
+    REQUIRE(f.started.size() == 3);
+    CHECK(f.started[2].task == "c.0.0.0");
+}
+
+TEST_CASE("run_scheduler: reports the runs that ended with the target, before "
+          "the orders' ends")
+{
+    for (const bool isolated : {false, true})
+    {
+        scheduler_fixture f;
+        f.order(1, "a", 0, 2s, 60ms, isolated);
+        f.accept_all();
+        f.scheduler.on_all_runs_ended("the target accepts no connections",
+                                      f.now);
+        REQUIRE(f.losses.size() == 1);
+        CHECK(f.losses[0].task == task_position{"a", 0, 0});
+        CHECK(f.losses[0].route == route_name("r"));
+        CHECK(f.losses[0].isolated == isolated);
+        REQUIRE(f.ends.size() == 1);
+        CHECK(f.ends[0].outcome == run_outcome::target_lost);
+        CHECK(f.scheduler.counts().target_losses == 1);
+        f.scheduler.on_all_runs_ended("the lease expired", f.now);
+        CHECK(f.scheduler.counts().target_losses == 1);
+    }
+}
--- a/packages/fleet/tests/unit-single_run.cpp
+++ b/packages/fleet/tests/unit-single_run.cpp
@@ -239,6 +239,8 @@
                    at(10ms, [this, a] { list(a); });
                });
         };
+        h.report_loss = [](const std::vector<lost_run>&) {
+        };
         h.report = [this](order_source s, const order_result& end)
         {
             const int connection = static_cast<int>(s.value()) / entry_count;
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -72,6 +72,7 @@
     void close_unneeded(time_point now);
     void on_message(link_id link, message&& m);
     void on_closed(link_id link, const failure& why);
+    void send_crash_reports(const std::vector<lost_run>& lost);
     void queue_order_result(order_source to, const order_result& result);
     /// @brief Sends the pending order results, and the load where it has
     /// changed and its period has passed.
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -99,6 +99,7 @@
     void on_target_hello(link_id link, const target_hello& hello);
     void add_peer(link_id link);
     void pass_on(const roster_update& changes);
+    void pass_on(const crash_reports& news);
     void send_batch(agent_incarnation agent, const run_batch& batch);
     void send_cancel(agent_incarnation agent,
                      const std::vector<order_id>& orders);
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -90,6 +90,8 @@
                   [this](const run_id& id) { stop_run(id); },
                   [this](order_source s, const order_result& r)
                   { queue_order_result(s, r); },
+                  [this](const std::vector<lost_run>& lost)
+                  { send_crash_reports(lost); },
                   context_.log})
     , hub_({context_.loop, context_.clock, context_.auth, node_link_options(),
             []
@@ -530,6 +532,24 @@
     }
 }
 
+void agent_node::send_crash_reports(const std::vector<lost_run>& lost)
+{
+    crash_reports m;
+    for (const auto& it : lost)
+    {
+        m.reports.push_back({it.task,
+                             it.route,
+                             target_->profile.service,
+                             {agent_incarnation(context_.self.incarnation),
+                              loss_number(scheduler_.counts().target_losses)},
+                             it.isolated});
+    }
+    for (const auto& [link, entry] : entries_)
+    {
+        hub_.send(link, m);
+    }
+}
+
 // Order results and changes of accepts_work are sent at once. Other changes of
 // the load wait until the period for their size has passed.
 void agent_node::schedule_flush()
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -317,6 +317,10 @@
             }
         }
     }
+    else if (const auto* crashes = std::get_if<crash_reports>(&m))
+    {
+        pass_on(crash_reports{scheduler_.on_crashes(crashes->reports, now)});
+    }
     else if (const auto* changes = std::get_if<roster_update>(&m))
     {
         entry_links_.merge(*changes);
@@ -325,6 +329,7 @@
     {
         add_peer(link);
         hub_.send(link, entry_links_.roster());
+        hub_.send(link, crash_reports{scheduler_.crashes().reports()});
     }
     else if (std::holds_alternative<configuration_query>(m))
     {
@@ -416,6 +421,18 @@
     }
 }
 
+void entry_node::pass_on(const crash_reports& news)
+{
+    if (news.reports.empty())
+    {
+        return;
+    }
+    for (const auto link : peers_)
+    {
+        hub_.send(link, news);
+    }
+}
+
 void entry_node::send_batch(agent_incarnation agent, const run_batch& batch)
 {
     const auto it = agent_links_.find(agent);
--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <agatebank/core/configuration.hpp>
+#include <agatebank/core/crash_report.hpp>
 #include <agatebank/core/credit_allocator.hpp>
 #include <agatebank/core/entry_record.hpp>
 #include <agatebank/core/event.hpp>
@@ -495,6 +496,20 @@
     }
 };
 
+/// @brief Tasks that were running at targets that crashed. An agent sends them
+/// to its entries before the results of the orders; entries pass on what they
+/// did not know, and begin a link with all that they remember.
+struct crash_reports
+{
+    std::vector<crash_report> reports;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(reports);
+    }
+};
+
 /// @brief Any message on a TCP connection. The order of the alternatives is
 /// part of the protocol.
 using message =
@@ -504,7 +519,8 @@
                  agent_configuration, gather_query, peer_hello, forward_request,
                  forward_reply, configuration_query, configuration_document,
                  event_query, event_reply, target_hello, target_update,
-                 run_batch, order_results, cancel_orders, roster_update>;
+                 run_batch, order_results, cancel_orders, roster_update,
+                 crash_reports>;
 
 /// @brief Datagram that an entry sends periodically to the other entries. May
 /// be lost.
--- a/packages/wire/src/link_traffic.cpp
+++ b/packages/wire/src/link_traffic.cpp
@@ -16,7 +16,7 @@
     "forward_reply",   "configuration_query", "configuration_document",
     "event_query",     "event_reply",         "target_hello",
     "target_update",   "run_batch",           "order_results",
-    "cancel_orders",   "roster_update"};
+    "cancel_orders",   "roster_update",       "crash_reports"};
 
 template <class Traffic>
 void add(Traffic& sum, const Traffic& t)
