Follow a target's capacity while it runs

Callers would have seen tasks beyond a target's capacity where the target does not refuse them.

Cause: an agent read the capacity only from the first announcement of an incarnation; later ones were stored and not used, and entries kept the profile of the first message.

Change: a changed capacity is given to the run scheduler at once and told to the entries with the load, where it replaces that of the profile.

The test failed before: 8 runs at a capacity of 4, and 16 at one of 24.

--- a/packages/core/include/agatebank/core/target_load.hpp
+++ b/packages/core/include/agatebank/core/target_load.hpp
@@ -12,7 +12,8 @@
 namespace agatebank
 {
 
-/// @brief Properties of a target, constant within one incarnation.
+/// @brief Properties of a target. Only its capacity changes within an
+/// incarnation.
 struct target_profile
 {
     std::string target; ///< id under which the target announces itself
@@ -48,6 +49,7 @@
 {
     bool accepts_work = false; ///< false: absent, draining, stopping
     bool suspect = false;      ///< most of the latest runs failed or stalled
+    resources capacity; ///< in force now
     resources used;
     std::array<int64_t, priority_bands> queued_cpu_millis{};
     int64_t mean_run_us = 0; ///< expected, over running and queued orders
@@ -63,7 +65,7 @@
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(accepts_work, suspect, used);
+        ar(accepts_work, suspect, capacity, used);
         for (auto& it : queued_cpu_millis)
         {
             ar(it);
--- a/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
+++ b/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
@@ -26,6 +26,7 @@
 
     // modifiers
     /// @brief Stores a load report, and discards the orders that it includes.
+    /// The reported capacity replaces that of the profile, unless it is zero.
     /// @return whether acceptance of work, suspicion or the presence of a
     /// slowdown changed
     bool set_load(const target_load& load);
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -618,6 +618,7 @@
 target_load run_scheduler::load(time_point now) const
 {
     target_load out;
+    out.capacity = capacity_;
     out.used = used_;
     out.suspect = health_.suspect(now);
     out.slowdown = health_.slowdown(now);
--- a/packages/fleet/src/target_load_tracker.cpp
+++ b/packages/fleet/src/target_load_tracker.cpp
@@ -17,6 +17,10 @@
                          load.suspect != load_.suspect ||
                          (load.slowdown > 1) != (load_.slowdown > 1);
     load_ = load;
+    if (load.capacity != resources())
+    {
+        profile_.capacity = load.capacity;
+    }
     while (!unreported_orders_.empty() &&
            unreported_orders_.begin()->first.value() <=
                load.last_order_received)
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -61,6 +61,7 @@
         std::abs(load.used.cpu_millis - reported.used.cpu_millis) +
         std::abs(queued_cpu(load) - queued_cpu(reported));
     return load.accepts_work != reported.accepts_work ||
+           load.capacity != reported.capacity ||
            load.suspect != reported.suspect ||
            static_cast<double>(change) >
                large_change_share * static_cast<double>(capacity.cpu_millis);
@@ -198,7 +199,23 @@
         return;
     }
     const bool changed = target_->draining != announcement.draining;
+    const auto& capacity = announcement.profile.capacity;
+    const auto previous = target_->profile.capacity;
     target_ = announcement;
+    if (capacity != previous)
+    {
+        context_.log(
+            to_line(log_level::info,
+                    "target announced a capacity of " +
+                        std::to_string(capacity.cpu_millis) +
+                        " thousandths of a core and " +
+                        std::to_string(capacity.memory_mb) + " MB, before " +
+                        std::to_string(previous.cpu_millis) + " and " +
+                        std::to_string(previous.memory_mb),
+                    step_target, announcement.profile.target));
+        scheduler_.set_capacity(capacity, context_.loop.now());
+        schedule_flush();
+    }
     if (changed)
     {
         context_.log(to_line(log_level::info,
--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -21,8 +21,8 @@
 /// is back.
 constexpr duration crash_delay = 10ms;
 constexpr duration crash_duration = 3s;
-constexpr std::size_t capacity_in_tasks =
-    16; ///< of 1,000 thousandths of a core
+/// Tasks of one core that fit at once.
+constexpr std::size_t capacity_in_tasks = 16;
 
 int64_t to_ms(duration d)
 {
@@ -44,6 +44,7 @@
     , run_time_(run_time)
     , listen_options_(listen_at(address, port))
     , client_(loop)
+    , capacity_(capacity_in_tasks)
     , incarnation_began_(loop.now())
 {
     open_server();
@@ -82,6 +83,12 @@
     announce();
 }
 
+void target_stand_in::set_unguarded_capacity(std::size_t tasks)
+{
+    capacity_ = tasks;
+    guards_capacity_ = false;
+}
+
 void target_stand_in::restart()
 {
     end_all("lapsed");
@@ -167,7 +174,7 @@
         {"state", draining_ ? "draining" : "ready"},
         {"coldRemainingMs", 0},
         {"capacity",
-         {{"cpu", 1000 * capacity_in_tasks}, {"memMb", 65536}, {"gpus", 0}}},
+         {{"cpu", 1000 * capacity_}, {"memMb", 65536}, {"gpus", 0}}},
         {"labels", {"a", "r1"}},
         {"born", born_ms_},
         {"sequence", ++sequence_}};
@@ -234,11 +241,14 @@
         refuse("late");
         return;
     }
-    if (runs_.size() >= capacity_in_tasks)
+    if (runs_.size() >= capacity_)
     {
         ++ledger_.over_capacity;
-        refuse("room");
-        return;
+        if (guards_capacity_)
+        {
+            refuse("room");
+            return;
+        }
     }
     ledger_.overlaps += ledger_.running[task] > 0 ? 1 : 0;
     ++ledger_.running[task];
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -57,6 +57,9 @@
     /// @brief Sets whether calls with an outdated fencing token are refused.
     void set_checks_fences(bool checks);
     void set_draining();
+    /// @brief Changes the capacity, in tasks, of a target that starts all that
+    /// it is asked to. Runs go on.
+    void set_unguarded_capacity(std::size_t tasks);
     /// @brief Ends all runs and starts a new incarnation with the same id.
     void restart();
     /// @brief Ends without a word: no run is reported, connections break and
@@ -125,6 +128,8 @@
     target_mode mode_ = target_mode::healthy;
     bool checks_fences_ = true;
     bool draining_ = false;
+    std::size_t capacity_; ///< in tasks of one core
+    bool guards_capacity_ = true;
     int lives_ = 1; ///< incarnations so far
     int64_t born_ms_ = 1000;
     time_point incarnation_began_;
--- a/tests/platform/unit-node_path.cpp
+++ b/tests/platform/unit-node_path.cpp
@@ -443,3 +443,35 @@
     CHECK(away < c.targets.size());
     check_ledger(c);
 }
+
+// Guards against an agent that reads a target's capacity only when the target
+// starts, and so overloads one that takes whatever it is sent.
+TEST_CASE("node path: a target whose capacity shrinks or grows while it runs is "
+          "sent as much as fits")
+{
+    node_cluster c({1, 1, 200ms});
+    REQUIRE(c.wait_ready());
+    struct row
+    {
+        std::size_t capacity;
+        unsigned tasks;
+    };
+    const row rows[] = {{16, 16}, {4, 8}, {24, 24}};
+    for (const auto& it : rows)
+    {
+        INFO("capacity " << it.capacity);
+        c.targets[0]->set_unguarded_capacity(it.capacity);
+        run_for(c.loop, 500ms); // three announcements
+        const auto j = c.submit(0, "00000000000000a" + std::to_string(it.tasks),
+                                it.tasks, 3s);
+        std::size_t most = 0;
+        while (!c.job(j).ended)
+        {
+            run_for(c.loop, 10ms);
+            most = std::max(most, running(c));
+        }
+        CHECK(c.job(j).status == 200);
+        CHECK(most == std::min<std::size_t>(it.capacity, it.tasks));
+        check_ledger(c);
+    }
+}
