Keep callers whose tasks crash targets to a few targets

A task runs once there, so no task crashes two.

Change: a start whose connection ends without a whole answer counts as a loss of the target. Each loss is attributed to the caller there with the highest rate of losses per start, as a busy harmless caller is present at every crash. After two, the caller is on probation for the service: its jobs start with one task alone on a third of the targets, which get no other work, and are refused while that third is away. Crash history and selection are shared with the other design and move to core.

It plays the decisions only; no real processes. Entries do not share what they learn of callers here.

It grows with: callers x services, and crashes within a minute.

--- a/packages/core/include/agatebank/core/dispatcher.hpp
+++ b/packages/core/include/agatebank/core/dispatcher.hpp
@@ -82,7 +82,8 @@
 {
     answered, ///< the target returned a complete answer
     failed,   ///< the run failed or its answer was incomplete
-    timed_out ///< the target did not answer before the deadline
+    timed_out, ///< the target did not answer before the deadline
+    target_lost ///< the target ended the connection without a whole answer
 };
 
 /// @brief The demand of one entry, from which an agent computes its grant.
@@ -110,6 +111,11 @@
 /// tasks, choice of target, and ejection of failing targets. It does no I/O
 /// and reads no clock: the caller passes the time, which must not decrease.
 ///
+/// A caller whose tasks are known to have crashed targets of a service is on
+/// probation there: each of its jobs starts with one task, alone on one of the
+/// targets of @ref select_probation_targets, which get no other work; once it
+/// is answered, the others run on the remaining targets.
+///
 /// A task is waiting, in flight at one agent, or settled. Only
 /// @ref on_not_run moves a task from in flight back to waiting.
 class dispatcher
--- a/packages/core/include/agatebank/core/target_table.hpp
+++ b/packages/core/include/agatebank/core/target_table.hpp
@@ -97,6 +97,9 @@
     {
         return ready_;
     }
+    /// @brief The agents whose target is offered for a service, also while they
+    /// accept no work.
+    std::vector<agent_incarnation> agents_of(const service_name& service) const;
     const service_view& view(const service_name& service) const;
     std::size_t in_flight() const noexcept
     {
--- a/packages/fleet/src/crash_history.cpp
+++ b/packages/core/src/crash_history.cpp
@@ -1,4 +1,4 @@
-#include <agatebank/fleet/crash_history.hpp>
+#include <agatebank/core/crash_history.hpp>
 
 #include <algorithm>
 #include <chrono>
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -55,6 +55,7 @@
     services[job.request.service].waiting.remove(job.bucket, expected.mean);
     --waiting_by_caller[job.request.caller];
     in_flight_work += expected.mean;
+    count_start(job.request, now);
     job.in_flight[i] = t.offer.agent;
     targets.add_start(t, task,
                       {job.request.service,
@@ -180,6 +181,7 @@
 {
     state_->health.add(offer.agent);
     state_->targets.put(offer);
+    state_->probation_targets.clear();
 }
 
 void dispatcher::set_grant(agent_incarnation agent, unsigned grant)
@@ -205,6 +207,8 @@
         state_->settle(task);
     }
     state_->targets.remove(agent);
+    state_->probation_targets.clear();
+    state_->losses.erase(agent);
     state_->health.remove(agent);
     state_->pacer.remove(agent);
     state_->times.remove(agent);
@@ -218,11 +222,17 @@
         return {errc::request_malformed, {}, {}};
     }
     state_->targets.refresh(now);
+    state_->attribute_losses(now);
     const double speed = state_->total_speed(job.service);
     if (speed <= 0)
     {
         return state_->refuse(no_target_retry_after);
     }
+    if (state_->on_probation(job, now) &&
+        !state_->has_probation_target(job.service))
+    {
+        return state_->refuse(no_target_retry_after);
+    }
     auto record = state_->make_record(job, now);
     const auto lateness = state_->start_lateness(record, speed, now);
     state_->services[job.service].offered.add(
@@ -277,6 +287,15 @@
         return;
     }
     state_->pacer.on_run(agent);
+    const auto job = state_->jobs.find(task.job);
+    if (outcome == task_outcome::answered && job != state_->jobs.end())
+    {
+        job->second.has_answer = true;
+    }
+    if (outcome == task_outcome::target_lost)
+    {
+        state_->record_loss(task, *state_->targets.find(agent), now);
+    }
     if (outcome == task_outcome::answered)
     {
         state_->health.on_answer(agent, now);
@@ -317,6 +336,7 @@
 std::vector<assignment> dispatcher::assign(time_point now)
 {
     std::vector<assignment> out;
+    state_->attribute_losses(now);
     if (state_->queue.size() == 0 || state_->targets.ready().empty())
     {
         return out;
--- a/packages/core/src/dispatcher_choice.cpp
+++ b/packages/core/src/dispatcher_choice.cpp
@@ -20,11 +20,12 @@
 } // namespace
 
 bool dispatcher::state::may_start(const target_record& t, const job_record& job,
-                                  time_point now) const
+                                  time_point now)
 {
     const auto agent = t.offer.agent;
     if (!t.serves(job.request.service) ||
-        !t.has_free_credit(job.request.service) || !pacer.may_start(agent, now))
+        !t.has_free_credit(job.request.service) ||
+        !pacer.may_start(agent, now) || !keeps_probation(t, job, now))
     {
         return false;
     }
--- a/packages/core/src/dispatcher_state.hpp
+++ b/packages/core/src/dispatcher_state.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <agatebank/core/crash_history.hpp>
 #include <agatebank/core/dispatcher.hpp>
 #include <agatebank/core/job_queue.hpp>
 #include <agatebank/core/offered_load.hpp>
+#include <agatebank/core/probation_targets.hpp>
 #include <agatebank/core/random_jitter.hpp>
 #include <agatebank/core/retry_pacer.hpp>
 #include <agatebank/core/run_time_estimator.hpp>
@@ -33,6 +35,7 @@
     std::vector<run_time_prediction> expected; // by task
     std::size_t unsettled = 0;
     std::map<uint32_t, agent_incarnation> in_flight;
+    bool has_answer = false; // of any task
 
     work total() const;
 };
@@ -44,6 +47,25 @@
     offered_load offered;
 };
 
+// Losses of one agent's target. Starts that are reported as lost shortly after
+// each other were lost together.
+struct loss_record
+{
+    uint64_t number = 0;
+    time_point latest;
+};
+
+// Starts and losses of one caller's tasks of a service, decaying with time.
+struct crash_rate
+{
+    double starts = 0;
+    double losses = 0;
+    time_point updated;
+
+    void decay(time_point now);
+    double losses_per_start() const;
+};
+
 // Sums over the fastest targets of a service.
 struct fastest_group
 {
@@ -68,10 +90,27 @@
     std::map<service_name, service_record> services;
     job_queue queue;
     work in_flight_work{};
+    crash_history crashes; // of callers, each with its service as a route
+    std::map<agent_incarnation, loss_record> losses;
+    std::map<route_name, crash_rate> crash_rates;
+    std::vector<crash_report> unattributed_losses;
+    std::map<service_name, std::set<agent_incarnation>> probation_targets;
+
+    // crashes
+    const std::set<agent_incarnation>& probation_of(const service_name& service);
+    bool on_probation(const job_request& job, time_point now) const;
+    // Whether the crashes of targets allow a start of this job at this target.
+    bool keeps_probation(const target_record& t, const job_record& job,
+                         time_point now);
+    bool has_probation_target(const service_name& service);
+    void count_start(const job_request& job, time_point now);
+    void record_loss(task_ref task, const target_record& t, time_point now);
+    // Attributes each loss to the caller there with the highest crash rate.
+    void attribute_losses(time_point now);
 
     // targets
     bool may_start(const target_record& t, const job_record& job,
-                   time_point now) const;
+                   time_point now);
     bool may_probe(const job_record& job, agent_incarnation agent,
                    time_point now) const;
     double total_speed(const service_name& service) const;
--- a/packages/fleet/src/probation_targets.cpp
+++ b/packages/core/src/probation_targets.cpp
@@ -1,9 +1,8 @@
-#include <agatebank/fleet/probation_targets.hpp>
+#include <agatebank/core/probation_targets.hpp>
 
 #include <algorithm>
 #include <cstdint>
 #include <utility>
-#include <vector>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -21,16 +20,13 @@
 } // namespace
 
 std::set<agent_incarnation>
-select_probation_targets(const target_map& targets, const service_name& service)
+select_probation_targets(const std::vector<agent_incarnation>& targets)
 {
     std::vector<std::pair<uint64_t, agent_incarnation>> ranked;
-    for (const auto& [agent, target] : targets)
+    for (const auto agent : targets)
     {
-        if (target.profile().service == service)
-        {
-            const auto n = agent.value();
-            ranked.emplace_back(XXH3_64bits(&n, sizeof n), agent);
-        }
+        const auto n = agent.value();
+        ranked.emplace_back(XXH3_64bits(&n, sizeof n), agent);
     }
     std::sort(ranked.begin(), ranked.end());
     const auto count = std::max<std::size_t>(
--- a/packages/core/src/target_table.cpp
+++ b/packages/core/src/target_table.cpp
@@ -158,6 +158,22 @@
     return it == targets_.end() ? nullptr : &it->second;
 }
 
+std::vector<agent_incarnation>
+target_table::agents_of(const service_name& service) const
+{
+    std::vector<agent_incarnation> out;
+    for (const auto& [agent, t] : targets_)
+    {
+        const auto& services = t.offer.services;
+        if (std::find(services.begin(), services.end(), service) !=
+            services.end())
+        {
+            out.push_back(agent);
+        }
+    }
+    return out;
+}
+
 const service_view& target_table::view(const service_name& service) const
 {
     static const service_view none;
--- a/packages/fleet/tests/unit-crash_history.cpp
+++ b/packages/core/tests/unit-crash_history.cpp
@@ -1,8 +1,9 @@
-#include <agatebank/fleet/crash_history.hpp>
-#include <agatebank/fleet/probation_targets.hpp>
+#include <agatebank/core/crash_history.hpp>
+#include <agatebank/core/probation_targets.hpp>
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 
 using namespace agatebank;
@@ -140,7 +141,7 @@
 }
 
 TEST_CASE("select_probation_targets: takes a third of a service's targets, at "
-          "least one, in any order of arrival")
+          "least one, in any order")
 {
     struct row
     {
@@ -151,19 +152,14 @@
     for (const auto& it : rows)
     {
         INFO(it.targets);
-        target_map targets;
+        std::vector<agent_incarnation> targets;
         for (uint64_t i = 0; i < it.targets; ++i)
         {
-            target_profile p;
-            p.service = service_name("desk");
-            targets.emplace(agent_incarnation(i), target_load_tracker(p));
+            targets.emplace_back(i);
         }
-        target_profile other;
-        other.service = service_name("other");
-        targets.emplace(agent_incarnation(1000), target_load_tracker(other));
-        const auto selected =
-            select_probation_targets(targets, service_name("desk"));
+        const auto selected = select_probation_targets(targets);
         CHECK(selected.size() == it.selected);
-        CHECK(selected.count(agent_incarnation(1000)) == 0);
+        std::reverse(targets.begin(), targets.end());
+        CHECK(select_probation_targets(targets) == selected);
     }
 }
--- a/packages/core/tests/unit-dispatcher.cpp
+++ b/packages/core/tests/unit-dispatcher.cpp
@@ -427,3 +427,113 @@
     CHECK(start_of(60s) == agent_incarnation()); // last fast credit is kept
     CHECK(start_of(20s) == fast);
 }
+
+// Guards against one caller whose tasks crash the targets that start them: its
+// jobs would take every target from all other callers. 2 jobs a second, each
+// with one crash of 3 s, are 6 targets of 6.
+TEST_CASE("dispatcher: other callers are served while the tasks of one caller "
+          "crash their targets")
+{
+    constexpr uint64_t targets = 6;
+    dispatcher d({});
+    auto now = start + 1h;
+    std::map<agent_incarnation, time_point> away_until;
+    std::map<agent_incarnation, std::map<task_ref, time_point>> running;
+    std::set<job_key> harmful;
+    std::map<job_key, int> unanswered;
+    std::size_t answered = 0;
+    std::size_t most_away = 0;
+    const auto set_target = [&](agent_incarnation agent, bool accepts_work)
+    {
+        auto o = offer(agent.value());
+        o.accepts_work = accepts_work;
+        d.put_target(o, now);
+        d.set_grant(agent, accepts_work ? 4 : 0);
+    };
+    for (uint64_t i = 0; i < targets; ++i)
+    {
+        set_target(agent_incarnation(i), true);
+    }
+    const auto lose = [&](agent_incarnation agent)
+    {
+        away_until[agent] = now + 3s;
+        set_target(agent, false);
+        for (const auto& [task, end] : std::exchange(running[agent], {}))
+        {
+            d.on_outcome(task, agent, task_outcome::target_lost, 10ms, now);
+            d.remove_job(task.job);
+            unanswered.erase(task.job);
+        }
+    };
+    uint64_t last = 0;
+    std::set<job_key> others; // without those of the first and last second
+    for (int step = 0; step < 800; ++step, now += 10ms)
+    {
+        if (step % 50 == 0)
+        {
+            auto j = job(++last, 8, 2s, 50ms);
+            j.caller = caller_name("harmful");
+            if (!d.admit(j, now).refusal)
+            {
+                harmful.insert(j.key);
+            }
+        }
+        if (step % 10 == 5)
+        {
+            const auto j = job(++last, 2, 1s, 50ms);
+            if (step >= 100 && step < 700)
+            {
+                others.insert(j.key);
+            }
+            if (!d.admit(j, now).refusal)
+            {
+                unanswered[j.key] = 2;
+            }
+        }
+        for (const auto& it : d.assign(now))
+        {
+            running[it.agent][it.task] = now + 50ms;
+        }
+        for (auto& [agent, tasks] : running)
+        {
+            for (const auto& [task, end] : std::map(tasks))
+            {
+                if (harmful.count(task.job) != 0)
+                {
+                    lose(agent);
+                    break;
+                }
+                if (end <= now)
+                {
+                    tasks.erase(task);
+                    d.on_outcome(task, agent, task_outcome::answered, 50ms,
+                                 now);
+                    if (--unanswered[task.job] == 0)
+                    {
+                        d.remove_job(task.job);
+                        answered += others.count(task.job);
+                    }
+                }
+            }
+        }
+        for (const auto key : d.overdue(now))
+        {
+            d.remove_job(key);
+        }
+        std::size_t away = 0;
+        for (auto it = away_until.begin(); it != away_until.end();)
+        {
+            if (it->second <= now)
+            {
+                set_target(it->first, true);
+                it = away_until.erase(it);
+                continue;
+            }
+            ++away;
+            ++it;
+        }
+        most_away = std::max(most_away, away);
+    }
+    CHECK(answered == others.size());
+    CHECK(most_away < targets);
+}
--- a/packages/entry/src/job_service.cpp
+++ b/packages/entry/src/job_service.cpp
@@ -53,9 +53,15 @@
                                                  : errc::target_failed;
 }
 
-task_outcome to_outcome(report_kind kind)
+// A connection that ends without a whole answer is the sign of a crash.
+task_outcome to_outcome(const start_report& report)
 {
-    switch (kind)
+    if (report.kind == report_kind::failed &&
+        to_error(report) == errc::target_answer_partial)
+    {
+        return task_outcome::target_lost;
+    }
+    switch (report.kind)
     {
     case report_kind::answered:
         return task_outcome::answered;
@@ -188,7 +194,7 @@
     }
     else
     {
-        dispatcher_.on_outcome(task, agent, to_outcome(report.kind),
+        dispatcher_.on_outcome(task, agent, to_outcome(report),
                                duration(report.run_time_us), now);
         if (it != jobs_.end())
         {
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -6,7 +6,7 @@
 #include <agatebank/core/result.hpp>
 #include <agatebank/core/route_table.hpp>
 #include <agatebank/core/run_order.hpp>
-#include <agatebank/fleet/crash_history.hpp>
+#include <agatebank/core/crash_history.hpp>
 #include <agatebank/fleet/job_forecast.hpp>
 #include <agatebank/fleet/placement.hpp>
 #include <agatebank/fleet/target_load_tracker.hpp>
--- a/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
+++ b/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
@@ -72,4 +72,8 @@
 /// their agent.
 using target_map = std::map<agent_incarnation, target_load_tracker>;
 
+/// @brief Returns the agents of all targets of a service.
+std::vector<agent_incarnation> agents_of(const target_map& targets,
+                                         const service_name& service);
+
 } // namespace agatebank
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -1,7 +1,7 @@
 #include <agatebank/core/duration_math.hpp>
 #include <agatebank/fleet/job_admission.hpp>
 #include <agatebank/fleet/job_scheduler.hpp>
-#include <agatebank/fleet/probation_targets.hpp>
+#include <agatebank/core/probation_targets.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -193,13 +193,12 @@
 const std::set<agent_incarnation>&
 job_scheduler::probation_targets(const service_name& service)
 {
-    const auto it = probation_targets_.find(service);
-    return it != probation_targets_.end()
-               ? it->second
-               : probation_targets_
-                     .emplace(service,
-                              select_probation_targets(targets_, service))
-                     .first->second;
+    const auto [it, is_new] = probation_targets_.try_emplace(service);
+    if (is_new)
+    {
+        it->second = select_probation_targets(agents_of(targets_, service));
+    }
+    return it->second;
 }
 
 void job_scheduler::forget_isolated_order(agent_incarnation agent,
--- a/packages/fleet/src/target_load_tracker.cpp
+++ b/packages/fleet/src/target_load_tracker.cpp
@@ -106,6 +106,20 @@
                                           1, profile_.capacity.cpu_millis));
 }
 
+std::vector<agent_incarnation> agents_of(const target_map& targets,
+                                         const service_name& service)
+{
+    std::vector<agent_incarnation> out;
+    for (const auto& [agent, target] : targets)
+    {
+        if (target.profile().service == service)
+        {
+            out.push_back(agent);
+        }
+    }
+    return out;
+}
+
 bool target_load_tracker::may_probe(time_point now) const
 {
     return now >= next_probe_;
--- a/packages/fleet/tests/unit-job_scheduler.cpp
+++ b/packages/fleet/tests/unit-job_scheduler.cpp
@@ -1,5 +1,5 @@
 #include <agatebank/fleet/job_scheduler.hpp>
-#include <agatebank/fleet/probation_targets.hpp>
+#include <agatebank/core/probation_targets.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -405,8 +405,8 @@
     {
         f.add_target(agent);
     }
-    const auto probation = select_probation_targets(f.scheduler.targets(),
-                                                    service_name("desk"));
+    const auto probation = select_probation_targets(
+        agents_of(f.scheduler.targets(), service_name("desk")));
     f.lose(100, 10, true, "h");
     f.admit(4, 2s, {}, "h");
     REQUIRE(f.open_orders() == 1);
@@ -431,8 +431,8 @@
         f.add_target(agent);
     }
     f.lose(100, 10, true, "h");
-    for (const auto agent : select_probation_targets(f.scheduler.targets(),
-                                                     service_name("desk")))
+    for (const auto agent : select_probation_targets(
+             agents_of(f.scheduler.targets(), service_name("desk"))))
     {
         f.scheduler.set_load(agent, {}, f.now);
     }
