An agent starts nothing beside runs that a previous agent left

Callers could have seen a target overloaded that takes whatever it is sent: after an agent's restart the runs of the one before held room that nobody counted, until they were stopped.

The test failed before.

--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -92,7 +92,9 @@
     /// lease has expired, or nothing listens at its address any more.
     /// @param why reason for the log
     void on_all_runs_ended(const char* why, time_point now);
-    /// @brief Handles the first listing of a new incarnation of the target.
+    /// @brief Handles the first listing of a new incarnation of the target, or
+    /// of this agent. No run starts until those that are not this agent's have
+    /// ended, as the resources that they hold are not known.
     /// Runs that are not listed ended with the previous incarnation. A listed
     /// run is a start request that the new incarnation carried out late; it is
     /// stopped.
@@ -215,6 +217,8 @@
     std::set<queue_rank> queue_;
     std::map<run_id, order_key> started_runs_;
     uint32_t isolated_runs_ = 0; ///< of the started ones
+    /// runs of unknown size, left at the target by a previous agent
+    std::set<run_id> left_runs_;
     uint64_t listing_count_ = 0; ///< listings processed so far
     std::unordered_map<std::string, uint32_t> last_run_numbers_;
     target_health_estimator health_;
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -64,6 +64,7 @@
 void run_scheduler::on_all_runs_ended(const char* why, time_point now)
 {
     finish_runs_except({}, why, now);
+    left_runs_.clear();
     last_run_numbers_.clear();
     health_.reset();
 }
@@ -72,6 +73,7 @@
                                        time_point now)
 {
     std::set<run_id> listed;
+    left_runs_.clear();
     for (const auto& it : running)
     {
         listed.insert(it.id);
@@ -80,6 +82,10 @@
         {
             stop_run(orders_.at(known->second), run_outcome::stopped, now);
         }
+        else
+        {
+            left_runs_.insert(it.id);
+        }
     }
     finish_runs_except(listed, "the target has started a new incarnation", now);
     health_.reset();
@@ -251,8 +257,8 @@
             enqueue(key, r, now);
             continue;
         }
-        const bool must_wait =
-            isolated_runs_ > 0 || (r.order.isolated && !started_runs_.empty());
+        const bool must_wait = !left_runs_.empty() || isolated_runs_ > 0 ||
+                               (r.order.isolated && !started_runs_.empty());
         if (must_wait || !capacity_.can_fit(used_ + r.task_resources))
         {
             return;
@@ -278,9 +284,9 @@
                 ? 1
                 : static_cast<double>(r.task_resources.cpu_millis) /
                       capacity_millis;
-        return duration(static_cast<int64_t>(
-            static_cast<double>(r.order.expected_us) * slowdown_factor *
-            share));
+        return duration(
+            static_cast<int64_t>(static_cast<double>(r.order.expected_us) *
+                                 slowdown_factor * share));
     };
     duration ahead{};
     for (const auto& [id, key] : started_runs_)
@@ -479,6 +485,13 @@
     ++listing_count_;
     process_ended_runs(listing.ended, now);
     process_active_runs(listing, asked_at, now);
+    std::erase_if(left_runs_,
+                  [&listing](const run_id& id)
+                  {
+                      return std::none_of(
+                          listing.running.begin(), listing.running.end(),
+                          [&id](const active_run& r) { return r.id == id; });
+                  });
     finish_unlisted_runs(asked_at, now);
     tick(now);
 }
--- a/packages/fleet/tests/unit-run_scheduler.cpp
+++ b/packages/fleet/tests/unit-run_scheduler.cpp
@@ -338,3 +338,20 @@
         CHECK(f.scheduler.counts().target_losses == 1);
     }
 }
+
+// Guards against an agent that starts runs beside those of the agent before it,
+// whose resources it does not know, at a target that takes whatever it is sent.
+TEST_CASE("run_scheduler: starts nothing until the runs that a previous agent "
+          "left at the target have ended")
+{
+    scheduler_fixture f;
+    const run_id left{"old.0.0.0", 1};
+    f.scheduler.on_new_incarnation({{left, 10}}, f.now);
+    f.order(1, "a");
+    CHECK(f.started.empty());
+    f.list({{left, 20}}, {});
+    CHECK(f.started.empty());
+    CHECK(f.stopped == std::vector<run_id>{left});
+    f.list({}, {{end_position(1), left, ended_run_status::stopped}});
+    CHECK(f.started.size() == 1);
+}
