Fail a job only for certain crashes; a try with suspects alone at once

Change: a loss is confirmed only if the run was accepted or listed, and the target was found gone while it did not drain; a lease that expired shows no crash. A job is failed only after two confirmed crashes, else answered 504; it is never refused as not run after a loss. The run_scheduler test of confirmed losses fails without it.

Try in this commit: each task at an unexplained crash runs alone next, and only a crash while alone accuses its route.

--- a/packages/core/include/agatebank/core/crash_history.hpp
+++ b/packages/core/include/agatebank/core/crash_history.hpp
@@ -28,17 +28,18 @@
 /// Load pattern: a share of the jobs of one route crash each target that starts
 /// them. Retrying each of them a fixed number of times would still keep all
 /// targets away: 3.3 such jobs a second with two crashes of 3.2 s each are 21
-/// targets. Hence a route is put on probation as soon as one of its tasks is
-/// known to have caused a crash; see job_scheduler for what that means.
+/// targets. Hence a route is put on probation as soon as one of its tasks has
+/// crashed a target alone; see job_scheduler for what that means.
 ///
-/// A task is suspect after two crashes, or one while it was the only one
-/// there. A crash in which a task of another route on probation took part does
-/// not count, as that task explains it.
+/// A crash shows only that one of the tasks there is the cause. Each of them is
+/// suspect, unless a task of another route on probation was there too and
+/// explains the crash. Counting crashes instead would accuse harmless tasks:
+/// while targets crash every 100 ms, many of them are hit twice.
 class crash_history
 {
   public:
     // modifiers
-    /// @brief Adds reports. Those of one loss should come in one call.
+    /// @brief Adds reports.
     /// @return the reports that were not known
     std::vector<crash_report> merge(const std::vector<crash_report>& reports,
                                     time_point now);
@@ -49,6 +50,9 @@
     crash_standing standing(const task_position& task, time_point now) const;
     /// @brief Number of targets that were lost while a task ran there.
     std::size_t losses(const task_position& task) const;
+    /// @brief Number of targets that are known to have crashed after the task
+    /// had started there.
+    std::size_t confirmed_crashes(const task_position& task) const;
     /// @brief Whether a target was lost while this task alone ran there.
     bool crashed_alone(const task_position& task) const;
     bool on_probation(const route_name& route, time_point now) const;
@@ -70,10 +74,7 @@
         time_point until;
     };
 
-    std::size_t unexplained_losses(const task_record& task,
-                                   time_point now) const;
-    void update_probation(const std::vector<crash_report>& added,
-                          time_point now);
+    bool has_unexplained_loss(const task_record& task, time_point now) const;
 
     std::map<task_position, task_record> tasks_;
     std::map<target_loss_id, std::set<route_name>> routes_at_loss_;
--- a/packages/core/include/agatebank/core/crash_report.hpp
+++ b/packages/core/include/agatebank/core/crash_report.hpp
@@ -47,19 +47,21 @@
 };
 
 /// @brief States that a task was running at a target that crashed or went
-/// silent. The same report may be received several times.
+/// silent, or that its start was not answered before. The same report may be
+/// received several times.
 struct crash_report
 {
     task_position task;
     route_name route;     ///< of the job
     service_name service; ///< of the target
     target_loss_id loss;
-    bool isolated = false; ///< no other task was running there
+    bool isolated = false;  ///< no other task was running there
+    bool confirmed = false; ///< the task had started, and the target crashed
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(task, route, service, loss, isolated);
+        ar(task, route, service, loss, isolated, confirmed);
     }
 };
 
--- a/packages/core/src/crash_history.cpp
+++ b/packages/core/src/crash_history.cpp
@@ -19,7 +19,6 @@
 constexpr duration retention = 60s;
 /// Limit on the remembered tasks, to bound memory; the oldest are forgotten.
 constexpr std::size_t max_tasks = 4096;
-constexpr std::size_t suspect_losses = 2;
 /// The platform allows to give up a task after two crashes, and requires it
 /// soon after three.
 constexpr std::size_t proven_losses_with_isolation = 2;
@@ -42,9 +41,12 @@
             task.latest = now;
             routes_at_loss_[it.loss].insert(it.route);
             added.push_back(it);
+            if (it.isolated)
+            {
+                probations_[it.route] = {it.service, now + probation_period};
+            }
         }
     }
-    update_probation(added, now);
     if (tasks_.size() > max_tasks)
     {
         expire(now);
@@ -52,31 +54,6 @@
     return added;
 }
 
-// A crash with one task proves the cause. Otherwise the task that was there at
-// an earlier crash too is taken for it, if all such tasks are of one route.
-void crash_history::update_probation(const std::vector<crash_report>& added,
-                                     time_point now)
-{
-    std::map<target_loss_id, std::set<route_name>> repeated;
-    for (const auto& it : added)
-    {
-        const auto& task = tasks_.at(it.task);
-        if (it.isolated || unexplained_losses(task, now) >= suspect_losses)
-        {
-            repeated[it.loss].insert(it.route);
-        }
-    }
-    for (const auto& it : added)
-    {
-        const auto found = repeated.find(it.loss);
-        if (found != repeated.end() && found->second.size() == 1 &&
-            found->second.count(it.route) != 0)
-        {
-            probations_[it.route] = {it.service, now + probation_period};
-        }
-    }
-}
-
 void crash_history::expire(time_point now)
 {
     std::erase_if(tasks_, [now](const auto& it)
@@ -104,8 +81,8 @@
 
 // lookup
 
-std::size_t crash_history::unexplained_losses(const task_record& task,
-                                              time_point now) const
+bool crash_history::has_unexplained_loss(const task_record& task,
+                                         time_point now) const
 {
     const auto is_unexplained = [&](const auto& it)
     {
@@ -116,8 +93,7 @@
                                        on_probation(other, now);
                             });
     };
-    return static_cast<std::size_t>(
-        std::count_if(task.losses.begin(), task.losses.end(), is_unexplained));
+    return std::any_of(task.losses.begin(), task.losses.end(), is_unexplained);
 }
 
 crash_standing crash_history::standing(const task_position& task,
@@ -133,7 +109,7 @@
     {
         return crash_standing::proven;
     }
-    return alone || unexplained_losses(tasks_.at(task), now) >= suspect_losses
+    return alone || has_unexplained_loss(tasks_.at(task), now)
                ? crash_standing::suspect
                : crash_standing::hit;
 }
@@ -144,6 +120,16 @@
     return it == tasks_.end() ? 0 : it->second.losses.size();
 }
 
+std::size_t crash_history::confirmed_crashes(const task_position& task) const
+{
+    const auto it = tasks_.find(task);
+    return it == tasks_.end()
+               ? 0
+               : static_cast<std::size_t>(std::count_if(
+                     it->second.losses.begin(), it->second.losses.end(),
+                     [](const auto& loss) { return loss.second.confirmed; }));
+}
+
 bool crash_history::crashed_alone(const task_position& task) const
 {
     const auto it = tasks_.find(task);
--- a/packages/core/src/dispatcher_crashes.cpp
+++ b/packages/core/src/dispatcher_crashes.cpp
@@ -93,7 +93,8 @@
                                    route_name(name),
                                    rq.service,
                                    {agent, loss_number(loss.number)},
-                                   isolated});
+                                   isolated,
+                                   true});
 }
 
 void dispatcher::state::attribute_losses(time_point now)
@@ -118,7 +119,10 @@
                 cause = &report;
             }
         }
-        crashes.merge({*cause}, now);
+        // A single crash may have a cause of its own.
+        auto report = *cause;
+        report.isolated |= crashes.losses(report.task) > 0;
+        crashes.merge({report}, now);
     }
     crashes.expire(now);
 }
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -227,17 +227,19 @@
     /// was lost. @return whether the job has ended
     bool handle_target_loss(job_key key, job_record& job, const order_ref& ref,
                             time_point now);
-    /// @brief Returns whether a task has crashed so many targets that the job
-    /// may be failed if the task can't run alone.
-    bool has_task_to_give_up(const job_record& job) const;
+    /// @brief Returns the result of a job that is given up: failed only if a
+    /// task of it has certainly crashed two targets.
+    job_result result_after_crashes(const job_record& job) const;
     /// @brief Returns whether a task waits for a probation target for so long
     /// that the job's answer would be useless.
     bool waits_in_vain(const job_record& job, time_point now) const;
     void send_orders(job_record& job, uint32_t step,
                      const std::vector<placed_task>& placed, time_point now);
     bool place_waiting(job_key key, job_record& job, time_point now);
-    /// @brief Fails a job with a task that has crashed its targets.
-    void fail_at_admission(job_key key, const job_record& job);
+    bool has_losses(const job_record& job) const;
+    /// @brief Ends a job, without a run, whose tasks lost their targets when it
+    /// was submitted before.
+    void end_at_admission(job_key key, const job_record& job);
     void refuse(job_key key, job_record& job, duration retry_after,
                 const std::string& why);
     void end_job(job_key key, const job_outcome& outcome, const char* why,
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -31,7 +31,8 @@
 {
     task_position task;
     route_name route;
-    bool isolated = false; ///< it was the only run
+    bool isolated = false;  ///< it was the only run
+    bool confirmed = false; ///< it had started, and the target crashed
 };
 
 /// @brief Callbacks that carry out the decisions of a run_scheduler.
@@ -90,8 +91,9 @@
     void set_accepting_orders(bool open, time_point now);
     /// @brief Ends all runs, which are known to have ended at the target: its
     /// lease has expired, or nothing listens at its address any more.
+    /// @param crashed whether the target is known to have ended
     /// @param why reason for the log
-    void on_all_runs_ended(const char* why, time_point now);
+    void on_all_runs_ended(bool crashed, const char* why, time_point now);
     /// @brief Handles the first listing of a new incarnation of the target, or
     /// of this agent. No run starts until those that are not this agent's have
     /// ended, as the resources that they hold are not known.
@@ -175,6 +177,7 @@
         /// request was answered, or the run was first listed as running
         time_point last_exchange_at;
         bool stop_accepted = false;
+        bool known_to_run = false; ///< its start was accepted, or it was listed
         bool report_requested =
             true; ///< whether the entry still expects a report
         /// to be reported once a stop has taken effect
@@ -198,8 +201,8 @@
     void cancel_order(const order_key& key, order_record& r,
                       run_outcome outcome, time_point now);
     void finish(const order_key& key, run_outcome outcome, time_point now);
-    void finish_runs_except(const std::set<run_id>& kept, const char* why,
-                            time_point now);
+    void finish_runs_except(const std::set<run_id>& kept, bool crashed,
+                            const char* why, time_point now);
     void process_ended_runs(const std::vector<ended_run>& ended,
                             time_point now);
     /// @brief Updates health and speed with a run that has ended as done.
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -27,8 +27,8 @@
 /// Under the terms agreed with the operators, an answer that takes longer than
 /// this multiple of the job's objective has no value.
 constexpr int useful_objective_multiple = 3;
-/// The platform allows to give up a task after two crashes.
-constexpr std::size_t losses_to_give_up = 2;
+/// The platform allows to fail a task after two crashes.
+constexpr std::size_t crashes_to_fail = 2;
 /// Period in which old crashes are removed from the memory.
 constexpr duration crash_expiry_period = 1s;
 /// Stalls of a task that are counted. Each multiplies the expected run time of
@@ -366,11 +366,16 @@
     const auto losses = crashes_.losses(position);
     if (standing == crash_standing::proven)
     {
-        ++counts_.failed_by_crashes;
-        const auto why = "failed, task " + std::to_string(ref.index) +
-                         " of step " + std::to_string(ref.step) + " crashed " +
-                         std::to_string(losses) + " targets";
-        end_job(key, {job_result::failed, {}}, why.c_str(), now);
+        task.state = task_state::waiting;
+        const auto result = result_after_crashes(job);
+        counts_.failed_by_crashes += result == job_result::failed ? 1 : 0;
+        const auto why = "given up, " + std::to_string(losses) +
+                         " targets were lost while task " +
+                         std::to_string(ref.index) + " of step " +
+                         std::to_string(ref.step) + " was there, " +
+                         std::to_string(crashes_.confirmed_crashes(position)) +
+                         " certainly by a crash";
+        end_job(key, {result, {}}, why.c_str(), now);
         return true;
     }
     if (on_probation && crashes_.crashed_alone(position))
@@ -389,19 +394,26 @@
     return false;
 }
 
-bool job_scheduler::has_task_to_give_up(const job_record& job) const
+job_result job_scheduler::result_after_crashes(const job_record& job) const
 {
+    auto result = any_task_may_have_run(job) ? job_result::abandoned
+                                             : job_result::not_run;
     for (uint32_t i = 0; i < job.steps.size(); ++i)
     {
         for (uint32_t k = 0; k < job.steps[i].tasks.size(); ++k)
         {
-            if (crashes_.losses(position_of(job, i, k)) >= losses_to_give_up)
+            const auto position = position_of(job, i, k);
+            if (crashes_.confirmed_crashes(position) >= crashes_to_fail)
             {
-                return true;
+                return job_result::failed;
+            }
+            if (crashes_.losses(position) > 0)
+            {
+                result = job_result::abandoned;
             }
         }
     }
-    return false;
+    return result;
 }
 
 bool job_scheduler::waits_in_vain(const job_record& job, time_point now) const
@@ -525,7 +537,7 @@
 
     if (!may_run)
     {
-        fail_at_admission(key, job);
+        end_at_admission(key, job);
         return;
     }
 
@@ -570,11 +582,11 @@
             decide_admission(admission).admitted ? 0 : 1;
     }
     const auto decision = decide_admission(admission);
-    if (!decision.admitted && has_task_to_give_up(job))
+    if (!decision.admitted && has_losses(job))
     {
         // Its tasks have run before, so it is not refused as not run.
         withdraw_orders(job); // these have not been sent
-        fail_at_admission(key, job);
+        end_at_admission(key, job);
         return;
     }
     if (!decision.admitted)
@@ -613,14 +625,32 @@
     }
 }
 
-void job_scheduler::fail_at_admission(job_key key, const job_record& job)
+bool job_scheduler::has_losses(const job_record& job) const
+{
+    for (uint32_t i = 0; i < job.steps.size(); ++i)
+    {
+        for (uint32_t k = 0; k < job.steps[i].tasks.size(); ++k)
+        {
+            if (crashes_.losses(position_of(job, i, k)) > 0)
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void job_scheduler::end_at_admission(job_key key, const job_record& job)
 {
-    ++counts_.failed;
-    ++counts_.failed_by_crashes;
+    const auto result = result_after_crashes(job);
+    const bool failed = result == job_result::failed;
+    ++(failed ? counts_.failed : counts_.abandoned);
+    counts_.failed_by_crashes += failed ? 1 : 0;
     log(log_level::warning, job,
-        "job failed without a run: a task of it has crashed its targets");
+        std::string("job ") + (failed ? "failed" : "given up") +
+            " without a run: targets were lost while a task of it was running");
     jobs_.erase(key);
-    hooks_.finish(key, {job_result::failed, {}});
+    hooks_.finish(key, {result, {}});
 }
 
 void job_scheduler::refuse(job_key key, job_record& job, duration retry_after,
@@ -952,10 +982,7 @@
     }
     for (const auto key : in_vain)
     {
-        const auto& job = jobs_.at(key);
-        const auto result = has_task_to_give_up(job)     ? job_result::failed
-                            : any_task_may_have_run(job) ? job_result::abandoned
-                                                         : job_result::not_run;
+        const auto result = result_after_crashes(jobs_.at(key));
         counts_.failed_by_crashes += result == job_result::failed ? 1 : 0;
         end_job(key, {result, queue_timeout_retry_after},
                 "given up, no probation target became free in time", now);
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -61,9 +61,10 @@
     }
 }
 
-void run_scheduler::on_all_runs_ended(const char* why, time_point now)
+void run_scheduler::on_all_runs_ended(bool crashed, const char* why,
+                                      time_point now)
 {
-    finish_runs_except({}, why, now);
+    finish_runs_except({}, crashed, why, now);
     left_runs_.clear();
     last_run_numbers_.clear();
     health_.reset();
@@ -87,13 +88,15 @@
             left_runs_.insert(it.id);
         }
     }
-    finish_runs_except(listed, "the target has started a new incarnation", now);
+    finish_runs_except(listed, true, "the target has started a new incarnation",
+                       now);
     health_.reset();
     speed_.reset();
 }
 
 void run_scheduler::finish_runs_except(const std::set<run_id>& kept,
-                                       const char* why, time_point now)
+                                       bool crashed, const char* why,
+                                       time_point now)
 {
     std::vector<order_key> unlisted;
     for (const auto& [id, key] : started_runs_)
@@ -114,7 +117,8 @@
         const auto& r = orders_.at(it);
         lost.push_back({{r.job, r.order.step, r.order.index},
                         route_name(r.route),
-                        r.order.isolated});
+                        r.order.isolated,
+                        crashed && r.known_to_run});
     }
     hooks_.report_loss(lost);
     for (const auto& it : unlisted)
@@ -337,6 +341,7 @@
     last = std::max(r.order.attempt, last + 1);
     r.current_run.run = last;
     r.state = run_state::starting;
+    r.known_to_run = false;
     r.started = now;
     used_ += r.task_resources;
     isolated_runs_ += r.order.isolated ? 1 : 0;
@@ -440,6 +445,7 @@
     {
     case start_answer::accepted:
         r.state = run_state::running;
+        r.known_to_run = true;
         r.last_exchange_at = now;
         return;
     case start_answer::unknown:
@@ -563,6 +569,7 @@
         auto& r = orders_.at(found->second);
         r.percent = it.percent;
         r.last_listed_in = listing_count_;
+        r.known_to_run = true;
         if (r.state == run_state::starting)
         {
             r.state = run_state::running;
--- a/packages/fleet/tests/unit-job_scheduler.cpp
+++ b/packages/fleet/tests/unit-job_scheduler.cpp
@@ -90,14 +90,15 @@
 
     // Loses the target of an agent while the first task of a job ran there.
     void lose(uint64_t job, uint64_t agent, bool isolated,
-              const char* route = "r")
+              const char* route = "r", bool confirmed = true)
     {
         scheduler.on_crashes(
             {{{"job" + std::to_string(job), 0, 0},
               route_name(route),
               service_name("desk"),
               {agent_incarnation(agent), loss_number(++losses)},
-              isolated}},
+              isolated,
+              confirmed}},
             now);
     }
 
@@ -366,13 +367,18 @@
         bool isolated; ///< the order's crash
         std::optional<job_result> answer;
         bool next_isolated;
+        bool confirmed = true; ///< the crashes
     };
     const row rows[] = {
-        {"first crash", 0, false, std::nullopt, false},
+        {"first crash", 0, false, std::nullopt, true},
         {"second crash", 1, false, std::nullopt, true},
         {"second crash, alone", 1, true, job_result::failed, false},
         {"third crash", 2, false, job_result::failed, false},
-        {"first crash, alone", 0, true, job_result::abandoned, false}};
+        {"first crash, alone", 0, true, job_result::abandoned, false},
+        {"a second loss, alone, and it may not have started", 1, true,
+         job_result::abandoned, false, false},
+        {"a third loss, and it may not have started", 2, false,
+         job_result::abandoned, false, false}};
     for (const auto& it : rows)
     {
         INFO(it.name);
@@ -382,9 +388,10 @@
         const auto key = f.admit(1);
         for (std::size_t i = 0; i < it.earlier; ++i)
         {
-            f.lose(key, 10 + i, false);
+            f.lose(key, 10 + i, false, "r", it.confirmed);
         }
-        f.lose(key, f.sent.front().agent.value(), it.isolated);
+        f.lose(key, f.sent.front().agent.value(), it.isolated, "r",
+               it.confirmed);
         f.end_next(run_outcome::target_lost);
         CHECK((f.answers.count(key) == 1) == it.answer.has_value());
         if (it.answer)
--- a/packages/fleet/tests/unit-run_scheduler.cpp
+++ b/packages/fleet/tests/unit-run_scheduler.cpp
@@ -256,7 +256,7 @@
     f.order(1, "a");
     f.order(2, "b");
     f.order(3, "c");
-    f.scheduler.on_all_runs_ended("the lease has lapsed", f.now);
+    f.scheduler.on_all_runs_ended(true, "the lease has lapsed", f.now);
     CHECK(f.ends.size() == 2);
     CHECK(f.scheduler.queued() == 1);
 }
@@ -325,7 +325,7 @@
         scheduler_fixture f;
         f.order(1, "a", 0, 2s, 60ms, isolated);
         f.accept_all();
-        f.scheduler.on_all_runs_ended("the target accepts no connections",
+        f.scheduler.on_all_runs_ended(true, "the target accepts no connections",
                                       f.now);
         REQUIRE(f.losses.size() == 1);
         CHECK(f.losses[0].task == task_position{"a", 0, 0});
@@ -334,7 +334,7 @@
         REQUIRE(f.ends.size() == 1);
         CHECK(f.ends[0].outcome == run_outcome::target_lost);
         CHECK(f.scheduler.counts().target_losses == 1);
-        f.scheduler.on_all_runs_ended("the lease expired", f.now);
+        f.scheduler.on_all_runs_ended(true, "the lease expired", f.now);
         CHECK(f.scheduler.counts().target_losses == 1);
     }
 }
@@ -355,3 +355,31 @@
     f.list({}, {{end_position(1), left, ended_run_status::stopped}});
     CHECK(f.started.size() == 1);
 }
+
+// Guards against a job that is failed for a crash under a task of it that had
+// not started there: a start without an answer, or a lease that expired.
+TEST_CASE("run_scheduler: a loss is confirmed only if the run had started and "
+          "the target crashed")
+{
+    struct row
+    {
+        bool accepted;
+        bool crashed;
+        bool confirmed;
+    };
+    const row rows[] = {
+        {true, true, true}, {false, true, false}, {true, false, false}};
+    for (const auto& it : rows)
+    {
+        INFO(it.accepted << " " << it.crashed);
+        scheduler_fixture f;
+        f.order(1, "a");
+        if (it.accepted)
+        {
+            f.accept_all();
+        }
+        f.scheduler.on_all_runs_ended(it.crashed, "reason", f.now);
+        REQUIRE(f.losses.size() == 1);
+        CHECK(f.losses[0].confirmed == it.confirmed);
+    }
+}
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -108,6 +108,8 @@
     link_hub hub_;
     entry_links entry_links_;
     std::map<link_id, entry_link> entries_;
+    /// runs of a target that drained before it ended are not lost by a crash
+    bool previous_target_drained_ = false;
     std::optional<target_announcement> target_;
     target_lease lease_;
     uint64_t fencing_token_ = 0;
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -165,7 +165,7 @@
     if (expired && !runs_ended_)
     {
         runs_ended_ = true;
-        scheduler_.on_all_runs_ended("the lease expired", now);
+        scheduler_.on_all_runs_ended(false, "the lease expired", now);
     }
     update_acceptance();
     if (stopping_ && on_stopped_)
@@ -250,6 +250,7 @@
                     " thousandths of a core",
                 step_target, announcement.profile.target));
     const bool first = !target_;
+    previous_target_drained_ = target_ && target_->draining;
     target_ = announcement;
     lease_.reset();
     last_end_seen_ = {};
@@ -341,6 +342,7 @@
     if (std::exchange(first_list_pending_, false))
     {
         scheduler_.on_new_incarnation(answer.running, now);
+        previous_target_drained_ = false;
     }
     scheduler_.on_listing(answer, sent, now);
     update_acceptance();
@@ -363,7 +365,8 @@
     case lease_error::unreachable:
         lease_.reset();
         scheduler_.set_accepting_orders(false, now);
-        scheduler_.on_all_runs_ended("the target accepts no connections", now);
+        scheduler_.on_all_runs_ended(true, "the target accepts no connections",
+                                     now);
         break;
     case lease_error::no_answer:
     case lease_error::wrong_target:
@@ -554,12 +557,14 @@
     crash_reports m;
     for (const auto& it : lost)
     {
-        m.reports.push_back({it.task,
-                             it.route,
-                             target_->profile.service,
-                             {agent_incarnation(context_.self.incarnation),
-                              loss_number(scheduler_.counts().target_losses)},
-                             it.isolated});
+        m.reports.push_back(
+            {it.task,
+             it.route,
+             target_->profile.service,
+             {agent_incarnation(context_.self.incarnation),
+              loss_number(scheduler_.counts().target_losses)},
+             it.isolated,
+             it.confirmed && !target_->draining && !previous_target_drained_});
     }
     for (const auto& [link, entry] : entries_)
     {
