Put a route on probation after a series of crashes that its tasks began

Change: agents tell which task had started last. A route whose tasks had at two thirds or more of at least three losses in 3 s, spread over 250 ms or more, is put on probation. A task runs alone after two unexplained crashes again.

--- a/packages/core/include/agatebank/core/crash_history.hpp
+++ b/packages/core/include/agatebank/core/crash_history.hpp
@@ -28,13 +28,15 @@
 /// Load pattern: a share of the jobs of one route crash each target that starts
 /// them. Retrying each of them a fixed number of times would still keep all
 /// targets away: 3.3 such jobs a second with two crashes of 3.2 s each are 21
-/// targets. Hence a route is put on probation as soon as one of its tasks has
-/// crashed a target alone; see job_scheduler for what that means.
+/// targets. Hence the route is put on probation; see job_scheduler for what
+/// that means. The reason is a target that crashed while a task of the route
+/// was alone there, or a series of crashes at most of which a task of the route
+/// had started last.
 ///
-/// A crash shows only that one of the tasks there is the cause. Each of them is
-/// suspect, unless a task of another route on probation was there too and
-/// explains the crash. Counting crashes instead would accuse harmless tasks:
-/// while targets crash every 100 ms, many of them are hit twice.
+/// A task is suspect after two crashes, or one while it was alone. A crash at
+/// which a task of another route on probation was present does not count, as
+/// that task explains it. Two crashes accuse no route: while targets crash
+/// every 100 ms, many harmless tasks are hit twice.
 class crash_history
 {
   public:
@@ -68,16 +70,26 @@
         std::map<target_loss_id, crash_report> losses;
         time_point latest;
     };
+    struct recent_loss
+    {
+        route_name route; ///< of the task that had started last
+        time_point at;
+    };
     struct probation_record
     {
         service_name service;
         time_point until;
     };
 
-    bool has_unexplained_loss(const task_record& task, time_point now) const;
+    std::size_t unexplained_losses(const task_record& task,
+                                   time_point now) const;
+    void begin_probation(const crash_report& cause, time_point now);
+    /// @brief Whether the latest losses have a route's tasks as their cause.
+    bool causes_series(const route_name& route, time_point now);
 
     std::map<task_position, task_record> tasks_;
     std::map<target_loss_id, std::set<route_name>> routes_at_loss_;
+    std::map<target_loss_id, recent_loss> recent_losses_;
     std::map<route_name, probation_record> probations_;
 };
 
--- a/packages/core/include/agatebank/core/crash_report.hpp
+++ b/packages/core/include/agatebank/core/crash_report.hpp
@@ -55,13 +55,14 @@
     route_name route;     ///< of the job
     service_name service; ///< of the target
     target_loss_id loss;
-    bool isolated = false;  ///< no other task was running there
-    bool confirmed = false; ///< the task had started, and the target crashed
+    bool isolated = false;     ///< no other task was running there
+    bool confirmed = false;    ///< the task had started, and the target crashed
+    bool started_last = false; ///< of the tasks that were there
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(task, route, service, loss, isolated, confirmed);
+        ar(task, route, service, loss, isolated, confirmed, started_last);
     }
 };
 
--- a/packages/core/src/dispatcher_crashes.cpp
+++ b/packages/core/src/dispatcher_crashes.cpp
@@ -94,7 +94,8 @@
                                    rq.service,
                                    {agent, loss_number(loss.number)},
                                    isolated,
-                                   true});
+                                   true,
+                                   false});
 }
 
 void dispatcher::state::attribute_losses(time_point now)
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -33,6 +33,7 @@
     route_name route;
     bool isolated = false;  ///< it was the only run
     bool confirmed = false; ///< it had started, and the target crashed
+    bool started_last = false;
 };
 
 /// @brief Callbacks that carry out the decisions of a run_scheduler.
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -111,6 +111,11 @@
         return;
     }
     ++counts_.target_losses;
+    time_point latest_start;
+    for (const auto& it : unlisted)
+    {
+        latest_start = std::max(latest_start, orders_.at(it).started);
+    }
     std::vector<lost_run> lost;
     for (const auto& it : unlisted)
     {
@@ -118,7 +123,8 @@
         lost.push_back({{r.job, r.order.step, r.order.index},
                         route_name(r.route),
                         r.order.isolated,
-                        crashed && r.known_to_run});
+                        crashed && r.known_to_run,
+                        r.started == latest_start});
     }
     hooks_.report_loss(lost);
     for (const auto& it : unlisted)
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -564,7 +564,8 @@
              {agent_incarnation(context_.self.incarnation),
               loss_number(scheduler_.counts().target_losses)},
              it.isolated,
-             it.confirmed && !target_->draining && !previous_target_drained_});
+             it.confirmed && !target_->draining && !previous_target_drained_,
+             it.started_last});
     }
     for (const auto& [link, entry] : entries_)
     {
