Take a task that started last at two crashes for their cause

The process test with 2 harmful jobs a second and 6 targets served 58 of 100 jobs of the other route: a series of three losses was not seen before most targets were gone. A task that had started last at two crashes now puts its route on probation.

--- a/packages/core/include/agatebank/core/crash_history.hpp
+++ b/packages/core/include/agatebank/core/crash_history.hpp
@@ -30,8 +30,8 @@
 /// targets away: 3.3 such jobs a second with two crashes of 3.2 s each are 21
 /// targets. Hence the route is put on probation; see job_scheduler for what
 /// that means. The reason is a target that crashed while a task of the route
-/// was alone there, or a series of crashes at most of which a task of the route
-/// had started last.
+/// was alone there, a task that had started last at two crashes, or a series of
+/// crashes at most of which a task of the route had started last.
 ///
 /// A task is suspect after two crashes, or one while it was alone. A crash at
 /// which a task of another route on probation was present does not count, as
@@ -84,6 +84,8 @@
     std::size_t unexplained_losses(const task_record& task,
                                    time_point now) const;
     void begin_probation(const crash_report& cause, time_point now);
+    /// @brief Number of losses at which a task had started last.
+    std::size_t last_started_losses(const task_position& task) const;
     /// @brief Whether the latest losses have a route's tasks as their cause.
     bool causes_series(const route_name& route, time_point now);
 
--- a/packages/core/src/crash_history.cpp
+++ b/packages/core/src/crash_history.cpp
@@ -61,7 +61,9 @@
     }
     for (const auto& it : added)
     {
-        if (it.started_last && causes_series(it.route, now))
+        if (it.started_last &&
+            (last_started_losses(it.task) >= suspect_losses ||
+             causes_series(it.route, now)))
         {
             begin_probation(it, now);
         }
@@ -78,6 +80,14 @@
     probations_[cause.route] = {cause.service, now + probation_period};
 }
 
+std::size_t crash_history::last_started_losses(const task_position& task) const
+{
+    const auto& losses = tasks_.at(task).losses;
+    return static_cast<std::size_t>(std::count_if(
+        losses.begin(), losses.end(),
+        [](const auto& loss) { return loss.second.started_last; }));
+}
+
 bool crash_history::causes_series(const route_name& route, time_point now)
 {
     std::erase_if(recent_losses_, [now](const auto& it)
