Hold jobs while an entry discovers its targets after a start

Cause: when all VMs return from a power loss, callers are back before the agents have announced their targets.

Change: fleet/arrival_hold decides whether a new job is placed, held or refused while targets are being discovered. A target that had no run in its last report was expected to have no queue, however many orders had been sent to it since; the wait now uses the expected run time of these orders.

--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -126,7 +126,9 @@
          &counts::failed_by_crashes},
         {"agatebank_jobs_refused_on_probation",
          "Jobs refused while their route is on probation.",
-         &counts::refused_on_probation}};
+         &counts::refused_on_probation},
+        {"agatebank_jobs_held",
+         "Jobs that waited for targets to be discovered.", &counts::held}};
     const auto& scheduler = node.scheduler();
     add_count_gauges(metrics, scheduler.counts(), rows);
     metrics.add_gauge(
--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -153,7 +153,8 @@
     entry_node node(make_context(rt, timers, settings, measured),
                     {{settings.address, settings.link_port},
                      settings.seeds,
-                     settings.remote_data_factor},
+                     settings.remote_data_factor,
+                     settings.announcement_period},
                     {platform::decode_routes});
     platform::job_ingress ingress(node, rt.log());
     http_server callers(rt.loop, to_server_options(settings.callers));
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -7,6 +7,8 @@
 #include <agatebank/core/result.hpp>
 #include <agatebank/core/route_table.hpp>
 #include <agatebank/core/run_order.hpp>
+#include <agatebank/fleet/arrival_hold.hpp>
+#include <agatebank/fleet/job_admission.hpp>
 #include <agatebank/fleet/job_forecast.hpp>
 #include <agatebank/fleet/placement.hpp>
 #include <agatebank/fleet/target_load_tracker.hpp>
@@ -72,6 +74,7 @@
     uint64_t isolated_orders = 0;   ///< orders that run alone at their target
     uint64_t failed_by_crashes = 0; ///< jobs whose task crashes its targets
     uint64_t refused_on_probation = 0; ///< jobs of a route on probation
+    uint64_t held = 0; ///< jobs that waited for targets to be discovered
 };
 
 /// @brief Settings of a job_scheduler.
@@ -81,6 +84,8 @@
     /// agent's silence timeout plus the time that a stop takes.
     duration lost_agent_grace = std::chrono::milliseconds(1100);
     double remote_data_factor = 1; ///< see placement_request
+    time_point started;            ///< of the process
+    duration discovery_window{};   ///< see arrival_hold_input
 };
 
 /// @brief Schedules the jobs of one entry, from admission to the answer. Does
@@ -138,6 +143,8 @@
 
     // lookup
     std::size_t running_jobs() const noexcept;
+    /// @brief Number of running jobs that wait for targets to be discovered.
+    std::size_t held_jobs() const noexcept;
     const job_scheduler_counts& counts() const noexcept;
     const target_map& targets() const noexcept;
     const crash_history& crashes() const noexcept;
@@ -186,6 +193,7 @@
         uint32_t unfinished_steps = 0;
         bool may_have_run = false;
         bool first_task_pending = false; ///< the others wait for its end
+        bool held = false;               ///< waits for targets to be discovered
         uint32_t waiting_tasks = 0;      ///< tasks in state waiting or lost
     };
 
@@ -236,10 +244,23 @@
     void send_orders(job_record& job, uint32_t step,
                      const std::vector<placed_task>& placed, time_point now);
     bool place_waiting(job_key key, job_record& job, time_point now);
+    /// @brief Places the first tasks of a job that has no order yet, refuses
+    /// the job or holds it until the next tick.
+    void try_to_admit(job_key key, job_record& job, time_point now);
+    /// @brief Decides between placing, holding and refusing a new job.
+    arrival_action action_on_arrival(const job_record& job,
+                                     const admission_input& admission,
+                                     bool admitted, time_point now) const;
+    /// @brief Withdraws the orders of a job, which have not been sent, so that
+    /// its tasks can be placed anew.
+    void hold(job_key key, job_record& job, time_point now);
+    void admit_held(time_point now);
     bool has_losses(const job_record& job) const;
     /// @brief Ends a job, without a run, whose tasks lost their targets when it
     /// was submitted before.
     void end_at_admission(job_key key, const job_record& job);
+    /// @brief Erases a job of which no order has been sent.
+    void erase_unadmitted(job_key key, const job_record& job);
     void refuse(job_key key, job_record& job, duration retry_after,
                 const std::string& why);
     void end_job(job_key key, const job_outcome& outcome, const char* why,
@@ -285,6 +306,9 @@
     std::unordered_map<std::string, job_key> by_id_;
     std::unordered_map<order_id, order_ref> orders_;
     std::set<job_key> waiting_jobs_;
+    std::set<job_key> held_jobs_;
+    time_point next_held_decision_;
+    std::optional<time_point> latest_discovery_;
     std::multimap<time_point, job_key> deadlines_;
     job_scheduler_counts counts_;
     uint64_t last_order_ = 0;
--- a/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
+++ b/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
@@ -30,8 +30,9 @@
     /// @return whether acceptance of work, suspicion or the presence of a
     /// slowdown changed
     bool set_load(const target_load& load);
+    /// @param expected_run expected run time at this target
     void add_order(order_id id, const resources& task_resources,
-                   std::size_t band);
+                   std::size_t band, duration expected_run = {});
     /// @brief Stops counting an order that has ended.
     void remove_order(order_id id);
     /// @brief Sets when a suspect target may be sent its next probe task.
@@ -59,12 +60,18 @@
     {
         resources task_resources;
         std::size_t band = 0;
+        duration expected_run{};
     };
 
+    /// @brief Returns the mean run time in us that the agent reported, or that
+    /// of the unreported orders if it had no run.
+    double mean_run_us() const noexcept;
+
     target_profile profile_;
     target_load load_;
     std::map<order_id, pending_order> unreported_orders_;
     int64_t unreported_cpu_millis_ = 0;
+    duration unreported_run_{}; ///< sum of the expected run times
     time_point next_probe_;
 };
 
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -31,6 +31,9 @@
 constexpr std::size_t crashes_to_fail = 2;
 /// Period in which old crashes are removed from the memory.
 constexpr duration crash_expiry_period = 1s;
+/// Period in which held jobs are decided again. Each decision looks at all
+/// targets, and dozens of them may be discovered within 100 ms.
+constexpr duration held_decision_period = 30ms;
 /// Stalls of a task that are counted. Each multiplies the expected run time of
 /// its next attempt by 4, so the factor is at most 4096.
 constexpr uint32_t max_counted_stalls = 6;
@@ -49,6 +52,7 @@
                                const target_profile& profile, time_point now)
 {
     targets_.insert_or_assign(agent, target_load_tracker(profile));
+    latest_discovery_ = now;
     probation_targets_.clear();
     forecast_.put_target(agent, profile);
     tick(now);
@@ -165,8 +169,8 @@
         auto& target = targets_.at(choice->agent);
         task.order = order_id(++last_order_);
         task.agent = choice->agent;
-        target.add_order(task.order, request.step->task_resources,
-                         request.band);
+        target.add_order(task.order, request.step->task_resources, request.band,
+                         choice->run_time);
         if (choice->probe)
         {
             target.set_next_probe(now + probe_period);
@@ -540,7 +544,15 @@
         end_at_admission(key, job);
         return;
     }
+    try_to_admit(key, job, now);
+}
 
+void job_scheduler::try_to_admit(job_key key, job_record& job, time_point now)
+{
+    const auto& plan = job.submission.plan;
+    const auto& r = job.submission.matched_route;
+    const auto chain = forecast_.longest_chain(r.name, plan);
+    const auto objective = job.objective - now;
     admission_input admission;
     admission.objective = objective;
     admission.latest_useful = last_useful_end(job) - now;
@@ -582,6 +594,13 @@
             decide_admission(admission).admitted ? 0 : 1;
     }
     const auto decision = decide_admission(admission);
+    if (action_on_arrival(job, admission, decision.admitted, now) ==
+        arrival_action::hold)
+    {
+        hold(key, job, now);
+        return;
+    }
+    held_jobs_.erase(key);
     if (!decision.admitted && has_losses(job))
     {
         // Its tasks have run before, so it is not refused as not run.
@@ -605,6 +624,7 @@
     }
     ++counts_.admitted;
     by_id_[job.submission.id] = key;
+    job.held = false;
     deadlines_.emplace(job.deadline - answer_delivery_time, key);
     log(log_level::info, job,
         "job admitted: " + std::to_string(plan.task_count()) +
@@ -612,8 +632,10 @@
             std::to_string(job.submission.version.value()) +
             ", expected to finish in " + to_ms_text(admission.expected_finish) +
             ", objective " + to_ms_text(objective) + ", deadline " +
-            to_ms_text(job.submission.deadline) + ", tasks by target " +
-            targets_of(job));
+            to_ms_text(job.submission.deadline) +
+            (now > job.arrived ? ", held for " + to_ms_text(now - job.arrived)
+                               : std::string()) +
+            ", tasks by target " + targets_of(job));
     for (const auto& [step, chosen] : placed)
     {
         job.waiting_tasks -= static_cast<uint32_t>(chosen.size());
@@ -625,6 +647,75 @@
     }
 }
 
+arrival_action
+job_scheduler::action_on_arrival(const job_record& job,
+                                 const admission_input& admission,
+                                 bool admitted, time_point now) const
+{
+    if (job.first_task_pending || has_losses(job))
+    {
+        return admitted ? arrival_action::place : arrival_action::refuse;
+    }
+    arrival_hold_input input;
+    input.since_start = now - options_.started;
+    input.discovery_window = options_.discovery_window;
+    if (latest_discovery_)
+    {
+        input.since_discovery = now - *latest_discovery_;
+    }
+    input.servable = admitted;
+    input.expected_finish = admission.expected_finish;
+    input.shortest_finish = forecast_.longest_chain(
+        job.submission.matched_route.name, job.submission.plan);
+    input.objective = admission.objective;
+    input.latest_useful = admission.latest_useful;
+    return decide_arrival(input);
+}
+
+void job_scheduler::hold(job_key key, job_record& job, time_point now)
+{
+    withdraw_orders(job);
+    for (auto& step : job.steps)
+    {
+        step.placed.clear();
+        for (auto& task : step.tasks)
+        {
+            if (task.state == task_state::ordered)
+            {
+                task.state = task_state::waiting;
+            }
+        }
+    }
+    if (std::exchange(job.held, true))
+    {
+        return;
+    }
+    ++counts_.held;
+    held_jobs_.insert(key);
+    by_id_[job.submission.id] = key;
+    log(log_level::info, job,
+        "job held until further targets are discovered: " +
+            std::to_string(targets_.size()) + " targets known " +
+            to_ms_text(now - options_.started) +
+            " after the start, time to objective " +
+            to_ms_text(job.objective - now));
+}
+
+void job_scheduler::admit_held(time_point now)
+{
+    if (now < next_held_decision_)
+    {
+        return;
+    }
+    next_held_decision_ = now + held_decision_period;
+    // Copied, as a decision removes a job from the set.
+    const auto keys = held_jobs_;
+    for (const auto key : keys)
+    {
+        try_to_admit(key, jobs_.at(key), now);
+    }
+}
+
 bool job_scheduler::has_losses(const job_record& job) const
 {
     for (uint32_t i = 0; i < job.steps.size(); ++i)
@@ -649,18 +740,29 @@
     log(log_level::warning, job,
         std::string("job ") + (failed ? "failed" : "given up") +
             " without a run: targets were lost while a task of it was running");
-    jobs_.erase(key);
+    erase_unadmitted(key, job);
     hooks_.finish(key, {result, {}});
 }
 
+void job_scheduler::erase_unadmitted(job_key key, const job_record& job)
+{
+    if (job.held)
+    {
+        by_id_.erase(job.submission.id);
+    }
+    jobs_.erase(key);
+}
+
 void job_scheduler::refuse(job_key key, job_record& job, duration retry_after,
                            const std::string& why)
 {
     withdraw_orders(job); // these have not been sent
     ++counts_.refused;
     log(log_level::warning, job,
-        "job refused: " + why + "; retry after " + to_ms_text(retry_after));
-    jobs_.erase(key);
+        "job refused: " + why +
+            (job.held ? ", was held for targets to be discovered" : "") +
+            "; retry after " + to_ms_text(retry_after));
+    erase_unadmitted(key, job);
     hooks_.finish(key, {job_result::not_run, retry_after});
 }
 
@@ -700,6 +802,7 @@
     }
     by_id_.erase(it->second.submission.id);
     waiting_jobs_.erase(key);
+    held_jobs_.erase(key);
     jobs_.erase(it);
 }
 
@@ -748,9 +851,12 @@
 {
     while (!jobs_.empty())
     {
-        const auto key = jobs_.begin()->first;
-        end_job(key, {job_result::abandoned, {}}, why,
-                jobs_.begin()->second.arrived);
+        const auto& [key, job] = *jobs_.begin();
+        end_job(key,
+                job.held ? job_outcome{job_result::not_run,
+                                       queue_timeout_retry_after}
+                         : job_outcome{job_result::abandoned, {}},
+                why, job.arrived);
     }
 }
 
@@ -954,6 +1060,7 @@
         next_expiry_ = now + crash_expiry_period;
         crashes_.expire(now);
     }
+    admit_held(now);
     std::vector<job_key> in_vain;
     for (auto it = waiting_jobs_.begin(); it != waiting_jobs_.end();)
     {
@@ -1006,6 +1113,11 @@
     return jobs_.size();
 }
 
+std::size_t job_scheduler::held_jobs() const noexcept
+{
+    return held_jobs_.size();
+}
+
 const job_scheduler_counts& job_scheduler::counts() const noexcept
 {
     return counts_;
--- a/packages/fleet/src/target_load_tracker.cpp
+++ b/packages/fleet/src/target_load_tracker.cpp
@@ -25,19 +25,18 @@
            unreported_orders_.begin()->first.value() <=
                load.last_order_received)
     {
-        unreported_cpu_millis_ -=
-            unreported_orders_.begin()->second.task_resources.cpu_millis;
-        unreported_orders_.erase(unreported_orders_.begin());
+        remove_order(unreported_orders_.begin()->first);
     }
     return changed;
 }
 
 void target_load_tracker::add_order(order_id id,
                                     const resources& task_resources,
-                                    std::size_t band)
+                                    std::size_t band, duration expected_run)
 {
-    unreported_orders_[id] = {task_resources, band};
+    unreported_orders_[id] = {task_resources, band, expected_run};
     unreported_cpu_millis_ += task_resources.cpu_millis;
+    unreported_run_ += expected_run;
 }
 
 void target_load_tracker::remove_order(order_id id)
@@ -46,6 +45,7 @@
     if (it != unreported_orders_.end())
     {
         unreported_cpu_millis_ -= it->second.task_resources.cpu_millis;
+        unreported_run_ -= it->second.expected_run;
         unreported_orders_.erase(it);
     }
 }
@@ -88,9 +88,19 @@
         return duration(0);
     }
     // A full target frees its whole capacity once per mean run time.
-    return duration(static_cast<int64_t>(
-        static_cast<double>(excess) / static_cast<double>(capacity) *
-        static_cast<double>(load_.mean_run_us)));
+    return duration(static_cast<int64_t>(static_cast<double>(excess) /
+                                         static_cast<double>(capacity) *
+                                         mean_run_us()));
+}
+
+double target_load_tracker::mean_run_us() const noexcept
+{
+    if (load_.mean_run_us != 0 || unreported_orders_.empty())
+    {
+        return static_cast<double>(load_.mean_run_us);
+    }
+    return static_cast<double>(unreported_run_.count()) /
+           static_cast<double>(unreported_orders_.size());
 }
 
 double
--- a/packages/fleet/tests/unit-job_scheduler.cpp
+++ b/packages/fleet/tests/unit-job_scheduler.cpp
@@ -19,22 +19,31 @@
 
 struct scheduler_fixture
 {
+    scheduler_fixture(duration discovery_window = {})
+        : scheduler({1100ms, 1, start, discovery_window}, hooks())
+    {
+    }
+
     std::vector<sent_batch> sent;
     std::vector<order_id> cancelled;
     std::map<uint64_t, job_outcome> answers;
     time_point now = start;
     uint64_t last_key = 0;
     uint64_t losses = 0;
-    job_scheduler scheduler{
-        {1100ms, 1},
-        {[this](agent_incarnation a, const run_batch& b) {
-             sent.push_back({a, b});
-         },
-         [this](agent_incarnation, const std::vector<order_id>& ids)
-         { cancelled.insert(cancelled.end(), ids.begin(), ids.end()); },
-         [this](job_key k, const job_outcome& o) { answers[k.value()] = o; },
-         [](const log_record&) {
-         }}};
+    job_scheduler scheduler;
+
+    job_scheduler_hooks hooks()
+    {
+        return {[this](agent_incarnation a, const run_batch& b) {
+                    sent.push_back({a, b});
+                },
+                [this](agent_incarnation, const std::vector<order_id>& ids)
+                { cancelled.insert(cancelled.end(), ids.begin(), ids.end()); },
+                [this](job_key k, const job_outcome& o)
+                { answers[k.value()] = o; },
+                [](const log_record&) {
+                }};
+    }
 
     void add_target(uint64_t agent)
     {
--- a/packages/fleet/tests/unit-single_run.cpp
+++ b/packages/fleet/tests/unit-single_run.cpp
@@ -49,7 +49,7 @@
         for (int e = 0; e < entry_count; ++e)
         {
             entries_.push_back(std::make_unique<job_scheduler>(
-                job_scheduler_options{1100ms, 1}, entry_hooks(e)));
+                job_scheduler_options{1100ms, 1, {}, {}}, entry_hooks(e)));
             for (int a = 0; a < agent_count; ++a)
             {
                 link(e, a);
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -24,6 +24,9 @@
     std::vector<endpoint> seeds; ///< link addresses of entries to dial first
     /// multiple of the run time on a target away from the data's rack
     double remote_data_factor = 1;
+    /// period in which each target announces itself; 0: new jobs are not held
+    /// until targets are discovered
+    duration announcement_period{};
 };
 
 /// @brief Functions that the process supplies to an entry node.
--- a/packages/node/include/agatebank/node/node_settings.hpp
+++ b/packages/node/include/agatebank/node/node_settings.hpp
@@ -35,6 +35,9 @@
     duration max_lease = std::chrono::milliseconds(1000);
     /// entry: multiple of the run time away from the data's rack
     double remote_data_factor = 1;
+    /// entry: period in which each target announces itself. For this long after
+    /// its start, jobs are held while no target can serve them; 0: never.
+    duration announcement_period{};
 };
 
 /// @brief Role of the process; decides which settings are read.
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -34,6 +34,17 @@
 /// timer periods and one lost call to the target.
 const duration lost_agent_grace = max_pause + 300ms;
 
+/// Time from a target's announcement to its agent until the entry knows it:
+/// two lease calls, and a dial that is repeated.
+constexpr duration discovery_margin = 500ms;
+
+duration discovery_window(duration announcement_period)
+{
+    return announcement_period.count() == 0
+               ? duration(0)
+               : announcement_period + discovery_margin;
+}
+
 entry_address to_address(const endpoint& remote)
 {
     return {remote.address, remote.port};
@@ -46,7 +57,9 @@
     : context_(std::move(context))
     , settings_(std::move(settings))
     , hooks_(std::move(hooks))
-    , scheduler_({lost_agent_grace, settings_.remote_data_factor},
+    , scheduler_({lost_agent_grace, settings_.remote_data_factor,
+                  context_.loop.now(),
+                  discovery_window(settings_.announcement_period)},
                  {[this](agent_incarnation a, const run_batch& b)
                   { send_batch(a, b); },
                   [this](agent_incarnation a, const std::vector<order_id>& ids)
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -16,6 +16,7 @@
 constexpr int64_t max_port = 65535;
 constexpr double max_processor_share = 1024; // cores
 constexpr number_range lease_range{100, 60'000};
+constexpr number_range announcement_range{0, 60'000};
 
 endpoint to_endpoint(const std::string& text, const std::string& path,
                      json_errors& errors)
@@ -73,6 +74,9 @@
         fields.text("table_service", out.table_service);
         fields.optional_double("remote_data_factor", out.remote_data_factor, 1,
                                100);
+        fields.optional_milliseconds("announcement_period_ms",
+                                     out.announcement_period,
+                                     announcement_range);
     }
     else
     {
