Dial again sooner after a start

Change: the first four attempts are given up after 100 ms, and the back-off grows from the fifth failure on.

--- a/packages/wire/include/agatebank/wire/endpoint_dialer.hpp
+++ b/packages/wire/include/agatebank/wire/endpoint_dialer.hpp
@@ -25,8 +25,17 @@
 duration dial_delay(unsigned failures, uint64_t random,
                     duration max_delay = std::chrono::seconds(2));
 
-/// @brief Connects to endpoints and retries with a back-off delay after each
-/// failure. An endpoint is identified by its index in @ref endpoints.
+/// @brief Returns the time after which a connection attempt is given up: 100 ms
+/// for the first four attempts, then 300 ms.
+/// @param failures number of consecutive failed attempts, from 0
+duration connect_time_limit(unsigned failures);
+
+/// @brief Connects to endpoints and retries after each failure, with a back-off
+/// delay that grows from the fifth failure on.
+///
+/// Load pattern: all VMs return from a power loss within a few hundred
+/// milliseconds, and no process can serve before it has its links. An endpoint
+/// is identified by its index in @ref endpoints.
 class endpoint_dialer
 {
   public:
@@ -59,9 +68,6 @@
     const std::vector<endpoint>& endpoints() const noexcept;
 
   private:
-    void on_timeout(std::size_t index);
-    void retry_after_failure(std::size_t index);
-
     struct attempt
     {
         std::shared_ptr<void> connecting;
@@ -69,6 +75,9 @@
         unsigned failures = 0;
     };
 
+    void on_timeout(std::size_t index);
+    void retry_after_failure(std::size_t index);
+
     timer_queue& timers_;
     std::vector<endpoint> endpoints_;
     random_source random_;
--- a/packages/wire/src/endpoint_dialer.cpp
+++ b/packages/wire/src/endpoint_dialer.cpp
@@ -14,6 +14,11 @@
 /// Shorter than the kernel's first time-out for retransmitting a lost SYN
 /// (1 s, RFC 6298).
 constexpr duration connect_timeout = std::chrono::milliseconds(300);
+/// After a common power loss, machines start within a few hundred milliseconds
+/// of each other, and a machine that is not up yet answers nothing. The first
+/// attempts are short, so that a link opens soon after its peer has started.
+constexpr unsigned quick_attempts = 4;
+constexpr duration quick_connect_timeout = std::chrono::milliseconds(100);
 /// The connector's resolution is whole seconds; the dialer's own timer always
 /// expires first.
 constexpr duration connector_timeout = std::chrono::seconds(1);
@@ -31,6 +36,11 @@
     return delay / 2 + duration(static_cast<int64_t>(random % (half + 1)));
 }
 
+duration connect_time_limit(unsigned failures)
+{
+    return failures < quick_attempts ? quick_connect_timeout : connect_timeout;
+}
+
 endpoint_dialer::endpoint_dialer(timer_queue& timers,
                                  std::vector<endpoint> endpoints,
                                  random_source random, log_sink log,
@@ -63,8 +73,8 @@
     }
     auto& a = attempts_[index];
     timers_.cancel(a.timer);
-    a.timer =
-        timers_.schedule(connect_timeout, [this, index] { on_timeout(index); });
+    a.timer = timers_.schedule(connect_time_limit(a.failures),
+                               [this, index] { on_timeout(index); });
     a.connecting = connector_.connect(
         endpoints_[index],
         [this, index](result<object_ptr<GSocketConnection>> c)
@@ -83,11 +93,14 @@
 void endpoint_dialer::on_timeout(std::size_t index)
 {
     attempts_[index].connecting.reset();
-    log_(to_record(log_level::debug,
-                   {make_error_code(errc::peer_unreachable), step_dial,
-                    endpoints_[index].to_string(),
-                    "not connected within " +
-                        std::to_string(connect_timeout.count()) + " us"}));
+    log_(to_record(
+        log_level::debug,
+        {make_error_code(errc::peer_unreachable), step_dial,
+         endpoints_[index].to_string(),
+         "not connected within " +
+             std::to_string(
+                 connect_time_limit(attempts_[index].failures).count()) +
+             " us"}));
     retry_after_failure(index);
 }
 
@@ -108,8 +121,11 @@
     }
     auto& a = attempts_[index];
     timers_.cancel(a.timer);
-    a.timer = timers_.schedule(dial_delay(a.failures, random_(), max_delay_),
-                               [this, index] { dial(index); });
+    const auto backoff_failures =
+        a.failures < quick_attempts ? 0 : a.failures - quick_attempts;
+    a.timer =
+        timers_.schedule(dial_delay(backoff_failures, random_(), max_delay_),
+                         [this, index] { dial(index); });
     ++a.failures;
 }
 
--- a/packages/wire/tests/unit-endpoint_dialer.cpp
+++ b/packages/wire/tests/unit-endpoint_dialer.cpp
@@ -117,3 +117,20 @@
     loop.run();
     CHECK(failures >= 2);
 }
+
+// Guards against links that open 400 ms after their peer has started, as each
+// attempt towards a machine that is not up yet waits for its time limit.
+TEST_CASE("endpoint_dialer: the first attempts reach a peer that starts late")
+{
+    constexpr auto start_skew = std::chrono::milliseconds(300);
+    constexpr auto longest_gap = std::chrono::milliseconds(200);
+    duration begins{};
+    for (unsigned failures = 0; begins <= start_skew; ++failures)
+    {
+        const auto next =
+            begins + connect_time_limit(failures) + dial_delay(0, UINT64_MAX);
+        CHECK(next - begins <= longest_gap);
+        begins = next;
+    }
+    CHECK(connect_time_limit(4) == std::chrono::milliseconds(300));
+}
