--- /dev/null
+++ b/packages/fleet/include/agatebank/fleet/crash_containment.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <agatebank/core/crash_history.hpp>
+#include <agatebank/core/ids.hpp>
+#include <agatebank/core/log.hpp>
+#include <agatebank/fleet/placement.hpp>
+#include <agatebank/fleet/scheduled_job.hpp>
+#include <agatebank/fleet/target_load_tracker.hpp>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief The targets on which a task may run.
+struct target_limits
+{
+    /// the only targets that may be used; nothing: all
+    std::optional<std::set<agent_incarnation>> allowed;
+    /// targets kept for tasks that may crash them, to be used only if no other
+    /// target can run the task; null: none
+    const std::set<agent_incarnation>* reserved = nullptr;
+};
+
+/// @brief Why a job is given up, and how it is answered.
+struct crash_verdict
+{
+    job_result result = job_result::abandoned;
+    std::string why;
+};
+
+/// @brief Decides how an entry limits the damage of tasks that crash their
+/// targets: which tasks run alone and where, which tasks wait, and which jobs
+/// are given up. Does no I/O and reads no clock.
+///
+/// Load pattern: a share of the jobs of one route crash each target that starts
+/// them. A task that is suspect of crashing its targets runs alone, on one of
+/// the few targets of select_probation_targets. A job of a route on probation
+/// starts with one task in this way; its other tasks run on the other targets
+/// once it is done. Tasks that are known to crash targets fail their job.
+class crash_containment
+{
+  public:
+    // construction
+    explicit crash_containment(log_sink log);
+
+    // targets
+    void put_target();
+    void remove_target(agent_incarnation agent);
+
+    // orders
+    void add_isolated_order(agent_incarnation agent, order_id order);
+    void remove_order(agent_incarnation agent, order_id order);
+
+    // reports
+    /// @brief Remembers which tasks ran at targets that crashed.
+    /// @return the reports that were not known
+    std::vector<crash_report>
+    on_crashes(const std::vector<crash_report>& reports, time_point now);
+    /// @brief Forgets crashes that are older than the retention.
+    void expire(time_point now);
+
+    // decisions
+    /// @brief Sets the tasks of a new job that may not start yet, or must run
+    /// alone. @return whether the job may run at all
+    bool apply_history(scheduled_job& job, time_point now) const;
+    /// @brief Returns the targets for a task: a probation target without such
+    /// a task of this entry if it must run alone, else the remaining targets.
+    /// The result is valid until the targets change.
+    target_limits limits_of(const scheduled_task& task,
+                            const placement_request& request,
+                            const target_map& targets, time_point now);
+    /// @brief Number of probation targets of a service that accept work.
+    std::ptrdiff_t usable_probation_targets(const service_name& service,
+                                            const target_map& targets);
+    /// @brief Decides on a task whose target was lost, and sets whether it runs
+    /// alone from now on.
+    /// @return why the job is given up; nothing if the task runs again
+    std::optional<crash_verdict> on_target_lost(scheduled_job& job,
+                                                uint32_t step, uint32_t index,
+                                                time_point now) const;
+    /// @brief Returns the result of a job that is given up: failed only if a
+    /// task of it has certainly crashed two targets.
+    job_result result_after_crashes(const scheduled_job& job) const;
+
+    // lookup
+    /// @brief Whether a target was lost while a task of the job was there.
+    bool has_losses(const scheduled_job& job) const;
+    const crash_history& history() const noexcept;
+
+  private:
+    const std::set<agent_incarnation>&
+    probation_targets(const service_name& service, const target_map& targets);
+
+    log_sink log_;
+    crash_history history_;
+    std::map<service_name, std::set<agent_incarnation>> probation_targets_;
+    std::map<agent_incarnation, order_id> isolated_orders_;
+};
+
+} // namespace agatebank
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -8,9 +8,11 @@
 #include <agatebank/core/route_table.hpp>
 #include <agatebank/core/run_order.hpp>
 #include <agatebank/fleet/arrival_hold.hpp>
+#include <agatebank/fleet/crash_containment.hpp>
 #include <agatebank/fleet/job_admission.hpp>
 #include <agatebank/fleet/job_forecast.hpp>
 #include <agatebank/fleet/placement.hpp>
+#include <agatebank/fleet/scheduled_job.hpp>
 #include <agatebank/fleet/target_load_tracker.hpp>
 
 #include <cstdint>
@@ -24,33 +26,6 @@
 namespace agatebank
 {
 
-/// @brief A job as submitted by a caller.
-struct job_submission
-{
-    std::string id;
-    route matched_route;
-    config_version version; ///< of the configuration that defines the route
-    job_plan plan;
-    duration deadline{}; ///< from now; the caller waits no longer than this
-};
-
-/// @brief How a job ended for its caller.
-enum class job_result : uint8_t
-{
-    succeeded,
-    failed,   ///< a task failed as often as the route allows, or crashes
-              ///< its targets
-    not_run,  ///< refused; none of its tasks has run or will run
-    abandoned ///< no result; tasks may have run, none keeps running
-};
-
-/// @brief The result of a job, as reported to its caller.
-struct job_outcome
-{
-    job_result result = job_result::abandoned;
-    duration retry_after{}; ///< set for not_run
-};
-
 /// @brief Callbacks that carry out the decisions of a job_scheduler.
 struct job_scheduler_hooks
 {
@@ -152,50 +127,9 @@
     std::optional<job_key> find(const std::string& id) const;
 
   private:
-    enum class task_state : uint8_t
-    {
-        blocked, ///< a step that it depends on is not complete, or the first
-                 ///< task of a job on probation is not done
-        waiting,
-        ordered,
-        lost, ///< ordered at a lost agent, which may still run it
-        done
-    };
-
-    struct task_record
-    {
-        task_state state = task_state::blocked;
-        order_id order;
-        agent_incarnation agent;
-        uint32_t attempt = 0;
-        uint32_t failures = 0;
-        uint32_t stalls = 0;
-        time_point lost_until;
-        bool isolated = false; ///< runs alone, on a probation target
-        std::set<agent_incarnation> excluded;
-    };
-
-    struct step_record
-    {
-        std::vector<task_record> tasks;
-        uint32_t unfinished_tasks = 0;
-        std::map<agent_incarnation, uint32_t> placed;
-    };
-
-    struct job_record
-    {
-        job_submission submission;
-        std::vector<step_record> steps;
-        time_point arrived;
-        time_point objective;
-        time_point useful_until;
-        time_point deadline;
-        uint32_t unfinished_steps = 0;
-        bool may_have_run = false;
-        bool first_task_pending = false; ///< the others wait for its end
-        bool held = false;               ///< waits for targets to be discovered
-        uint32_t waiting_tasks = 0;      ///< tasks in state waiting or lost
-    };
+    using task_record = scheduled_task;
+    using step_record = scheduled_step;
+    using job_record = scheduled_job;
 
     struct order_ref
     {
@@ -221,23 +155,12 @@
     std::optional<placement_choice>
     choose_target_around_crashes(placement_request& request,
                                  const task_record& task, time_point now);
-    const std::set<agent_incarnation>&
-    probation_targets(const service_name& service);
-    void forget_isolated_order(agent_incarnation agent, order_id order);
-    task_position position_of(const job_record& job, uint32_t step,
-                              uint32_t index) const;
-    /// @brief Sets the tasks of a new job that may not start yet, or must run
-    /// alone. @return whether the job may run at all
-    bool apply_crash_history(job_record& job, time_point now);
-    bool has_free_probation_target(const service_name& service);
     void unblock_after_first_task(job_key key, job_record& job);
     /// @brief Ends a job, or has its task run again, after the task's target
     /// was lost. @return whether the job has ended
     bool handle_target_loss(job_key key, job_record& job, const order_ref& ref,
                             time_point now);
-    /// @brief Returns the result of a job that is given up: failed only if a
-    /// task of it has certainly crashed two targets.
-    job_result result_after_crashes(const job_record& job) const;
+    bool has_free_probation_target(const service_name& service);
     /// @brief Returns whether a task waits for a probation target for so long
     /// that the job's answer would be useless.
     bool waits_in_vain(const job_record& job, time_point now) const;
@@ -255,7 +178,6 @@
     /// its tasks can be placed anew.
     void hold(job_key key, job_record& job, time_point now);
     void admit_held(time_point now);
-    bool has_losses(const job_record& job) const;
     /// @brief Ends a job, without a run, whose tasks lost their targets when it
     /// was submitted before.
     void end_at_admission(job_key key, const job_record& job);
@@ -272,8 +194,6 @@
     /// @brief Cancels the orders that a job still has at agents, and erases
     /// the job.
     void cancel_and_erase(job_key key);
-    /// @brief Returns whether any task of the job has run or may still run.
-    static bool any_task_may_have_run(const job_record& job);
     static time_point last_useful_end(const job_record& job);
     /// @brief Returns whether a task that was returned as past_deadline can
     /// still finish in time on a target that it has not been tried on.
@@ -298,10 +218,8 @@
     job_scheduler_hooks hooks_;
     job_forecast forecast_;
     target_map targets_;
-    crash_history crashes_;
+    crash_containment containment_;
     time_point next_expiry_;
-    std::map<service_name, std::set<agent_incarnation>> probation_targets_;
-    std::map<agent_incarnation, order_id> isolated_orders_;
     std::map<job_key, job_record> jobs_;
     std::unordered_map<std::string, job_key> by_id_;
     std::unordered_map<order_id, order_ref> orders_;
--- /dev/null
+++ b/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <agatebank/core/ids.hpp>
+#include <agatebank/core/job_plan.hpp>
+#include <agatebank/core/result.hpp>
+#include <agatebank/core/route_table.hpp>
+#include <agatebank/core/run_order.hpp>
+#include <agatebank/core/units.hpp>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace agatebank
+{
+
+/// @brief A job as submitted by a caller.
+struct job_submission
+{
+    std::string id;
+    route matched_route;
+    config_version version; ///< of the configuration that defines the route
+    job_plan plan;
+    duration deadline{}; ///< from now; the caller waits no longer than this
+};
+
+/// @brief How a job ended for its caller.
+enum class job_result : uint8_t
+{
+    succeeded,
+    failed,   ///< a task failed as often as the route allows, or crashes
+              ///< its targets
+    not_run,  ///< refused; none of its tasks has run or will run
+    abandoned ///< no result; tasks may have run, none keeps running
+};
+
+/// @brief The result of a job, as reported to its caller.
+struct job_outcome
+{
+    job_result result = job_result::abandoned;
+    duration retry_after{}; ///< set for not_run
+};
+
+/// @brief Progress of a task of a running job.
+enum class task_state : uint8_t
+{
+    blocked, ///< a step that it depends on is not complete, or the first
+             ///< task of a job on probation is not done
+    waiting,
+    ordered,
+    lost, ///< ordered at a lost agent, which may still run it
+    done
+};
+
+/// @brief A task of a running job.
+struct scheduled_task
+{
+    task_state state = task_state::blocked;
+    order_id order;
+    agent_incarnation agent;
+    uint32_t attempt = 0;
+    uint32_t failures = 0;
+    uint32_t stalls = 0;
+    time_point lost_until;
+    bool isolated = false; ///< runs alone, on a probation target
+    std::set<agent_incarnation> excluded;
+};
+
+/// @brief A step of a running job.
+struct scheduled_step
+{
+    std::vector<scheduled_task> tasks;
+    uint32_t unfinished_tasks = 0;
+    std::map<agent_incarnation, uint32_t> placed;
+};
+
+/// @brief A job that an entry has received and not yet answered.
+struct scheduled_job
+{
+    job_submission submission;
+    std::vector<scheduled_step> steps;
+    time_point arrived;
+    time_point objective;
+    time_point useful_until;
+    time_point deadline;
+    uint32_t unfinished_steps = 0;
+    bool may_have_run = false;
+    bool first_task_pending = false; ///< the others wait for its end
+    bool held = false;               ///< waits for targets to be discovered
+    uint32_t waiting_tasks = 0;      ///< tasks in state waiting or lost
+};
+
+/// @brief Returns whether any task of the job has run or may still run.
+bool any_task_may_have_run(const scheduled_job& job);
+
+} // namespace agatebank
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -1,10 +1,8 @@
 #include <agatebank/core/duration_math.hpp>
-#include <agatebank/core/probation_targets.hpp>
 #include <agatebank/fleet/job_admission.hpp>
 #include <agatebank/fleet/job_scheduler.hpp>
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace agatebank
@@ -27,8 +25,6 @@
 /// Under the terms agreed with the operators, an answer that takes longer than
 /// this multiple of the job's objective has no value.
 constexpr int useful_objective_multiple = 3;
-/// The platform allows to fail a task after two crashes.
-constexpr std::size_t crashes_to_fail = 2;
 /// Period in which old crashes are removed from the memory.
 constexpr duration crash_expiry_period = 1s;
 /// Period in which held jobs are decided again. Each decision looks at all
@@ -42,7 +38,7 @@
 
 job_scheduler::job_scheduler(job_scheduler_options options,
                              job_scheduler_hooks hooks)
-    : options_(options), hooks_(std::move(hooks))
+    : options_(options), hooks_(std::move(hooks)), containment_(hooks_.log)
 {
 }
 
@@ -53,7 +49,7 @@
 {
     targets_.insert_or_assign(agent, target_load_tracker(profile));
     latest_discovery_ = now;
-    probation_targets_.clear();
+    containment_.put_target();
     forecast_.put_target(agent, profile);
     tick(now);
 }
@@ -92,8 +88,7 @@
 void job_scheduler::remove_target(agent_incarnation agent, time_point now)
 {
     targets_.erase(agent);
-    probation_targets_.clear();
-    isolated_orders_.erase(agent);
+    containment_.remove_target(agent);
     forecast_.remove_target(agent);
     for (auto& [key, job] : jobs_)
     {
@@ -177,7 +172,7 @@
         }
         if (task.isolated)
         {
-            isolated_orders_[choice->agent] = task.order;
+            containment_.add_isolated_order(choice->agent, task.order);
             ++counts_.isolated_orders;
         }
         ++record.placed[choice->agent];
@@ -190,62 +185,12 @@
 
 // crashes
 
-task_position job_scheduler::position_of(const job_record& job, uint32_t step,
-                                         uint32_t index) const
-{
-    return {job.submission.id, step, index};
-}
-
-const std::set<agent_incarnation>&
-job_scheduler::probation_targets(const service_name& service)
-{
-    const auto [it, is_new] = probation_targets_.try_emplace(service);
-    if (is_new)
-    {
-        it->second = select_probation_targets(agents_of(targets_, service));
-    }
-    return it->second;
-}
-
-void job_scheduler::forget_isolated_order(agent_incarnation agent,
-                                          order_id order)
-{
-    const auto it = isolated_orders_.find(agent);
-    if (it != isolated_orders_.end() && it->second == order)
-    {
-        isolated_orders_.erase(it);
-    }
-}
-
 std::optional<placement_choice> job_scheduler::choose_target_around_crashes(
     placement_request& request, const task_record& task, time_point now)
 {
-    const auto& probation = probation_targets(request.service);
-    std::set<agent_incarnation> free;
-    request.allowed = nullptr;
-    request.reserved = nullptr;
-    if (task.isolated)
-    {
-        std::copy_if(probation.begin(), probation.end(),
-                     std::inserter(free, free.end()),
-                     [this](agent_incarnation a)
-                     { return isolated_orders_.count(a) == 0; });
-        const auto fits = [&](agent_incarnation a)
-        {
-            const auto& t = targets_.at(a);
-            const auto& label = request.step->required_label;
-            return t.profile().capacity.can_fit(request.step->task_resources) &&
-                   (label.empty() || t.has_label(label));
-        };
-        if (std::any_of(probation.begin(), probation.end(), fits))
-        {
-            request.allowed = &free;
-        }
-    }
-    else if (crashes_.has_probation(request.service, now))
-    {
-        request.reserved = &probation;
-    }
+    const auto limits = containment_.limits_of(task, request, targets_, now);
+    request.allowed = limits.allowed ? &*limits.allowed : nullptr;
+    request.reserved = limits.reserved;
     request.excluded = &task.excluded;
     auto choice = choose_target_for(request, now);
     if (!choice && !task.excluded.empty())
@@ -263,51 +208,12 @@
     return choice;
 }
 
-bool job_scheduler::apply_crash_history(job_record& job, time_point now)
-{
-    const bool on_probation =
-        crashes_.on_probation(job.submission.matched_route.name, now);
-    for (uint32_t i = 0; i < job.steps.size(); ++i)
-    {
-        for (uint32_t k = 0; k < job.steps[i].tasks.size(); ++k)
-        {
-            auto& task = job.steps[i].tasks[k];
-            const auto standing =
-                crashes_.standing(position_of(job, i, k), now);
-            if (standing == crash_standing::proven)
-            {
-                return false;
-            }
-            task.isolated = standing == crash_standing::suspect ||
-                            (standing == crash_standing::hit && on_probation);
-            if (!on_probation || task.state != task_state::waiting)
-            {
-                continue;
-            }
-            if (!job.first_task_pending)
-            {
-                job.first_task_pending = true;
-                task.isolated = true;
-                continue;
-            }
-            task.state = task_state::blocked;
-            --job.waiting_tasks;
-        }
-    }
-    return true;
-}
-
 bool job_scheduler::has_free_probation_target(const service_name& service)
 {
-    const auto& probation = probation_targets(service);
-    const auto usable =
-        std::count_if(probation.begin(), probation.end(),
-                      [this](agent_incarnation a)
-                      { return targets_.at(a).load().accepts_work; });
     const auto waiting = std::count_if(
         waiting_jobs_.begin(), waiting_jobs_.end(),
         [this](job_key key) { return jobs_.at(key).first_task_pending; });
-    return waiting < usable;
+    return waiting < containment_.usable_probation_targets(service, targets_);
 }
 
 void job_scheduler::unblock_after_first_task(job_key key, job_record& job)
@@ -332,92 +238,22 @@
 job_scheduler::on_crashes(const std::vector<crash_report>& reports,
                           time_point now)
 {
-    std::set<route_name> routes;
-    for (const auto& it : reports)
-    {
-        routes.insert(it.route);
-    }
-    std::map<route_name, bool> before;
-    for (const auto& it : routes)
-    {
-        before[it] = crashes_.on_probation(it, now);
-    }
-    auto added = crashes_.merge(reports, now);
-    for (const auto& it : routes)
-    {
-        if (!before[it] && crashes_.on_probation(it, now))
-        {
-            log_record r;
-            r.level = log_level::warning;
-            r.text = "route " + it.value() +
-                     " is on probation: a task of it crashed targets; its jobs "
-                     "start with one task, on a third of the targets";
-            r.step = "crash";
-            hooks_.log(r);
-        }
-    }
-    return added;
+    return containment_.on_crashes(reports, now);
 }
 
 bool job_scheduler::handle_target_loss(job_key key, job_record& job,
                                        const order_ref& ref, time_point now)
 {
-    const auto position = position_of(job, ref.step, ref.index);
-    auto& task = job.steps[ref.step].tasks[ref.index];
-    const auto standing = crashes_.standing(position, now);
-    const bool on_probation =
-        crashes_.on_probation(job.submission.matched_route.name, now);
-    const auto losses = crashes_.losses(position);
-    if (standing == crash_standing::proven)
+    const auto verdict =
+        containment_.on_target_lost(job, ref.step, ref.index, now);
+    if (!verdict)
     {
-        task.state = task_state::waiting;
-        const auto result = result_after_crashes(job);
-        counts_.failed_by_crashes += result == job_result::failed ? 1 : 0;
-        const auto why = "given up, " + std::to_string(losses) +
-                         " targets were lost while task " +
-                         std::to_string(ref.index) + " of step " +
-                         std::to_string(ref.step) + " was there, " +
-                         std::to_string(crashes_.confirmed_crashes(position)) +
-                         " certainly by a crash";
-        end_job(key, {result, {}}, why.c_str(), now);
-        return true;
-    }
-    if (on_probation && crashes_.crashed_alone(position))
-    {
-        // A second crash would take another probation target from the jobs
-        // that are harmless.
-        task.state = task_state::waiting;
-        end_job(key, {job_result::abandoned, {}},
-                "given up, a task crashed its target while it ran alone, and "
-                "others of its route have done so",
-                now);
-        return true;
-    }
-    task.isolated = standing == crash_standing::suspect ||
-                    (standing == crash_standing::hit && on_probation);
-    return false;
-}
-
-job_result job_scheduler::result_after_crashes(const job_record& job) const
-{
-    auto result = any_task_may_have_run(job) ? job_result::abandoned
-                                             : job_result::not_run;
-    for (uint32_t i = 0; i < job.steps.size(); ++i)
-    {
-        for (uint32_t k = 0; k < job.steps[i].tasks.size(); ++k)
-        {
-            const auto position = position_of(job, i, k);
-            if (crashes_.confirmed_crashes(position) >= crashes_to_fail)
-            {
-                return job_result::failed;
-            }
-            if (crashes_.losses(position) > 0)
-            {
-                result = job_result::abandoned;
-            }
-        }
+        return false;
     }
-    return result;
+    job.steps[ref.step].tasks[ref.index].state = task_state::waiting;
+    counts_.failed_by_crashes += verdict->result == job_result::failed ? 1 : 0;
+    end_job(key, {verdict->result, {}}, verdict->why.c_str(), now);
+    return true;
 }
 
 bool job_scheduler::waits_in_vain(const job_record& job, time_point now) const
@@ -528,7 +364,7 @@
             }
         }
     }
-    const bool may_run = apply_crash_history(job, now);
+    const bool may_run = containment_.apply_history(job, now);
     const auto chain =
         forecast_.longest_chain(job.submission.matched_route.name, plan);
     const auto& r = job.submission.matched_route;
@@ -601,7 +437,7 @@
         return;
     }
     held_jobs_.erase(key);
-    if (!decision.admitted && has_losses(job))
+    if (!decision.admitted && containment_.has_losses(job))
     {
         // Its tasks have run before, so it is not refused as not run.
         withdraw_orders(job); // these have not been sent
@@ -652,7 +488,7 @@
                                  const admission_input& admission,
                                  bool admitted, time_point now) const
 {
-    if (job.first_task_pending || has_losses(job))
+    if (job.first_task_pending || containment_.has_losses(job))
     {
         return admitted ? arrival_action::place : arrival_action::refuse;
     }
@@ -716,24 +552,9 @@
     }
 }
 
-bool job_scheduler::has_losses(const job_record& job) const
-{
-    for (uint32_t i = 0; i < job.steps.size(); ++i)
-    {
-        for (uint32_t k = 0; k < job.steps[i].tasks.size(); ++k)
-        {
-            if (crashes_.losses(position_of(job, i, k)) > 0)
-            {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
 void job_scheduler::end_at_admission(job_key key, const job_record& job)
 {
-    const auto result = result_after_crashes(job);
+    const auto result = containment_.result_after_crashes(job);
     const bool failed = result == job_result::failed;
     ++(failed ? counts_.failed : counts_.abandoned);
     counts_.failed_by_crashes += failed ? 1 : 0;
@@ -782,7 +603,7 @@
             }
             out[task.agent].push_back(task.order);
             orders_.erase(task.order);
-            forget_isolated_order(task.agent, task.order);
+            containment_.remove_order(task.agent, task.order);
             const auto it = targets_.find(task.agent);
             if (it != targets_.end())
             {
@@ -892,21 +713,6 @@
                     duration(end.run_us));
 }
 
-bool job_scheduler::any_task_may_have_run(const job_record& job)
-{
-    const auto may_run = [](const task_record& t)
-    {
-        return t.state == task_state::ordered || t.state == task_state::done ||
-               t.state == task_state::lost;
-    };
-    return job.may_have_run ||
-           std::any_of(job.steps.begin(), job.steps.end(),
-                       [&may_run](const step_record& s) {
-                           return std::any_of(s.tasks.begin(), s.tasks.end(),
-                                              may_run);
-                       });
-}
-
 time_point job_scheduler::last_useful_end(const job_record& job)
 {
     return std::min(job.deadline - answer_delivery_time, job.useful_until);
@@ -982,7 +788,7 @@
     {
         target->second.remove_order(end.id);
     }
-    forget_isolated_order(agent, end.id);
+    containment_.remove_order(agent, end.id);
     const auto found = orders_.find(end.id);
     if (found == orders_.end())
     {
@@ -1058,7 +864,7 @@
     if (now >= next_expiry_)
     {
         next_expiry_ = now + crash_expiry_period;
-        crashes_.expire(now);
+        containment_.expire(now);
     }
     admit_held(now);
     std::vector<job_key> in_vain;
@@ -1089,7 +895,7 @@
     }
     for (const auto key : in_vain)
     {
-        const auto result = result_after_crashes(jobs_.at(key));
+        const auto result = containment_.result_after_crashes(jobs_.at(key));
         counts_.failed_by_crashes += result == job_result::failed ? 1 : 0;
         end_job(key, {result, queue_timeout_retry_after},
                 "given up, no probation target became free in time", now);
@@ -1130,7 +936,7 @@
 
 const crash_history& job_scheduler::crashes() const noexcept
 {
-    return crashes_;
+    return containment_.history();
 }
 
 std::optional<job_key> job_scheduler::find(const std::string& id) const
