Count crashes whose report found no link, and act on late reports

Cause, by reading: an agent told its losses only to the links that were open at that moment. A process that was paused for longer than the silence timeout closes its links before it looks at its target, so the loss was told to nobody. An entry that got a task back from a lost agent also placed it again without looking at what had been reported meanwhile.

Agents keep their losses for the retention and tell them to each link that opens, before the hello. Entries judge tasks of lost agents by the history when their grace is over, and end a job as soon as a report proves one of its tasks, also if that task is ordered elsewhere.

AGATEBANK_KEEP_LOGS keeps the logs of a cluster in tests.

--- a/packages/fleet/include/agatebank/fleet/crash_containment.hpp
+++ b/packages/fleet/include/agatebank/fleet/crash_containment.hpp
@@ -91,6 +91,8 @@
     // lookup
     /// @brief Whether a target was lost while a task of the job was there.
     bool has_losses(const scheduled_job& job) const;
+    /// @brief Whether a task is known to crash its targets.
+    bool is_proven(const task_position& task, time_point now) const;
     const crash_history& history() const noexcept;
 
   private:
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -160,6 +160,10 @@
     /// was lost. @return whether the job has ended
     bool handle_target_loss(job_key key, job_record& job, const order_ref& ref,
                             time_point now);
+    /// @brief Lets tasks of lost agents wait for a target once their runs are
+    /// stopped. What entries heard of their targets meanwhile counts as if the
+    /// agent had reported it.
+    void release_lost_tasks(time_point now);
     bool has_free_probation_target(const service_name& service);
     /// @brief Returns whether a task waits for a probation target for so long
     /// that the job's answer would be useless.
--- a/packages/fleet/src/crash_containment.cpp
+++ b/packages/fleet/src/crash_containment.cpp
@@ -255,6 +255,12 @@
     return false;
 }
 
+bool crash_containment::is_proven(const task_position& task,
+                                  time_point now) const
+{
+    return history_.standing(task, now) == crash_standing::proven;
+}
+
 const crash_history& crash_containment::history() const noexcept
 {
     return history_;
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -238,7 +238,20 @@
 job_scheduler::on_crashes(const std::vector<crash_report>& reports,
                           time_point now)
 {
-    return containment_.on_crashes(reports, now);
+    auto added = containment_.on_crashes(reports, now);
+    for (const auto& it : added)
+    {
+        // The link over which the end of the order would be reported may be
+        // lost, and the task may wait for another target already.
+        const auto found = by_id_.find(it.task.job);
+        if (found != by_id_.end() && containment_.is_proven(it.task, now))
+        {
+            const auto key = found->second;
+            handle_target_loss(key, jobs_.at(key),
+                               {key, it.task.step, it.task.index}, now);
+        }
+    }
+    return added;
 }
 
 bool job_scheduler::handle_target_loss(job_key key, job_record& job,
@@ -250,7 +263,6 @@
     {
         return false;
     }
-    job.steps[ref.step].tasks[ref.index].state = task_state::waiting;
     counts_.failed_by_crashes += verdict->result == job_result::failed ? 1 : 0;
     end_job(key, {verdict->result, {}}, verdict->why.c_str(), now);
     return true;
@@ -834,10 +846,13 @@
         end_job(ref.job, {job_result::failed, {}}, "failed", now);
         return;
     }
-    if (end.outcome == run_outcome::target_lost &&
-        handle_target_loss(ref.job, job, ref, now))
+    if (end.outcome == run_outcome::target_lost)
     {
-        return;
+        task.state = task_state::waiting;
+        if (handle_target_loss(ref.job, job, ref, now))
+        {
+            return;
+        }
     }
     if (end.outcome == run_outcome::past_deadline &&
         !can_finish_elsewhere(job, ref, now))
@@ -859,6 +874,35 @@
     }
 }
 
+void job_scheduler::release_lost_tasks(time_point now)
+{
+    std::vector<order_ref> released;
+    for (const auto key : waiting_jobs_)
+    {
+        auto& job = jobs_.at(key);
+        for (uint32_t i = 0; i < job.steps.size(); ++i)
+        {
+            for (uint32_t k = 0; k < job.steps[i].tasks.size(); ++k)
+            {
+                auto& task = job.steps[i].tasks[k];
+                if (task.state == task_state::lost && task.lost_until <= now)
+                {
+                    task.state = task_state::waiting;
+                    released.push_back({key, i, k});
+                }
+            }
+        }
+    }
+    for (const auto& it : released)
+    {
+        const auto found = jobs_.find(it.job);
+        if (found != jobs_.end())
+        {
+            handle_target_loss(it.job, found->second, it, now);
+        }
+    }
+}
+
 void job_scheduler::tick(time_point now)
 {
     if (now >= next_expiry_)
@@ -867,21 +911,12 @@
         containment_.expire(now);
     }
     admit_held(now);
+    release_lost_tasks(now);
     std::vector<job_key> in_vain;
     for (auto it = waiting_jobs_.begin(); it != waiting_jobs_.end();)
     {
         const auto key = *it;
         auto& job = jobs_.at(key);
-        for (auto& step : job.steps)
-        {
-            for (auto& task : step.tasks)
-            {
-                if (task.state == task_state::lost && task.lost_until <= now)
-                {
-                    task.state = task_state::waiting;
-                }
-            }
-        }
         if (place_waiting(key, job, now))
         {
             it = waiting_jobs_.erase(it);
--- a/packages/fleet/tests/unit-job_scheduler.cpp
+++ b/packages/fleet/tests/unit-job_scheduler.cpp
@@ -413,6 +413,59 @@
     }
 }
 
+// Guards against further starts of a task whose crashes were reported by way of
+// another entry, as the link to its agent was lost: no end of its order comes.
+TEST_CASE("job_scheduler: crashes count for a task of a lost agent, whenever "
+          "they are reported")
+{
+    struct row
+    {
+        const char* name;
+        std::size_t before_placing; ///< losses told while the agent is lost
+        std::size_t after_placing;
+        std::optional<job_result> answer;
+        bool isolated; ///< the order that follows
+    };
+    const row rows[] = {
+        {"one while lost", 1, 0, std::nullopt, false},
+        {"two while lost", 2, 0, std::nullopt, true},
+        {"three while lost", 3, 0, job_result::failed, false},
+        {"the third while ordered elsewhere", 2, 1, job_result::failed, true}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        scheduler_fixture f;
+        f.add_target(1);
+        f.add_target(2);
+        f.add_target(3);
+        const auto key = f.admit(1, 9s);
+        const auto lost = f.sent.front().agent;
+        f.sent.clear();
+        f.scheduler.remove_target(lost, f.now);
+        for (std::size_t i = 0; i < it.before_placing; ++i)
+        {
+            f.lose(key, 10 + i, false);
+        }
+        f.now += 1100ms;
+        f.scheduler.tick(f.now);
+        if (it.before_placing < 3)
+        {
+            REQUIRE(f.open_orders() == 1);
+            CHECK(f.sent.front().batch.orders.front().isolated == it.isolated);
+        }
+        for (std::size_t i = 0; i < it.after_placing; ++i)
+        {
+            f.lose(key, 20 + i, false);
+        }
+        REQUIRE((f.answers.count(key) == 1) == it.answer.has_value());
+        if (it.answer)
+        {
+            CHECK(f.answers.at(key).result == *it.answer);
+            CHECK(f.cancelled.size() == it.after_placing);
+        }
+    }
+}
+
 TEST_CASE("job_scheduler: a job of a route on probation starts with one task, "
           "away from the jobs of other routes")
 {
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <agatebank/core/crash_history.hpp>
 #include <agatebank/core/target_interface.hpp>
 #include <agatebank/fleet/run_scheduler.hpp>
 #include <agatebank/node/entry_links.hpp>
@@ -108,6 +109,8 @@
     link_hub hub_;
     entry_links entry_links_;
     std::map<link_id, entry_link> entries_;
+    /// told to each entry whose link opens, which may have missed them
+    crash_history recent_crashes_;
     /// runs of a target that drained before it ended are not lost by a crash
     bool previous_target_drained_ = false;
     std::optional<target_announcement> target_;
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -160,6 +160,7 @@
     }
     entry_links_.tick();
     close_unneeded(now);
+    recent_crashes_.expire(now);
     scheduler_.tick(now);
     const bool expired = lease_.has_expired(now);
     if (expired && !runs_ended_)
@@ -436,6 +437,17 @@
     context_.observer.on_phase(phase_link);
     context_.log(to_line(log_level::info, "connected to an entry", step_link,
                          hub_.find(link)->peer()));
+    // First the crashes: the entry may place a task anew once it knows the
+    // target.
+    if (auto reports = recent_crashes_.reports(); !reports.empty())
+    {
+        context_.log(to_line(log_level::info,
+                             "telling the entry of " +
+                                 std::to_string(reports.size()) +
+                                 " runs that were lost with targets before",
+                             step_link, hub_.find(link)->peer()));
+        hub_.send(link, crash_reports{std::move(reports)});
+    }
     if (target_)
     {
         send_hello(link);
@@ -567,6 +579,7 @@
              it.confirmed && !target_->draining && !previous_target_drained_,
              it.started_last});
     }
+    recent_crashes_.merge(m.reports, context_.loop.now());
     for (const auto& [link, entry] : entries_)
     {
         hub_.send(link, m);
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -3,6 +3,7 @@
 #include <agatebank/harness/cluster.hpp>
 #include <agatebank/harness/run_until.hpp>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -69,7 +70,10 @@
 {
     entries_.clear();
     agents_.clear();
-    std::filesystem::remove_all(directory_);
+    if (std::getenv("AGATEBANK_KEEP_LOGS") == nullptr)
+    {
+        std::filesystem::remove_all(directory_);
+    }
 }
 
 // settings
--- a/tests/platform/unit-node_path.cpp
+++ b/tests/platform/unit-node_path.cpp
@@ -407,6 +407,46 @@
     }
 }
 
+// Guards against reports of crashes that reach no entry, since the agent had no
+// link when it noticed the crash: a process that was paused for longer than the
+// links' silence timeout closes its links before it looks at its target.
+TEST_CASE("node path: crashes are reported by agents that were paused while "
+          "their target crashed")
+{
+    constexpr int allowed_crashes = 3;
+    node_cluster c({2, 6});
+    c.configure(2, {"/h/"});
+    REQUIRE(c.wait_ready());
+    const std::string id = "000000000000000d";
+    const auto task = id + ".0.0.0";
+    const auto job = c.submit(0, id, 1, 20s, "/h/", crashing_payload);
+    for (int seen = 0; seen < allowed_crashes + 1; ++seen)
+    {
+        const bool crashed = run_until(
+            c.loop, 6s,
+            [&] { return c.ledger.crashes[task] > seen || c.job(job).ended; });
+        if (!crashed || c.ledger.crashes[task] <= seen)
+        {
+            break;
+        }
+        for (std::size_t i = 0; i < c.targets.size(); ++i)
+        {
+            if (c.targets[i]->is_away())
+            {
+                c.agent(i).signal(SIGSTOP);
+            }
+        }
+        run_for(c.loop, 1s);
+        for (std::size_t i = 0; i < c.targets.size(); ++i)
+        {
+            c.agent(i).signal(SIGCONT);
+        }
+    }
+    REQUIRE(c.wait_ended(job, 20s));
+    CHECK(c.ledger.crashes[task] <= allowed_crashes);
+    check_ledger(c);
+}
+
 // Guards against requests of one route that take all targets from the callers
 // of other routes: 2 harmful jobs a second, each with one crash of 3 s, would
 // keep all of 6 targets away.
