Return orders early that would end after their objective

Cause: an entry places short tasks on targets that were free in the last load report; behind long runs they end late, although other targets are free.

Change: fleet/start_estimator replays the start order of an agent's queue, fleet/order_return decides by the expected end whether an order waits, is returned as late (a new outcome, once for each task) or is returned since its answer would be useless. The entry places a returned task at another target if it is on time there, else at the one with the earlier end, and marks the order to be kept. An early return excludes no target and counts as no failure. The queue of run_scheduler moves to a file of its own.

Test: fleet_tests passes.

--- a/packages/core/include/agatebank/core/run_order.hpp
+++ b/packages/core/include/agatebank/core/run_order.hpp
@@ -25,11 +25,13 @@
     int64_t reference_us = 0;
     /// no other run may be active at the target at the same time
     bool isolated = false;
+    /// the agent must not return it only because it would end late
+    bool keep = false;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(id, step, index, attempt, expected_us, reference_us, isolated);
+        ar(id, step, index, attempt, expected_us, reference_us, isolated, keep);
     }
 };
 
@@ -63,8 +65,9 @@
     stopped,       ///< the run was stopped
     stalled,       ///< stopped because it made too little progress
     not_run,       ///< not started at this target and never will be
-    past_deadline, ///< not started because it could not end in time
-    target_lost    ///< ended with its target, which crashed or went silent
+    past_deadline, ///< not started because it could not end while useful
+    target_lost,   ///< ended with its target, which crashed or went silent
+    returned       ///< not started, would have ended after its objective
 };
 
 /// @brief Returns the name of an outcome, such as "not_run".
@@ -77,11 +80,13 @@
     run_outcome outcome = run_outcome::not_run;
     int64_t run_us = 0;    ///< time at the target
     int64_t queued_us = 0; ///< time in the agent's queue
+    /// further time that a returned order was expected to wait
+    int64_t expected_wait_us = 0;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(id, outcome, run_us, queued_us);
+        ar(id, outcome, run_us, queued_us, expected_wait_us);
     }
 };
 
--- a/packages/core/src/run_order.cpp
+++ b/packages/core/src/run_order.cpp
@@ -21,6 +21,8 @@
         return "past_deadline";
     case run_outcome::target_lost:
         return "target_lost";
+    case run_outcome::returned:
+        return "returned";
     }
     return "unknown";
 }
--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -128,7 +128,13 @@
          "Jobs refused while their route is on probation.",
          &counts::refused_on_probation},
         {"agatebank_jobs_held",
-         "Jobs that waited for targets to be discovered.", &counts::held}};
+         "Jobs that waited for targets to be discovered.", &counts::held},
+        {"agatebank_orders_returned_early",
+         "Orders returned by agents as ending after their objective.",
+         &counts::returned_early},
+        {"agatebank_orders_moved",
+         "Orders at another target after such a return.",
+         &counts::moved_orders}};
     const auto& scheduler = node.scheduler();
     add_count_gauges(metrics, scheduler.counts(), rows);
     metrics.add_gauge(
@@ -159,6 +165,15 @@
         {"agatebank_target_losses", "Times that runs ended with the target.",
          &counts::target_losses},
         {"agatebank_orders_not_run", "Orders returned.", &counts::not_run},
+        {"agatebank_orders_returned_early",
+         "Queued orders returned as ending after their objective.",
+         &counts::returned_early},
+        {"agatebank_orders_dropped_useless",
+         "Queued orders returned as ending after their answer's use.",
+         &counts::dropped_useless},
+        {"agatebank_orders_infeasible",
+         "Queued orders returned as ending after their deadline.",
+         &counts::infeasible},
         {"agatebank_starts_unanswered", "Starts without an answer.",
          &counts::unanswered_starts}};
     const auto& scheduler = node.scheduler();
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -10,6 +10,7 @@
 #include <agatebank/fleet/arrival_hold.hpp>
 #include <agatebank/fleet/job_admission.hpp>
 #include <agatebank/fleet/job_forecast.hpp>
+#include <agatebank/fleet/order_return.hpp>
 #include <agatebank/fleet/placement.hpp>
 #include <agatebank/fleet/target_load_tracker.hpp>
 
@@ -75,6 +76,9 @@
     uint64_t failed_by_crashes = 0; ///< jobs whose task crashes its targets
     uint64_t refused_on_probation = 0; ///< jobs of a route on probation
     uint64_t held = 0; ///< jobs that waited for targets to be discovered
+    uint64_t returned_early = 0; ///< orders returned as ending too late
+    /// orders of such tasks at another target
+    uint64_t moved_orders = 0;
 };
 
 /// @brief Settings of a job_scheduler.
@@ -172,6 +176,8 @@
         uint32_t stalls = 0;
         time_point lost_until;
         bool isolated = false; ///< runs alone, on a probation target
+        /// set once an agent has returned it early; its orders are then kept
+        std::optional<order_return> returned;
         std::set<agent_incarnation> excluded;
     };
 
@@ -214,6 +220,7 @@
                                  time_point now) const;
     std::optional<placement_choice>
     choose_target_for(const placement_request& request, time_point now) const;
+    speed_lookup speeds() const;
     std::vector<placed_task> choose_targets(job_key key, job_record& job,
                                             uint32_t step, time_point now);
     /// @brief Sends each task that may run alone to a probation target without
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -7,6 +7,7 @@
 #include <agatebank/core/target_interface.hpp>
 #include <agatebank/core/target_load.hpp>
 #include <agatebank/core/units.hpp>
+#include <agatebank/fleet/order_return.hpp>
 #include <agatebank/fleet/target_health_estimator.hpp>
 #include <agatebank/fleet/target_speed_estimator.hpp>
 
@@ -47,6 +48,12 @@
     log_sink log;
 };
 
+/// @brief Settings of a run_scheduler.
+struct run_scheduler_options
+{
+    order_return_options returns;
+};
+
 /// @brief Event counts since construction.
 struct run_scheduler_counts
 {
@@ -60,6 +67,10 @@
     uint64_t unanswered_starts = 0;
     uint64_t target_losses = 0; ///< times that runs ended with the target
     uint64_t lost_runs = 0;     ///< runs that ended with the target
+    /// queued orders that would have ended after their objective
+    uint64_t returned_early = 0;
+    uint64_t dropped_useless = 0; ///< queued orders without a useful answer
+    uint64_t infeasible = 0;      ///< queued orders past their deadline
 };
 
 /// @brief Schedules the runs of one target: queues orders until the target has
@@ -68,9 +79,9 @@
 ///
 /// Load pattern: bursts that exceed the target's resources. Orders that can
 /// still meet their objective precede late ones; within each group they are
-/// sorted by priority band, then by latest start time. Orders that cannot
-/// finish before their deadline are returned to the entry as not run without
-/// waiting for their turn.
+/// sorted by priority band, then by latest start time. Orders whose wait is
+/// too long are returned to the entry without waiting for their turn; see
+/// decide_queued_order.
 ///
 /// An isolated order starts only while no other run is active, and none starts
 /// beside it: if the target crashes then, the cause is known.
@@ -83,7 +94,8 @@
 {
   public:
     // construction
-    explicit run_scheduler(run_scheduler_hooks hooks);
+    explicit run_scheduler(run_scheduler_hooks hooks,
+                           run_scheduler_options options = {});
 
     // target
     void set_capacity(const resources& capacity, time_point now);
@@ -122,8 +134,8 @@
     void on_listing(const lease_answer& listing, time_point asked_at,
                     time_point now);
 
-    /// @brief Repeats unanswered stop requests, returns orders that cannot
-    /// finish before their deadline, and starts the orders that fit.
+    /// @brief Repeats unanswered stop requests, returns orders whose wait is
+    /// too long, and starts the orders that fit.
     void tick(time_point now);
 
     // lookup
@@ -183,6 +195,7 @@
             true; ///< whether the entry still expects a report
         /// to be reported once a stop has taken effect
         run_outcome outcome = run_outcome::stopped;
+        duration expected_wait{}; ///< of an order that is returned
         int percent = 0;
         uint64_t last_listed_in =
             0;           ///< number of the last listing to include it
@@ -195,7 +208,12 @@
                        time_point now) const;
     void enqueue(const order_key& key, order_record& r, time_point now);
     void start_next(time_point now);
-    void return_infeasible(time_point now);
+    /// @brief Returns the expected run time, with the target's slowdown.
+    duration expected_run(const order_record& r, time_point now) const;
+    /// @brief Returns the queued orders that decide_queued_order does not let
+    /// wait. Their starts are estimated from all work ahead of them; new
+    /// orders can only delay them.
+    void return_queued(time_point now);
     void start_run(const order_key& key, order_record& r, time_point now);
     void release_resources(const order_record& r);
     void stop_run(order_record& r, run_outcome outcome, time_point now);
@@ -214,6 +232,7 @@
     void log(log_level level, const order_record& r, std::string text) const;
 
     run_scheduler_hooks hooks_;
+    run_scheduler_options options_;
     resources capacity_;
     resources used_;
     bool open_ = false;
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -139,11 +139,15 @@
 job_scheduler::choose_target_for(const placement_request& request,
                                  time_point now) const
 {
-    const auto speeds = [this](agent_incarnation agent)
+    return choose_target(targets_, request, speeds(), now);
+}
+
+speed_lookup job_scheduler::speeds() const
+{
+    return [this](agent_incarnation agent)
     {
         return forecast_.speed(agent);
     };
-    return choose_target(targets_, request, speeds, now);
 }
 
 std::vector<job_scheduler::placed_task>
@@ -161,7 +165,12 @@
             continue;
         }
         request.excluded = &task.excluded;
-        const auto choice = choose_target_around_crashes(request, task, now);
+        auto choice = choose_target_around_crashes(request, task, now);
+        if (task.returned)
+        {
+            choice = choose_after_return(targets_, request, speeds(),
+                                         *task.returned, choice, now);
+        }
         if (!choice)
         {
             continue;
@@ -456,6 +465,9 @@
         if (task.attempt > 1)
         {
             ++counts_.repeated_orders;
+            counts_.moved_orders +=
+                task.returned && it.choice.agent != task.returned->agent ? 1
+                                                                         : 0;
             log(log_level::info, job,
                 "ordering attempt " + std::to_string(task.attempt) +
                     " at target " +
@@ -472,7 +484,8 @@
                                      it.choice.agent, it.choice.run_time);
         batches[it.choice.agent].orders.push_back(
             {task.order, step, it.index, task.attempt, expected.count(),
-             reference.value_or(duration(0)).count(), task.isolated});
+             reference.value_or(duration(0)).count(), task.isolated,
+             task.returned.has_value()});
     }
     const auto& plan = job.submission.plan;
     for (auto& [agent, batch] : batches)
@@ -993,7 +1006,8 @@
     auto& job = jobs_.at(ref.job);
     auto& task = job.steps[ref.step].tasks[ref.index];
     const bool started = end.outcome != run_outcome::not_run &&
-                         end.outcome != run_outcome::past_deadline;
+                         end.outcome != run_outcome::past_deadline &&
+                         end.outcome != run_outcome::returned;
     job.may_have_run = job.may_have_run || started;
     remove_placement(job, ref.step, task);
     if (end.outcome == run_outcome::done)
@@ -1017,7 +1031,15 @@
             to_ms_text(duration(end.queued_us)) + ", attempt " +
             std::to_string(task.attempt),
         static_cast<int32_t>(ref.index));
-    task.excluded.insert(agent);
+    if (end.outcome == run_outcome::returned)
+    {
+        ++counts_.returned_early;
+        task.returned = order_return{agent, duration(end.expected_wait_us)};
+    }
+    else
+    {
+        task.excluded.insert(agent);
+    }
     if (end.outcome == run_outcome::stalled)
     {
         task.stalls = std::min(task.stalls + 1, max_counted_stalls);
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -13,9 +13,6 @@
 
 using namespace std::chrono_literals;
 
-/// Time that the report of an end needs to reach the caller; an order must be
-/// expected to end this long before its deadline.
-constexpr duration report_delivery_time = 10ms;
 /// Interval after which an unanswered stop request is repeated.
 constexpr duration stop_retry_interval = 200ms;
 /// Limit on the tasks whose last run number is kept, to bound memory. A number
@@ -30,8 +27,9 @@
 
 } // namespace
 
-run_scheduler::run_scheduler(run_scheduler_hooks hooks)
-    : hooks_(std::move(hooks))
+run_scheduler::run_scheduler(run_scheduler_hooks hooks,
+                             run_scheduler_options options)
+    : hooks_(std::move(hooks)), options_(options)
 {
 }
 
@@ -152,7 +150,7 @@
         if (!open_)
         {
             ++counts_.not_run;
-            hooks_.report(from, {o.id, run_outcome::not_run, 0, 0});
+            hooks_.report(from, {o.id, run_outcome::not_run, 0, 0, 0});
             continue;
         }
         order_record r;
@@ -173,6 +171,10 @@
         }
     }
     start_next(now);
+    if (options_.returns.early || options_.returns.useless)
+    {
+        return_queued(now);
+    }
 }
 
 void run_scheduler::on_cancel(order_source from,
@@ -216,124 +218,7 @@
     stop_run(r, outcome, now);
 }
 
-// queue
-
-run_scheduler::timeliness run_scheduler::timeliness_of(const order_record& r,
-                                                       time_point now)
-{
-    const auto end = now + duration(r.order.expected_us);
-    if (end <= r.objective)
-    {
-        return timeliness::on_time;
-    }
-    return end <= r.useful_until ? timeliness::late : timeliness::useless;
-}
-
-run_scheduler::queue_rank run_scheduler::rank_of(const order_key& key,
-                                                 const order_record& r,
-                                                 time_point now) const
-{
-    const auto how = timeliness_of(r, now);
-    const auto until = how == timeliness::on_time ? r.objective
-                       : how == timeliness::late  ? r.useful_until
-                                                  : r.deadline;
-    return {how, to_band(r.priority), until - duration(r.order.expected_us),
-            key};
-}
-
-void run_scheduler::enqueue(const order_key& key, order_record& r,
-                            time_point now)
-{
-    r.rank = rank_of(key, r, now);
-    queue_.insert(r.rank);
-}
-
-void run_scheduler::start_next(time_point now)
-{
-    while (open_ && !queue_.empty())
-    {
-        const auto rank = *queue_.begin();
-        const auto key = std::get<order_key>(rank);
-        auto& r = orders_.at(key);
-        if (now + duration(r.order.expected_us) + report_delivery_time >
-            r.deadline)
-        {
-            finish(key, run_outcome::past_deadline, now);
-            continue;
-        }
-        if (rank_of(key, r, now) != rank)
-        {
-            queue_.erase(queue_.begin());
-            enqueue(key, r, now);
-            continue;
-        }
-        const bool must_wait = !left_runs_.empty() || isolated_runs_ > 0 ||
-                               (r.order.isolated && !started_runs_.empty());
-        if (must_wait || !capacity_.can_fit(used_ + r.task_resources))
-        {
-            return;
-        }
-        queue_.erase(queue_.begin());
-        start_run(key, r, now);
-    }
-}
-
-// Returns the queued orders that cannot finish before their deadline. The
-// earliest start of an order is estimated as the time that the target, at full
-// capacity, needs for all work ahead of it; new orders can only delay it.
-void run_scheduler::return_infeasible(time_point now)
-{
-    const double capacity_millis =
-        static_cast<double>(std::max<int64_t>(1, capacity_.cpu_millis));
-    const double slowdown_factor = health_.slowdown(now);
-    const auto processing_time =
-        [capacity_millis, slowdown_factor](const order_record& r)
-    {
-        const double share =
-            r.order.isolated
-                ? 1
-                : static_cast<double>(r.task_resources.cpu_millis) /
-                      capacity_millis;
-        return duration(
-            static_cast<int64_t>(static_cast<double>(r.order.expected_us) *
-                                 slowdown_factor * share));
-    };
-    duration ahead{};
-    for (const auto& [id, key] : started_runs_)
-    {
-        const auto& r = orders_.at(key);
-        const auto left = r.started + duration(r.order.expected_us) - now;
-        if (left.count() > 0)
-        {
-            ahead += std::min(processing_time(r), left);
-        }
-    }
-    std::vector<order_key> infeasible;
-    for (const auto& rank : queue_)
-    {
-        const auto& key = std::get<order_key>(rank);
-        const auto& r = orders_.at(key);
-        const auto expected = duration(r.order.expected_us);
-        if (now + ahead + expected + report_delivery_time > r.deadline)
-        {
-            log(log_level::info, r,
-                "order cannot finish before its deadline; work ahead " +
-                    to_ms_text(ahead) + ", expected run time " +
-                    to_ms_text(expected) + ", time to deadline " +
-                    to_ms_text(r.deadline - now) + ", slowdown factor " +
-                    std::to_string(slowdown_factor));
-            infeasible.push_back(key);
-        }
-        else
-        {
-            ahead += processing_time(r);
-        }
-    }
-    for (const auto& it : infeasible)
-    {
-        finish(it, run_outcome::past_deadline, now);
-    }
-}
+// starts
 
 void run_scheduler::start_run(const order_key& key, order_record& r,
                               time_point now)
@@ -382,7 +267,7 @@
 {
     const auto it = orders_.find(key);
     const auto& r = it->second;
-    order_result end{r.order.id, outcome, 0, 0};
+    order_result end{r.order.id, outcome, 0, 0, r.expected_wait.count()};
     if (r.state == run_state::queued)
     {
         end.queued_us = (now - r.received).count();
@@ -413,6 +298,7 @@
         break;
     case run_outcome::not_run:
     case run_outcome::past_deadline:
+    case run_outcome::returned:
         ++counts_.not_run;
         break;
     }
@@ -635,7 +521,7 @@
             hooks_.stop(id);
         }
     }
-    return_infeasible(now);
+    return_queued(now);
     start_next(now);
 }
 
--- /dev/null
+++ b/packages/fleet/src/run_scheduler_queue.cpp
@@ -0,0 +1,154 @@
+#include <agatebank/core/duration_math.hpp>
+#include <agatebank/fleet/run_scheduler.hpp>
+#include <agatebank/fleet/start_estimator.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+// The queue of a run_scheduler: ranks, starts and returns of queued orders.
+
+namespace agatebank
+{
+
+// queue
+
+run_scheduler::timeliness run_scheduler::timeliness_of(const order_record& r,
+                                                       time_point now)
+{
+    const auto end = now + duration(r.order.expected_us);
+    if (end <= r.objective)
+    {
+        return timeliness::on_time;
+    }
+    return end <= r.useful_until ? timeliness::late : timeliness::useless;
+}
+
+run_scheduler::queue_rank run_scheduler::rank_of(const order_key& key,
+                                                 const order_record& r,
+                                                 time_point now) const
+{
+    const auto how = timeliness_of(r, now);
+    const auto until = how == timeliness::on_time ? r.objective
+                       : how == timeliness::late  ? r.useful_until
+                                                  : r.deadline;
+    return {how, to_band(r.priority), until - duration(r.order.expected_us),
+            key};
+}
+
+void run_scheduler::enqueue(const order_key& key, order_record& r,
+                            time_point now)
+{
+    r.rank = rank_of(key, r, now);
+    queue_.insert(r.rank);
+}
+
+void run_scheduler::start_next(time_point now)
+{
+    while (open_ && !queue_.empty())
+    {
+        const auto rank = *queue_.begin();
+        const auto key = std::get<order_key>(rank);
+        auto& r = orders_.at(key);
+        if (now + duration(r.order.expected_us) + report_delivery_time >
+            r.deadline)
+        {
+            finish(key, run_outcome::past_deadline, now);
+            continue;
+        }
+        if (rank_of(key, r, now) != rank)
+        {
+            queue_.erase(queue_.begin());
+            enqueue(key, r, now);
+            continue;
+        }
+        const bool must_wait = !left_runs_.empty() || isolated_runs_ > 0 ||
+                               (r.order.isolated && !started_runs_.empty());
+        if (must_wait || !capacity_.can_fit(used_ + r.task_resources))
+        {
+            return;
+        }
+        queue_.erase(queue_.begin());
+        start_run(key, r, now);
+    }
+}
+
+duration run_scheduler::expected_run(const order_record& r,
+                                     time_point now) const
+{
+    duration run(r.order.expected_us);
+    if (speed_.is_learned() && r.order.reference_us > 0)
+    {
+        // An entry raises expected_us after each stall of the task, only so
+        // that the next run is not stopped too early.
+        run = std::min(
+            run, scale(duration(r.order.reference_us), 1 / speed_.speed()));
+    }
+    return scale(run, health_.slowdown(now));
+}
+
+void run_scheduler::return_queued(time_point now)
+{
+    if (queue_.empty())
+    {
+        return;
+    }
+    start_estimator starts(capacity_);
+    for (const auto& [id, key] : started_runs_)
+    {
+        const auto& r = orders_.at(key);
+        const auto left = r.started + expected_run(r, now) - now;
+        starts.add_started(
+            {r.task_resources, std::max(left, duration(0)), r.order.isolated});
+    }
+    struct returned_order
+    {
+        order_key key;
+        order_fate fate;
+        duration wait;
+    };
+    std::vector<returned_order> returned;
+    for (const auto& rank : queue_)
+    {
+        const auto& key = std::get<order_key>(rank);
+        const auto& r = orders_.at(key);
+        const queued_work work{r.task_resources, expected_run(r, now),
+                               r.order.isolated};
+        queued_order_input input;
+        input.wait = starts.start_of(work);
+        input.run = work.run;
+        input.to_objective = r.objective - now;
+        input.to_useful_end = r.useful_until - now;
+        input.to_deadline = r.deadline - now;
+        input.keep = r.order.keep || r.order.isolated;
+        const auto fate = decide_queued_order(input, options_.returns);
+        if (fate == order_fate::wait)
+        {
+            starts.add(work);
+            continue;
+        }
+        log(log_level::info, r,
+            std::string(fate == order_fate::return_late
+                            ? "order would end after its objective here"
+                            : "order cannot end while its answer is useful") +
+                "; expected wait " + to_ms_text(input.wait) +
+                ", expected run time " + to_ms_text(input.run) +
+                ", time to objective " + to_ms_text(input.to_objective) +
+                ", useful for " + to_ms_text(input.to_useful_end) +
+                ", time to deadline " + to_ms_text(input.to_deadline) +
+                ", slowdown factor " + std::to_string(health_.slowdown(now)));
+        returned.push_back({key, fate, input.wait});
+    }
+    for (const auto& it : returned)
+    {
+        const bool late = it.fate == order_fate::return_late;
+        ++(late                                  ? counts_.returned_early
+           : it.fate == order_fate::drop_useless ? counts_.dropped_useless
+                                                 : counts_.infeasible);
+        orders_.at(it.key).expected_wait = it.wait;
+        finish(it.key,
+               late ? run_outcome::returned : run_outcome::past_deadline, now);
+    }
+}
+
+} // namespace agatebank
--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -49,7 +49,7 @@
 void load_minimal(const Archive&, run_outcome& outcome,
                   const std::underlying_type_t<run_outcome>& number)
 {
-    outcome = cereal::to_enumeration(number, run_outcome::target_lost);
+    outcome = cereal::to_enumeration(number, run_outcome::returned);
 }
 
 // Messages of any process
