Test the entry's side of returned and useless orders

Change: tests of job_scheduler for an order that was returned early (another target if it is on time there, the order then kept, the agent not excluded) and for one that can't be useful any more (503 before a run, 504 after one).

Test: fleet_tests passes.

--- a/packages/fleet/tests/unit-order_return.cpp
+++ b/packages/fleet/tests/unit-order_return.cpp
@@ -119,6 +119,130 @@
     CHECK(agent.queued() == 1);
 }
 
+// Guards against a returned task that is returned again, whose agent is
+// excluded for good, or whose return ends a job that could still be served.
+TEST_CASE("order_return: an entry keeps the order of a task that was returned")
+{
+    struct row
+    {
+        const char* name;
+        int targets;
+        duration wait; ///< at the agent that returned the task
+        uint64_t expected_agent;
+    };
+    const row rows[] = {{"another target is free", 2, 400ms, 2},
+                        {"no other target", 1, 400ms, 1}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        std::vector<std::pair<agent_incarnation, run_order>> sent;
+        std::vector<job_outcome> answers;
+        job_scheduler entry(
+            {1100ms, 1, {}, {}},
+            {[&](agent_incarnation a, const run_batch& b)
+             { sent.emplace_back(a, b.orders.at(0)); },
+             [](agent_incarnation, const std::vector<order_id>&) {},
+             [&](job_key, const job_outcome& o) { answers.push_back(o); },
+             [](const log_record&) {
+             }});
+        const time_point now(1h);
+        target_load load;
+        load.accepts_work = true;
+        for (int i = 1; i <= it.targets; ++i)
+        {
+            target_profile p;
+            p.target = std::to_string(i);
+            p.service = service_name("desk");
+            p.capacity = {16000, 1000, 0};
+            entry.put_target(agent_incarnation(i), p, now);
+            load.used.cpu_millis = 1000 * (i - 1); // prefers the first target
+            entry.set_load(agent_incarnation(i), load, now);
+        }
+        job_submission s;
+        s.id = "job";
+        s.matched_route.service = service_name("desk");
+        s.matched_route.max_attempts = 1;
+        s.matched_route.stretch = 1.6;
+        s.matched_route.added_latency = 60ms;
+        step_plan step;
+        step.tasks = 1;
+        step.task_resources = {1000, 10, 0};
+        step.declared_run_time = 60ms;
+        s.plan.steps = {step};
+        s.deadline = 2s;
+        entry.admit(job_key(1), std::move(s), now);
+        REQUIRE(sent.size() == 1);
+        REQUIRE(sent[0].first == agent_incarnation(1));
+        CHECK_FALSE(sent[0].second.keep);
+        entry.on_end(
+            agent_incarnation(1),
+            {sent[0].second.id, run_outcome::returned, 0, 0, it.wait.count()},
+            now);
+        REQUIRE(sent.size() == 2);
+        CHECK(answers.empty());
+        CHECK(sent[1].first == agent_incarnation(it.expected_agent));
+        CHECK(sent[1].second.keep);
+        // The first agent may be used again.
+        entry.remove_target(agent_incarnation(2), now);
+        entry.tick(now + 1200ms);
+        CHECK(sent.back().first == agent_incarnation(1));
+        CHECK(sent.back().second.keep);
+        CHECK(entry.counts().returned_early == 1);
+    }
+}
+
+// Guards against a job that keeps its caller waiting although no target can end
+// it usefully any more, and against "not run" of a job that has run.
+TEST_CASE("order_return: a job ends at once when no target can end it usefully")
+{
+    for (const bool has_run : {false, true})
+    {
+        INFO("has run: " << has_run);
+        std::vector<run_order> sent;
+        std::vector<job_outcome> answers;
+        job_scheduler entry(
+            {1100ms, 1, {}, {}},
+            {[&](agent_incarnation, const run_batch& b)
+             { sent.insert(sent.end(), b.orders.begin(), b.orders.end()); },
+             [](agent_incarnation, const std::vector<order_id>&) {},
+             [&](job_key, const job_outcome& o) { answers.push_back(o); },
+             [](const log_record&) {
+             }});
+        time_point now(1h);
+        target_profile p;
+        p.target = "1";
+        p.service = service_name("desk");
+        p.capacity = {16000, 1000, 0};
+        entry.put_target(agent_incarnation(1), p, now);
+        target_load load;
+        load.accepts_work = true;
+        entry.set_load(agent_incarnation(1), load, now);
+        job_submission s;
+        s.id = "job";
+        s.matched_route.service = service_name("desk");
+        s.matched_route.stretch = 1.6;
+        step_plan step;
+        step.tasks = has_run ? 2 : 1;
+        step.task_resources = {1000, 10, 0};
+        step.declared_run_time = 60ms;
+        s.plan.steps = {step};
+        s.deadline = 2s;
+        entry.admit(job_key(1), std::move(s), now);
+        now += 400ms; // useful for three times 96 ms, or a little more
+        if (has_run)
+        {
+            entry.on_end(agent_incarnation(1),
+                         {sent[1].id, run_outcome::done, 60'000, 0, 0}, now);
+        }
+        entry.on_end(agent_incarnation(1),
+                     {sent[0].id, run_outcome::past_deadline, 0, 0, 0}, now);
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].result ==
+              (has_run ? job_result::abandoned : job_result::not_run));
+        CHECK(answers[0].retry_after.count() > 0);
+    }
+}
+
 // Guards against short tasks that are late behind long ones, because several
 // entries sent both to targets that were free in the last load report.
 TEST_CASE("order_return: short tasks that meet long ones at a target move to "
