--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -194,7 +194,10 @@
     process_metrics measured(rt.metrics, rt.loop, settings.processor_share,
                              {phase_link, phase_target});
     agent_node node(make_context(rt, timers, settings, measured),
-                    {settings.seeds, lease}, target.port());
+                    {settings.seeds,
+                     lease,
+                     {settings.order_returns, settings.order_returns}},
+                    target.port());
     http_server announcements(rt.loop,
                               to_server_options(settings.announcements));
     platform::add_announcement_routes(
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -11,6 +11,7 @@
 #include <agatebank/fleet/crash_containment.hpp>
 #include <agatebank/fleet/job_admission.hpp>
 #include <agatebank/fleet/job_forecast.hpp>
+#include <agatebank/fleet/order_return.hpp>
 #include <agatebank/fleet/placement.hpp>
 #include <agatebank/fleet/scheduled_job.hpp>
 #include <agatebank/fleet/target_load_tracker.hpp>
@@ -50,6 +51,9 @@
     uint64_t failed_by_crashes = 0; ///< jobs whose task crashes its targets
     uint64_t refused_on_probation = 0; ///< jobs of a route on probation
     uint64_t held = 0; ///< jobs that waited for targets to be discovered
+    uint64_t returned_early = 0; ///< orders returned as ending too late
+    /// orders of such tasks at another target
+    uint64_t moved_orders = 0;
 };
 
 /// @brief Settings of a job_scheduler.
@@ -148,6 +152,7 @@
                                  time_point now) const;
     std::optional<placement_choice>
     choose_target_for(const placement_request& request, time_point now) const;
+    speed_lookup speeds() const;
     std::vector<placed_task> choose_targets(job_key key, job_record& job,
                                             uint32_t step, time_point now);
     /// @brief Sends each task that may run alone to a probation target without
--- a/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
+++ b/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
@@ -6,9 +6,11 @@
 #include <agatebank/core/route_table.hpp>
 #include <agatebank/core/run_order.hpp>
 #include <agatebank/core/units.hpp>
+#include <agatebank/fleet/order_return.hpp>
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -65,6 +67,8 @@
     uint32_t stalls = 0;
     time_point lost_until;
     bool isolated = false; ///< runs alone, on a probation target
+    /// set once an agent has returned it early; its orders are then kept
+    std::optional<order_return> returned;
     std::set<agent_incarnation> excluded;
 };
 
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -23,6 +23,7 @@
 {
     std::vector<endpoint> seeds; ///< link addresses of entries to dial first
     lease_options lease;
+    order_return_options returns; ///< of queued orders, to their entries
 };
 
 /// @brief An agent: runs the orders of all entries on its one target, within
--- a/packages/node/include/agatebank/node/node_settings.hpp
+++ b/packages/node/include/agatebank/node/node_settings.hpp
@@ -33,6 +33,9 @@
     endpoint announcements;    ///< agent: receives the target's announcements
     std::string target;        ///< agent: address of the target
     duration max_lease = std::chrono::milliseconds(1000);
+    /// agent: whether queued orders that would end late, or while their answer
+    /// is useless, are returned to the entry
+    bool order_returns = false;
     /// entry: multiple of the run time away from the data's rack
     double remote_data_factor = 1;
     /// entry: period in which each target announces itself. For this long after
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -93,7 +93,8 @@
                   { queue_order_result(s, r); },
                   [this](const std::vector<lost_run>& lost)
                   { send_crash_reports(lost); },
-                  context_.log})
+                  context_.log},
+                 {settings_.returns})
     , hub_({context_.loop, context_.clock, context_.auth, node_link_options(),
             []
             {
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -85,6 +85,7 @@
         to_endpoint(out.target, path + "/target", errors);
         fields.optional_milliseconds("longest_lease_ms", out.max_lease,
                                      lease_range);
+        fields.optional_boolean("order_returns", out.order_returns);
     }
     fields.finish();
 }
