Relay jobs from entries that exceed their processor share

Cause: callers' connections are spread over entries without regard to their sizes, so an entry of 0.12 cores gets as many jobs as one of 0.5.

Change: fleet/processor_load measures the own utilisation of node.processor_share over 250 to 500 ms, fleet/entry_load_exchange tells it to linked entries, fleet/relay_decision chooses an entry with spare processor time and fleet/job_relay holds the relayed jobs at both ends.

Test: fleet_tests pass. Processes not tested yet.

--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -30,10 +30,11 @@
 
 // Kinds of messages that entries and agents of this form exchange.
 constexpr const char* exchanged_kinds[] = {
-    "heartbeat",     "peer_hello",    "configuration_query",
-    "target_hello",  "target_update", "configuration_document",
-    "run_batch",     "order_results", "cancel_orders",
-    "roster_update", "crash_reports"};
+    "heartbeat",     "peer_hello",      "configuration_query",
+    "target_hello",  "target_update",   "configuration_document",
+    "run_batch",     "order_results",   "cancel_orders",
+    "roster_update", "crash_reports",   "entry_load",
+    "relayed_job",   "relayed_outcome", "relay_cancel"};
 
 struct class_row
 {
@@ -101,6 +102,40 @@
     }
 }
 
+void add_relay_gauges(metrics_registry& metrics, const entry_node& node)
+{
+    using counts = job_relay_counts;
+    const count_gauge<counts> rows[] = {
+        {"agatebank_jobs_relayed", "Jobs sent to another entry.",
+         &counts::relayed},
+        {"agatebank_relays_answered",
+         "Relayed jobs with an outcome from the other entry.",
+         &counts::answered},
+        {"agatebank_relays_refused_by_peer",
+         "Relayed jobs that the other entry refused, then served here.",
+         &counts::refused_by_peer},
+        {"agatebank_relays_lost", "Relayed jobs given up with their link.",
+         &counts::lost},
+        {"agatebank_relays_received", "Jobs relayed here by other entries.",
+         &counts::received},
+        {"agatebank_relays_refused", "Jobs relayed here and refused.",
+         &counts::refused}};
+    add_count_gauges(metrics, node.relay().counts(), rows);
+    const auto& loads = node.loads();
+    metrics.add_gauge(
+        {"agatebank_processor_utilisation",
+         "Processor time used over the share, in the last 250 to 500 ms.",
+         {}},
+        [&loads] { return loads.own().utilisation().value_or(0); });
+    metrics.add_gauge({"agatebank_processor_over_share",
+                       "1 while new jobs are relayed if possible.",
+                       {}},
+                      [&loads] { return loads.own().over() ? 1.0 : 0.0; });
+    metrics.add_gauge(
+        {"agatebank_relay_peers", "Linked entries that accept jobs.", {}},
+        [&loads] { return static_cast<double>(loads.accepting_peers()); });
+}
+
 } // namespace
 
 void add_node_metrics(metrics_registry& metrics, const entry_node& node)
@@ -141,6 +176,7 @@
         {"agatebank_configuration_version", "Version in force.", {}}, [&node]
         { return static_cast<double>(node.routes().version().value()); });
     add_link_gauges(metrics, node.links(), node.entries());
+    add_relay_gauges(metrics, node);
 }
 
 void add_node_metrics(metrics_registry& metrics, const agent_node& node)
--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -154,8 +154,10 @@
                     {{settings.address, settings.link_port},
                      settings.seeds,
                      settings.remote_data_factor,
-                     settings.announcement_period},
-                    {platform::decode_routes});
+                     settings.announcement_period,
+                     settings.processor_share,
+                     settings.relay},
+                    {platform::decode_routes, processor_time});
     platform::job_ingress ingress(node, rt.log());
     http_server callers(rt.loop, to_server_options(settings.callers));
     ingress.add_caller_routes(callers);
--- a/packages/daemon/src/process_metrics.cpp
+++ b/packages/daemon/src/process_metrics.cpp
@@ -1,5 +1,7 @@
 #include "process_metrics.hpp"
 
+#include <ctime>
+
 #include <sys/resource.h>
 
 namespace agatebank
@@ -28,6 +30,14 @@
 
 } // namespace
 
+duration processor_time()
+{
+    timespec t{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::seconds(t.tv_sec) + std::chrono::nanoseconds(t.tv_nsec));
+}
+
 process_metrics::process_metrics(metrics_registry& metrics,
                                  const event_loop& loop, double processor_share,
                                  const std::vector<std::string>& phases)
--- a/packages/daemon/src/process_metrics.hpp
+++ b/packages/daemon/src/process_metrics.hpp
@@ -11,6 +11,9 @@
 namespace agatebank
 {
 
+/// @brief Returns the processor time that the process has used.
+duration processor_time();
+
 /// @brief Metrics of the process itself: its processor time and share, the lag
 /// of its event loop, and when each phase of its start was complete.
 class process_metrics
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -32,6 +32,8 @@
     config_version version; ///< of the configuration that defines the route
     job_plan plan;
     duration deadline{}; ///< from now; the caller waits no longer than this
+    /// since the caller's request arrived, at another entry if it was relayed
+    duration spent{};
 };
 
 /// @brief How a job ended for its caller.
@@ -49,6 +51,7 @@
 {
     job_result result = job_result::abandoned;
     duration retry_after{}; ///< set for not_run
+    bool no_target = false; ///< not_run, as not every task has a target here
 };
 
 /// @brief Callbacks that carry out the decisions of a job_scheduler.
@@ -262,7 +265,7 @@
     /// @brief Erases a job of which no order has been sent.
     void erase_unadmitted(job_key key, const job_record& job);
     void refuse(job_key key, job_record& job, duration retry_after,
-                const std::string& why);
+                const std::string& why, bool no_target);
     void end_job(job_key key, const job_outcome& outcome, const char* why,
                  time_point now);
     using orders_by_agent = std::map<agent_incarnation, std::vector<order_id>>;
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -511,7 +511,7 @@
 {
     auto& job = jobs_[key];
     job.submission = std::move(submission);
-    job.arrived = now;
+    job.arrived = now - job.submission.spent;
     const auto& plan = job.submission.plan;
     job.steps.resize(plan.steps.size());
     job.unfinished_steps = static_cast<uint32_t>(plan.steps.size());
@@ -535,8 +535,8 @@
     const auto objective =
         r.added_latency + duration(static_cast<int64_t>(
                               static_cast<double>(chain.count()) * r.stretch));
-    job.objective = now + objective;
-    job.useful_until = now + useful_objective_multiple * objective;
+    job.objective = job.arrived + objective;
+    job.useful_until = job.arrived + useful_objective_multiple * objective;
     job.deadline = now + job.submission.deadline;
 
     if (!may_run)
@@ -619,7 +619,7 @@
                 ? "route " + r.name.value() +
                       " is on probation and its targets are taken or away"
                 : "not every task has a suitable target";
-        refuse(key, job, decision.retry_after, why);
+        refuse(key, job, decision.retry_after, why, !admission.has_target);
         return;
     }
     ++counts_.admitted;
@@ -633,7 +633,8 @@
             ", expected to finish in " + to_ms_text(admission.expected_finish) +
             ", objective " + to_ms_text(objective) + ", deadline " +
             to_ms_text(job.submission.deadline) +
-            (now > job.arrived ? ", held for " + to_ms_text(now - job.arrived)
+            (now > job.arrived ? ", arrived " + to_ms_text(now - job.arrived) +
+                                     " ago (held or relayed)"
                                : std::string()) +
             ", tasks by target " + targets_of(job));
     for (const auto& [step, chosen] : placed)
@@ -754,7 +755,7 @@
 }
 
 void job_scheduler::refuse(job_key key, job_record& job, duration retry_after,
-                           const std::string& why)
+                           const std::string& why, bool no_target)
 {
     withdraw_orders(job); // these have not been sent
     ++counts_.refused;
@@ -763,7 +764,7 @@
             (job.held ? ", was held for targets to be discovered" : "") +
             "; retry after " + to_ms_text(retry_after));
     erase_unadmitted(key, job);
-    hooks_.finish(key, {job_result::not_run, retry_after});
+    hooks_.finish(key, {job_result::not_run, retry_after, no_target});
 }
 
 // ends of jobs
--- a/packages/node/include/agatebank/node/entry_links.hpp
+++ b/packages/node/include/agatebank/node/entry_links.hpp
@@ -69,6 +69,9 @@
     roster_update roster() const;
     /// @brief The number of entries that are not gone, without this process.
     std::size_t known_entries() const;
+    /// @brief The failure domain of the entry at the other end of a link.
+    /// @return nothing if this process has not dialed the link
+    std::optional<failure_domain_name> failure_domain(link_id link) const;
     /// @brief The number of open links that this process has dialed.
     std::size_t size() const noexcept;
 
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <agatebank/core/route_table.hpp>
+#include <agatebank/fleet/entry_load_exchange.hpp>
+#include <agatebank/fleet/job_relay.hpp>
 #include <agatebank/fleet/job_scheduler.hpp>
+#include <agatebank/fleet/relay_decision.hpp>
 #include <agatebank/node/entry_links.hpp>
 #include <agatebank/node/node_context.hpp>
 #include <agatebank/wire/link_hub.hpp>
@@ -27,6 +30,9 @@
     /// period in which each target announces itself; 0: new jobs are not held
     /// until targets are discovered
     duration announcement_period{};
+    double processor_share = 0; ///< cores; 0: not limited
+    /// whether jobs are relayed to and taken from other entries
+    bool relay = false;
 };
 
 /// @brief Functions that the process supplies to an entry node.
@@ -34,6 +40,11 @@
 {
     /// Parses the text of a configuration.
     std::function<result<route_table>(const std::string& text)> parse_routes;
+    /// Processor time that the process has used.
+    std::function<duration()> processor_time = []
+    {
+        return duration(0);
+    };
 };
 
 /// @brief An entry: accepts jobs and places their tasks on targets by the
@@ -42,7 +53,7 @@
 class entry_node
 {
   public:
-    using answer = std::function<void(const job_outcome&)>;
+    using answer = job_answer;
 
     // construction
     entry_node(node_context context, entry_node_settings settings,
@@ -87,6 +98,8 @@
     const job_scheduler& scheduler() const noexcept;
     const link_hub& links() const noexcept;
     const entry_links& entries() const noexcept;
+    const entry_load_exchange& loads() const noexcept;
+    const job_relay& relay() const noexcept;
 
   private:
     struct waiting_caller
@@ -101,6 +114,11 @@
     void on_closed(link_id link, const failure& why);
     void on_target_hello(link_id link, const target_hello& hello);
     void add_peer(link_id link);
+    void remove_peer(link_id link);
+    void on_load(link_id link, const entry_load& load);
+    /// @brief Closes links to entries that are no longer needed, once no
+    /// relayed job uses them.
+    void close_unneeded_peers(time_point now);
     void pass_on(const roster_update& changes);
     void pass_on(const crash_reports& news);
     void send_batch(agent_incarnation agent, const run_batch& batch);
@@ -108,6 +126,13 @@
                      const std::vector<order_id>& orders);
 
     // jobs
+    /// @brief Serves a job at this entry.
+    void serve(uint64_t number, job_submission arrival, answer done);
+    /// @brief Relays a new job if this entry exceeds its processor time.
+    /// @return whether it was relayed
+    bool try_relay(uint64_t number, job_submission& arrival, answer& done);
+    void cancel_request(uint64_t number, const char* why);
+    job_relay_hooks relay_hooks();
     void on_finish(job_key key, const job_outcome& outcome);
     void on_timer();
     void finish_stop();
@@ -122,6 +147,11 @@
     tcp_listener listener_;
     entry_links entry_links_;
     std::set<link_id> peers_; ///< links to entries, dialed here or there
+    std::map<link_id, failure_domain_name> peer_domains_; ///< those that dialed
+    std::map<link_id, time_point> unneeded_peers_; ///< by when they became so
+    entry_load_exchange loads_;
+    relay_decision relay_decision_;
+    job_relay relay_;
     std::map<link_id, agent_incarnation> agents_;
     std::map<agent_incarnation, link_id> agent_links_;
     std::map<job_key, waiting_caller> callers_;
--- a/packages/node/include/agatebank/node/node_settings.hpp
+++ b/packages/node/include/agatebank/node/node_settings.hpp
@@ -38,6 +38,9 @@
     /// entry: period in which each target announces itself. For this long after
     /// its start, jobs are held while no target can serve them; 0: never.
     duration announcement_period{};
+    /// entry: jobs are relayed to other entries while this one exceeds its
+    /// processor share
+    bool relay = false;
 };
 
 /// @brief Role of the process; decides which settings are read.
--- a/packages/node/src/entry_links.cpp
+++ b/packages/node/src/entry_links.cpp
@@ -297,6 +297,24 @@
     return roster_.others().size();
 }
 
+std::optional<failure_domain_name>
+entry_links::failure_domain(link_id link) const
+{
+    const auto it = linked_.find(link);
+    if (it == linked_.end())
+    {
+        return std::nullopt;
+    }
+    for (const auto& record : roster_.others())
+    {
+        if (record.address == it->second)
+        {
+            return record.failure_domain;
+        }
+    }
+    return failure_domain_name();
+}
+
 std::size_t entry_links::size() const noexcept
 {
     return linked_.size();
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -45,6 +45,16 @@
                : announcement_period + discovery_margin;
 }
 
+relay_peer_id to_peer(link_id link)
+{
+    return relay_peer_id(link.value());
+}
+
+link_id to_link(relay_peer_id peer)
+{
+    return link_id(peer.value());
+}
+
 entry_address to_address(const endpoint& remote)
 {
     return {remote.address, remote.port};
@@ -95,13 +105,19 @@
                     },
                     [this](link_id l)
                     {
-                        peers_.erase(l);
-                        entry_links_.close(l);
+                        loads_.retire_peer(to_peer(l));
+                        unneeded_peers_.emplace(l, context_.loop.now());
                     },
                     [this](const roster_update& u)
                     {
                         pass_on(u);
                     }})
+    , loads_({settings_.processor_share, context_.self.failure_domain,
+              settings_.relay},
+             [this](relay_peer_id p, const entry_load& l)
+             { hub_.send(to_link(p), l); })
+    , relay_decision_(context_.random)
+    , relay_(relay_hooks())
 {
 }
 
@@ -151,9 +167,14 @@
                 " jobs, as agents have stopped their runs",
             step_process));
         scheduler_.abandon_all("given up (entry process was paused)");
+        relay_.abandon_all("entry process was paused");
     }
     entry_links_.tick();
+    close_unneeded_peers(now);
     scheduler_.tick(now);
+    relay_.tick(now);
+    loads_.tick(now, hooks_.processor_time(), scheduler_.running_jobs(),
+                ready());
     if (stopping_)
     {
         finish_stop();
@@ -164,11 +185,13 @@
 {
     const auto age = context_.loop.now() - stop_began_;
     if (age < min_stop_duration ||
-        (scheduler_.running_jobs() != 0 && age < max_stop_duration))
+        (scheduler_.running_jobs() + relay_.size() != 0 &&
+         age < max_stop_duration))
     {
         return;
     }
     scheduler_.abandon_all("given up (entry process is stopping)");
+    relay_.abandon_all("entry process is stopping");
     timer_.reset();
     // Leaves time to send the last answers before the event loop ends.
     context_.timers.schedule(50ms, std::exchange(on_stopped_, nullptr));
@@ -208,13 +231,29 @@
 // jobs
 
 void entry_node::submit(uint64_t number, job_submission arrival, answer done)
+{
+    if (relay_.attach(arrival.id, number, done) ||
+        try_relay(number, arrival, done))
+    {
+        return;
+    }
+    serve(number, std::move(arrival), std::move(done));
+}
+
+void entry_node::serve(uint64_t number, job_submission arrival, answer done)
 {
     if (const auto running = scheduler_.find(arrival.id))
     {
         auto& caller = callers_[*running];
         job_by_request_.erase(caller.number);
-        caller = {number, std::move(done)};
+        const auto earlier =
+            std::exchange(caller, waiting_caller{number, std::move(done)});
         job_by_request_[number] = *running;
+        if (job_relay::is_relay_request(earlier.number))
+        {
+            // The entry that relayed the job earlier waits for its outcome.
+            earlier.done({job_result::abandoned, {}});
+        }
         return;
     }
     const job_key key(++last_key_);
@@ -237,6 +276,14 @@
 }
 
 void entry_node::abandon(uint64_t number)
+{
+    if (!relay_.abandon(number))
+    {
+        cancel_request(number, "the caller closed its connection");
+    }
+}
+
+void entry_node::cancel_request(uint64_t number, const char* why)
 {
     const auto it = job_by_request_.find(number);
     if (it == job_by_request_.end())
@@ -246,7 +293,7 @@
     const auto key = it->second;
     job_by_request_.erase(it);
     callers_.erase(key);
-    scheduler_.cancel(key, "the caller closed its connection");
+    scheduler_.cancel(key, why);
 }
 
 bool entry_node::cancel(const std::string& job_id)
@@ -254,7 +301,7 @@
     const auto key = scheduler_.find(job_id);
     if (!key)
     {
-        return false;
+        return relay_.cancel(job_id);
     }
     scheduler_.cancel(*key, "requested by the caller");
     on_finish(*key, {job_result::abandoned, {}});
@@ -263,7 +310,7 @@
 
 bool entry_node::is_running(const std::string& job_id) const
 {
-    return scheduler_.find(job_id).has_value();
+    return scheduler_.find(job_id).has_value() || relay_.is_relayed(job_id);
 }
 
 // lookup
@@ -296,6 +343,16 @@
     return entry_links_;
 }
 
+const entry_load_exchange& entry_node::loads() const noexcept
+{
+    return loads_;
+}
+
+const job_relay& entry_node::relay() const noexcept
+{
+    return relay_;
+}
+
 // links
 
 void entry_node::on_message(link_id link, message&& m)
@@ -338,8 +395,9 @@
     {
         entry_links_.merge(*changes);
     }
-    else if (std::holds_alternative<peer_hello>(m))
+    else if (const auto* peer = std::get_if<peer_hello>(&m))
     {
+        peer_domains_[link] = peer->self.failure_domain;
         add_peer(link);
         hub_.send(link, entry_links_.roster());
         hub_.send(link, crash_reports{scheduler_.crashes().reports()});
@@ -356,6 +414,22 @@
             update_configuration(document->text, "another entry");
         }
     }
+    else if (const auto* load = std::get_if<entry_load>(&m))
+    {
+        on_load(link, *load);
+    }
+    else if (const auto* job = std::get_if<relayed_job>(&m))
+    {
+        relay_.on_job(to_peer(link), *job);
+    }
+    else if (const auto* outcome = std::get_if<relayed_outcome>(&m))
+    {
+        relay_.on_outcome(to_peer(link), *outcome, now);
+    }
+    else if (const auto* stop = std::get_if<relay_cancel>(&m))
+    {
+        relay_.on_cancel(to_peer(link), *stop);
+    }
 }
 
 void entry_node::on_heartbeat(link_id link, const heartbeat& beat)
@@ -369,7 +443,7 @@
 void entry_node::on_closed(link_id link, const failure& why)
 {
     entry_links_.on_closed(link);
-    peers_.erase(link);
+    remove_peer(link);
     const auto it = agents_.find(link);
     if (it == agents_.end())
     {
@@ -420,6 +494,7 @@
 {
     peers_.insert(link);
     hub_.set_class(link, link_class::entry);
+    loads_.add_peer(to_peer(link));
 }
 
 void entry_node::pass_on(const roster_update& changes)
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -77,6 +77,7 @@
         fields.optional_milliseconds("announcement_period_ms",
                                      out.announcement_period,
                                      announcement_range);
+        fields.optional_boolean("relay", out.relay);
     }
     else
     {
--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -7,6 +7,7 @@
 #include <agatebank/core/event.hpp>
 #include <agatebank/core/execution_status.hpp>
 #include <agatebank/core/ids.hpp>
+#include <agatebank/core/relay_messages.hpp>
 #include <agatebank/core/run_order.hpp>
 #include <agatebank/core/submission_id.hpp>
 #include <agatebank/core/target_load.hpp>
@@ -52,6 +53,13 @@
     outcome = cereal::to_enumeration(number, run_outcome::target_lost);
 }
 
+template <class Archive>
+void load_minimal(const Archive&, relay_result& result,
+                  const std::underlying_type_t<relay_result>& number)
+{
+    result = cereal::to_enumeration(number, relay_result::busy);
+}
+
 // Messages of any process
 
 /// @brief Periodic message that keeps a connection alive. Carries clock
@@ -518,7 +526,8 @@
     cancel_starts, agent_configuration, gather_query, peer_hello,
     forward_request, forward_reply, configuration_query, configuration_document,
     event_query, event_reply, target_hello, target_update, run_batch,
-    order_results, cancel_orders, roster_update, crash_reports>;
+    order_results, cancel_orders, roster_update, crash_reports, entry_load,
+    relayed_job, relayed_outcome, relay_cancel>;
 
 /// @brief Datagram that an entry sends periodically to the other entries. May
 /// be lost.
--- a/packages/wire/src/link_traffic.cpp
+++ b/packages/wire/src/link_traffic.cpp
@@ -16,7 +16,9 @@
     "forward_reply",   "configuration_query", "configuration_document",
     "event_query",     "event_reply",         "target_hello",
     "target_update",   "run_batch",           "order_results",
-    "cancel_orders",   "roster_update",       "crash_reports"};
+    "cancel_orders",   "roster_update",       "crash_reports",
+    "entry_load",      "relayed_job",         "relayed_outcome",
+    "relay_cancel"};
 
 template <class Traffic>
 void add(Traffic& sum, const Traffic& t)
