--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -168,14 +168,19 @@
 void node_cluster::start_entry(std::size_t i)
 {
     const auto ip = entry_ip(i);
-    entries_[i] = run("entry", "entry-" + std::to_string(i),
-                      {{"address", ip},
-                       {"link_port", link_port_},
-                       {"seeds", {at(entry_ip(0), control_port_)}},
-                       {"metrics", at(ip, metrics_port_)},
-                       {"callers", at(ip, callers_port_)},
-                       {"readiness", at(ip, readiness_port_)},
-                       {"table_service", stores[i]->address()}});
+    json settings{{"address", ip},
+                  {"link_port", link_port_},
+                  {"seeds", {at(entry_ip(0), control_port_)}},
+                  {"metrics", at(ip, metrics_port_)},
+                  {"callers", at(ip, callers_port_)},
+                  {"readiness", at(ip, readiness_port_)},
+                  {"table_service", stores[i]->address()}};
+    if (!plan_.relay_shares.empty())
+    {
+        settings["relay"] = true;
+        settings["processor_share"] = plan_.relay_shares.at(i);
+    }
+    entries_[i] = run("entry", "entry-" + std::to_string(i), settings);
 }
 
 void node_cluster::start_agent(std::size_t i)
@@ -231,9 +236,19 @@
 }
 
 double node_cluster::agent_metric(std::size_t i, const std::string& name)
+{
+    return metric(agent_ip(i), name);
+}
+
+double node_cluster::entry_metric(std::size_t i, const std::string& name)
+{
+    return metric(entry_ip(i), name);
+}
+
+double node_cluster::metric(const std::string& ip, const std::string& name)
 {
     http_call call;
-    call.url = "http://" + at(agent_ip(i), metrics_port_) + "/metrics";
+    call.url = "http://" + at(ip, metrics_port_) + "/metrics";
     call.timeout = 1s;
     std::optional<std::string> body;
     const auto handle = client_.send(call, [&body](const auto& r)
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -23,6 +23,8 @@
     bool keep_connections = false;
     bool seeded_agents = true; ///< false: agents get no seeds
     std::string log_level = "info";
+    /// processor shares in cores of entries that relay jobs; empty: none does
+    std::vector<double> relay_shares = {};
 };
 
 /// @brief A submitted job and its response. Status 0: no response yet, or the
@@ -66,6 +68,8 @@
     /// @brief Value of a metric without labels on an agent's metrics page;
     /// negative without a response.
     double agent_metric(std::size_t i, const std::string& name);
+    /// @brief The same for an entry.
+    double entry_metric(std::size_t i, const std::string& name);
 
     // callers
     /// @brief Submits a job of equal tasks. @return the number of the job
@@ -100,6 +104,7 @@
     std::string entry_ip(std::size_t i) const;
     std::string agent_ip(std::size_t i) const;
     std::string file(const std::string& name) const;
+    double metric(const std::string& ip, const std::string& name);
     static std::string agent_name(std::size_t i);
     nlohmann::json agent_settings(std::size_t i, bool with_seed) const;
     void write_settings(const std::string& name,
