--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -193,7 +193,7 @@
     /// @brief Erases a job of which no order has been sent.
     void erase_unadmitted(job_key key, const job_record& job);
     void refuse(job_key key, job_record& job, duration retry_after,
-                const std::string& why);
+                const std::string& why, bool no_target);
     void end_job(job_key key, const job_outcome& outcome, const char* why,
                  time_point now);
     using orders_by_agent = std::map<agent_incarnation, std::vector<order_id>>;
--- a/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
+++ b/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
@@ -26,6 +26,8 @@
     config_version version; ///< of the configuration that defines the route
     job_plan plan;
     duration deadline{}; ///< from now; the caller waits no longer than this
+    /// since the caller's request arrived, at another entry if it was relayed
+    duration spent{};
 };
 
 /// @brief How a job ended for its caller.
@@ -43,6 +45,7 @@
 {
     job_result result = job_result::abandoned;
     duration retry_after{}; ///< set for not_run
+    bool no_target = false; ///< not_run, as not every task has a target here
 };
 
 /// @brief Progress of a task of a running job.
