Evacuate a failure domain: feed, entry and agent enforcement

Cause: operators request an evacuation with the row evacuate/NAME in the table op, and the code ignored it.

Entries keep the state of the highest version (core/evacuation_state), send it as the first message on a link to an agent or an entry and after each change (new message evacuation_update), and place nothing in these domains (fleet/evacuated_targets). An agent in such a domain reports that it accepts no work, returns its queued orders as not run, withdraws starts that the target has not answered, and lets active runs end. A job whose waiting tasks have targets only in evacuated domains ends at once. The store stand-in serves rows of any key, with deleted rows, pages and 410.

A fault of run_scheduler was found with the new process test: a target that stopped accepting work used a key after its erasure, so the report of some queued orders went to no entry and their job was answered 504 at its deadline. The key is copied now. Also, a start that the target refuses for lack of room while no work is accepted is returned instead of queued.

--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -1,6 +1,7 @@
 #include "node_metrics.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <string_view>
 
 namespace agatebank
@@ -33,7 +34,7 @@
     "heartbeat",     "peer_hello",    "configuration_query",
     "target_hello",  "target_update", "configuration_document",
     "run_batch",     "order_results", "cancel_orders",
-    "roster_update", "crash_reports"};
+    "roster_update", "crash_reports", "evacuation_update"};
 
 struct class_row
 {
@@ -101,6 +102,22 @@
     }
 }
 
+void add_evacuation_gauges(
+    metrics_registry& metrics,
+    const std::function<const evacuation_state&()>& state)
+{
+    metrics.add_gauge(
+        {"agatebank_evacuated_domains",
+         "Failure domains that are evacuated.",
+         {}},
+        [state] { return static_cast<double>(state().domains().size()); });
+    metrics.add_gauge(
+        {"agatebank_evacuation_version",
+         "Table version of the evacuated failure domains.",
+         {}},
+        [state] { return static_cast<double>(state().version().value()); });
+}
+
 } // namespace
 
 void add_node_metrics(metrics_registry& metrics, const entry_node& node)
@@ -140,6 +157,16 @@
     metrics.add_gauge(
         {"agatebank_configuration_version", "Version in force.", {}}, [&node]
         { return static_cast<double>(node.routes().version().value()); });
+    add_evacuation_gauges(
+        metrics, [&scheduler]() -> const auto& {
+            return scheduler.evacuated().state();
+        });
+    metrics.add_gauge(
+        {"agatebank_targets_evacuated",
+         "Linked targets in evacuated failure domains.",
+         {}},
+        [&scheduler]
+        { return static_cast<double>(count_evacuated(scheduler.targets())); });
     add_link_gauges(metrics, node.links(), node.entries());
 }
 
@@ -169,6 +196,12 @@
     metrics.add_gauge({"agatebank_orders_queued", "Orders that wait.", {}},
                       [&scheduler]
                       { return static_cast<double>(scheduler.queued()); });
+    add_evacuation_gauges(
+        metrics, [&node]() -> const auto& { return node.evacuation(); });
+    metrics.add_gauge({"agatebank_target_evacuated",
+                       "Whether the target's failure domain is evacuated.",
+                       {}},
+                      [&node] { return node.is_evacuated() ? 1.0 : 0.0; });
     add_link_gauges(metrics, node.links(), node.entries());
 }
 
--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -167,8 +167,12 @@
                        make_readiness_hook([&node] { return node.ready(); }));
     platform::configuration_feed feed(
         rt.loop, settings.table_service, process_runtime::random_number(),
-        [&node](const std::string& text)
-        { node.update_configuration(text, "the table service"); },
+        {[&node](const std::string& text)
+         { node.update_configuration(text, "the table service"); },
+         [&node](const evacuation_state& state)
+         {
+             node.update_evacuation(state, "the table service");
+         }},
         rt.log());
     auto started = node.start();
     if (started)
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -8,6 +8,7 @@
 #include <agatebank/core/route_table.hpp>
 #include <agatebank/core/run_order.hpp>
 #include <agatebank/fleet/arrival_hold.hpp>
+#include <agatebank/fleet/evacuated_targets.hpp>
 #include <agatebank/fleet/job_admission.hpp>
 #include <agatebank/fleet/job_forecast.hpp>
 #include <agatebank/fleet/placement.hpp>
@@ -116,6 +117,14 @@
     /// still run its orders until lost_agent_grace has passed; only then are
     /// their tasks placed again.
     void remove_target(agent_incarnation agent, time_point now);
+    /// @brief Applies a state of the evacuated failure domains if its version
+    /// is higher than that in force. Targets in evacuated domains get no work.
+    /// A job that then has no target left for a waiting task ends in the next
+    /// tick, as not run if none of its tasks may have run.
+    /// @param source of the state, for the log
+    /// @return whether it was applied
+    bool set_evacuation(const evacuation_state& state,
+                        const std::string& source);
 
     // jobs
     /// @brief Admits a job and places its first tasks, or refuses it. The
@@ -148,6 +157,7 @@
     const job_scheduler_counts& counts() const noexcept;
     const target_map& targets() const noexcept;
     const crash_history& crashes() const noexcept;
+    const evacuated_targets& evacuated() const noexcept;
     /// @brief Finds a running job by the caller's id.
     std::optional<job_key> find(const std::string& id) const;
 
@@ -241,6 +251,9 @@
     /// @brief Returns whether a task waits for a probation target for so long
     /// that the job's answer would be useless.
     bool waits_in_vain(const job_record& job, time_point now) const;
+    /// @brief Ends a job of which a task waits although no target outside the
+    /// evacuated domains can run it. @return whether the job has ended
+    bool end_if_evacuated(job_key key, time_point now);
     void send_orders(job_record& job, uint32_t step,
                      const std::vector<placed_task>& placed, time_point now);
     bool place_waiting(job_key key, job_record& job, time_point now);
@@ -299,6 +312,7 @@
     job_forecast forecast_;
     target_map targets_;
     crash_history crashes_;
+    evacuated_targets evacuated_;
     time_point next_expiry_;
     std::map<service_name, std::set<agent_incarnation>> probation_targets_;
     std::map<agent_incarnation, order_id> isolated_orders_;
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -90,6 +90,10 @@
     /// @brief Sets whether new runs may start. While they may not, queued and
     /// new orders are returned to their entries as not run.
     void set_accepting_orders(bool open, time_point now);
+    /// @brief Stops the runs whose start the target has not yet answered, as a
+    /// copy of the start request might be sent later. A run that proves not to
+    /// have started is returned as not run.
+    void withdraw_starts(time_point now);
     /// @brief Ends all runs, which are known to have ended at the target: its
     /// lease has expired, or nothing listens at its address any more.
     /// @param crashed whether the target is known to have ended
--- a/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
+++ b/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
@@ -37,11 +37,16 @@
     void remove_order(order_id id);
     /// @brief Sets when a suspect target may be sent its next probe task.
     void set_next_probe(time_point t);
+    /// @brief Sets whether the target's failure domain is evacuated. While it
+    /// is, @ref load says that the target accepts no work, whatever its agent
+    /// reports.
+    void set_evacuated(bool evacuated);
 
     // lookup
     const target_profile& profile() const noexcept;
     const target_load& load() const noexcept;
     bool has_label(const std::string& label) const;
+    bool is_evacuated() const noexcept;
     /// @brief Returns the expected time that a task of a priority band waits in
     /// the agent's queue.
     /// @param extra_cpu_millis processor need of tasks that will be sent before
@@ -69,6 +74,8 @@
 
     target_profile profile_;
     target_load load_;
+    bool reported_acceptance_ = false; ///< accepts_work of the last report
+    bool evacuated_ = false;
     std::map<order_id, pending_order> unreported_orders_;
     int64_t unreported_cpu_millis_ = 0;
     duration unreported_run_{}; ///< sum of the expected run times
@@ -79,7 +86,8 @@
 /// their agent.
 using target_map = std::map<agent_incarnation, target_load_tracker>;
 
-/// @brief Returns the agents of all targets of a service.
+/// @brief Returns the agents of all targets of a service that are not in an
+/// evacuated failure domain.
 std::vector<agent_incarnation> agents_of(const target_map& targets,
                                          const service_name& service);
 
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -51,7 +51,9 @@
 void job_scheduler::put_target(agent_incarnation agent,
                                const target_profile& profile, time_point now)
 {
-    targets_.insert_or_assign(agent, target_load_tracker(profile));
+    const auto added =
+        targets_.insert_or_assign(agent, target_load_tracker(profile));
+    evacuated_.mark(added.first->second);
     latest_discovery_ = now;
     probation_targets_.clear();
     forecast_.put_target(agent, profile);
@@ -117,6 +119,56 @@
     }
 }
 
+bool job_scheduler::set_evacuation(const evacuation_state& state,
+                                   const std::string& source)
+{
+    const auto before = evacuated_.state().domains();
+    if (!evacuated_.merge(state, targets_))
+    {
+        return false;
+    }
+    if (before == evacuated_.state().domains())
+    {
+        return true;
+    }
+    log_record r;
+    r.text = "evacuated failure domains at " + evacuated_.state().to_text() +
+             ", received from " + source + "; " +
+             std::to_string(count_evacuated(targets_)) + " of " +
+             std::to_string(targets_.size()) + " targets are in them";
+    r.step = "evacuation";
+    hooks_.log(r);
+    probation_targets_.clear();
+    return true;
+}
+
+bool job_scheduler::end_if_evacuated(job_key key, time_point now)
+{
+    if (evacuated_.state().domains().empty())
+    {
+        return false;
+    }
+    const auto& job = jobs_.at(key);
+    const auto& plan = job.submission.plan;
+    for (std::size_t i = 0; i < job.steps.size(); ++i)
+    {
+        const auto& tasks = job.steps[i].tasks;
+        if (std::any_of(tasks.begin(), tasks.end(),
+                        [](const task_record& t)
+                        { return t.state == task_state::waiting; }) &&
+            evacuated_.leave_no_target(
+                targets_, job.submission.matched_route.service, plan.steps[i]))
+        {
+            end_job(key, {result_after_crashes(job), queue_timeout_retry_after},
+                    "given up, all targets that can run a task are in "
+                    "evacuated failure domains",
+                    now);
+            return true;
+        }
+    }
+    return false;
+}
+
 // placement
 
 placement_request job_scheduler::to_request(const job_record& job,
@@ -618,7 +670,10 @@
             : job.first_task_pending
                 ? "route " + r.name.value() +
                       " is on probation and its targets are taken or away"
-                : "not every task has a suitable target";
+                : "not every task has a suitable target, " +
+                      std::to_string(count_evacuated(targets_)) + " of " +
+                      std::to_string(targets_.size()) +
+                      " targets are in evacuated failure domains";
         refuse(key, job, decision.retry_after, why);
         return;
     }
@@ -1050,7 +1105,9 @@
     if (place_waiting(ref.job, job, now))
     {
         waiting_jobs_.erase(ref.job);
+        return;
     }
+    end_if_evacuated(ref.job, now);
 }
 
 void job_scheduler::tick(time_point now)
@@ -1062,6 +1119,7 @@
     }
     admit_held(now);
     std::vector<job_key> in_vain;
+    std::vector<job_key> unplaced;
     for (auto it = waiting_jobs_.begin(); it != waiting_jobs_.end();)
     {
         const auto key = *it;
@@ -1085,8 +1143,16 @@
         {
             in_vain.push_back(key);
         }
+        else
+        {
+            unplaced.push_back(key);
+        }
         ++it;
     }
+    for (const auto key : unplaced)
+    {
+        end_if_evacuated(key, now);
+    }
     for (const auto key : in_vain)
     {
         const auto result = result_after_crashes(jobs_.at(key));
@@ -1133,6 +1199,11 @@
     return crashes_;
 }
 
+const evacuated_targets& job_scheduler::evacuated() const noexcept
+{
+    return evacuated_;
+}
+
 std::optional<job_key> job_scheduler::find(const std::string& id) const
 {
     const auto it = by_id_.find(id);
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -57,7 +57,24 @@
     }
     while (!queue_.empty())
     {
-        finish(std::get<order_key>(*queue_.begin()), run_outcome::not_run, now);
+        // Copied, as the order's end erases the element of the queue.
+        const auto key = std::get<order_key>(*queue_.begin());
+        finish(key, run_outcome::not_run, now);
+    }
+}
+
+void run_scheduler::withdraw_starts(time_point now)
+{
+    for (const auto& [id, key] : started_runs_)
+    {
+        auto& r = orders_.at(key);
+        if (r.state == run_state::starting)
+        {
+            log(log_level::info, r,
+                "start withdrawn, it was not answered within " +
+                    to_ms_text(now - r.started));
+            stop_run(r, run_outcome::not_run, now);
+        }
     }
 }
 
@@ -466,6 +483,11 @@
             "run number superseded at the target; trying the next one");
         [[fallthrough]];
     case start_answer::no_capacity:
+        if (!open_)
+        {
+            finish(key, run_outcome::not_run, now);
+            return;
+        }
         release_resources(r);
         r.state = run_state::queued;
         enqueue(key, r, now);
--- a/packages/fleet/src/target_load_tracker.cpp
+++ b/packages/fleet/src/target_load_tracker.cpp
@@ -13,10 +13,12 @@
 
 bool target_load_tracker::set_load(const target_load& load)
 {
-    const bool changed = load.accepts_work != load_.accepts_work ||
+    const bool changed = load.accepts_work != reported_acceptance_ ||
                          load.suspect != load_.suspect ||
                          (load.slowdown > 1) != (load_.slowdown > 1);
     load_ = load;
+    reported_acceptance_ = load.accepts_work;
+    load_.accepts_work = reported_acceptance_ && !evacuated_;
     if (load.capacity != resources())
     {
         profile_.capacity = load.capacity;
@@ -55,6 +57,12 @@
     next_probe_ = t;
 }
 
+void target_load_tracker::set_evacuated(bool evacuated)
+{
+    evacuated_ = evacuated;
+    load_.accepts_work = reported_acceptance_ && !evacuated_;
+}
+
 const target_profile& target_load_tracker::profile() const noexcept
 {
     return profile_;
@@ -71,6 +79,11 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+bool target_load_tracker::is_evacuated() const noexcept
+{
+    return evacuated_;
+}
+
 duration target_load_tracker::expected_wait(const resources& task_resources,
                                             std::size_t band,
                                             int64_t extra_cpu_millis) const
@@ -122,7 +135,7 @@
     std::vector<agent_incarnation> out;
     for (const auto& [agent, target] : targets)
     {
-        if (target.profile().service == service)
+        if (target.profile().service == service && !target.is_evacuated())
         {
             out.push_back(agent);
         }
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <agatebank/core/evacuation_state.hpp>
 #include <agatebank/core/target_interface.hpp>
 #include <agatebank/fleet/run_scheduler.hpp>
 #include <agatebank/node/entry_links.hpp>
@@ -53,6 +54,9 @@
     const run_scheduler& scheduler() const noexcept;
     const link_hub& links() const noexcept;
     const entry_links& entries() const noexcept;
+    const evacuation_state& evacuation() const noexcept;
+    /// @brief Whether the target's failure domain is evacuated.
+    bool is_evacuated() const;
 
   private:
     struct entry_link
@@ -72,6 +76,7 @@
     void close_unneeded(time_point now);
     void on_message(link_id link, message&& m);
     void on_closed(link_id link, const failure& why);
+    void on_evacuation_update(link_id link, const evacuation_update& update);
     void send_crash_reports(const std::vector<lost_run>& lost);
     void queue_order_result(order_source to, const order_result& result);
     /// @brief Sends the pending order results, and the load where it has
@@ -112,6 +117,7 @@
     bool previous_target_drained_ = false;
     std::optional<target_announcement> target_;
     target_lease lease_;
+    evacuation_state evacuation_;
     uint64_t fencing_token_ = 0;
     uint64_t fencing_token_step_ = 0;
     end_position last_end_seen_;    ///< last run end received
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -67,6 +67,12 @@
     /// @brief The routes in force; version 0 when there are none yet.
     const route_table& routes() const noexcept;
 
+    /// @brief Puts the evacuated failure domains in force, and passes them on,
+    /// if their version is higher than that in force.
+    /// @param source of the state, for the log
+    void update_evacuation(const evacuation_state& state,
+                           const std::string& source);
+
     // jobs
     /// @brief Submits a job. If a job with this id already runs here, it
     /// continues and its answer goes to this caller instead of the earlier one.
@@ -103,6 +109,8 @@
     void add_peer(link_id link);
     void pass_on(const roster_update& changes);
     void pass_on(const crash_reports& news);
+    void on_evacuation_update(link_id link, const evacuation_update& update);
+    void send_evacuation(link_id link);
     void send_batch(agent_incarnation agent, const run_batch& batch);
     void send_cancel(agent_incarnation agent,
                      const std::vector<order_id>& orders);
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -500,6 +500,41 @@
     {
         entry_links_.merge(*update);
     }
+    else if (const auto* evacuation = std::get_if<evacuation_update>(&m))
+    {
+        on_evacuation_update(link, *evacuation);
+    }
+}
+
+void agent_node::on_evacuation_update(link_id link,
+                                      const evacuation_update& update)
+{
+    const bool before = is_evacuated();
+    if (!evacuation_.merge(to_evacuation_state(update)))
+    {
+        return;
+    }
+    const bool after = is_evacuated();
+    if (before == after)
+    {
+        return;
+    }
+    context_.log(to_line(
+        log_level::info,
+        std::string(after
+                        ? "failure domain of the target is evacuated"
+                        : "failure domain of the target is in service again") +
+            ", evacuated at " + evacuation_.to_text() + "; " +
+            std::to_string(scheduler_.queued()) + " queued orders, " +
+            std::to_string(scheduler_.running()) + " active runs",
+        step_target, hub_.find(link)->peer()));
+    if (after)
+    {
+        // Runs that become active continue; a start that is repeated must not
+        // begin one.
+        scheduler_.withdraw_starts(context_.loop.now());
+    }
+    update_acceptance();
 }
 
 void agent_node::on_closed(link_id link, const failure& why)
@@ -521,10 +556,26 @@
 
 bool agent_node::is_accepting_work(time_point now) const
 {
-    return target_ && !target_->draining && !stopping_ &&
+    return target_ && !target_->draining && !stopping_ && !is_evacuated() &&
            lease_.is_connected(now);
 }
 
+bool agent_node::is_evacuated() const
+{
+    if (!target_)
+    {
+        return false;
+    }
+    const auto& announced = target_->profile.failure_domain;
+    return evacuation_.is_evacuated(
+        announced.value().empty() ? context_.self.failure_domain : announced);
+}
+
+const evacuation_state& agent_node::evacuation() const noexcept
+{
+    return evacuation_;
+}
+
 void agent_node::send_hello(link_id link)
 {
     auto& entry = entries_.at(link);
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -92,6 +92,7 @@
                     {
                         add_peer(l);
                         hub_.send(l, peer_hello{context_.self});
+                        send_evacuation(l);
                     },
                     [this](link_id l)
                     {
@@ -200,6 +201,24 @@
         step_configuration));
 }
 
+void entry_node::update_evacuation(const evacuation_state& state,
+                                   const std::string& source)
+{
+    if (!scheduler_.set_evacuation(state, source))
+    {
+        return;
+    }
+    for (const auto& [link, agent] : agents_)
+    {
+        send_evacuation(link);
+    }
+    for (const auto link : peers_)
+    {
+        send_evacuation(link);
+    }
+    scheduler_.tick(context_.loop.now());
+}
+
 const route_table& entry_node::routes() const noexcept
 {
     return routes_;
@@ -341,6 +360,7 @@
     else if (std::holds_alternative<peer_hello>(m))
     {
         add_peer(link);
+        send_evacuation(link);
         hub_.send(link, entry_links_.roster());
         hub_.send(link, crash_reports{scheduler_.crashes().reports()});
     }
@@ -356,6 +376,10 @@
             update_configuration(document->text, "another entry");
         }
     }
+    else if (const auto* evacuation = std::get_if<evacuation_update>(&m))
+    {
+        on_evacuation_update(link, *evacuation);
+    }
 }
 
 void entry_node::on_heartbeat(link_id link, const heartbeat& beat)
@@ -366,6 +390,20 @@
     }
 }
 
+void entry_node::on_evacuation_update(link_id link,
+                                      const evacuation_update& update)
+{
+    const auto state = to_evacuation_state(update);
+    update_evacuation(state, "entry " + hub_.find(link)->peer());
+}
+
+// Sent before the first order on a link, so that an agent knows the state
+// before it could accept work.
+void entry_node::send_evacuation(link_id link)
+{
+    hub_.send(link, to_evacuation_update(scheduler_.evacuated().state()));
+}
+
 void entry_node::on_closed(link_id link, const failure& why)
 {
     entry_links_.on_closed(link);
@@ -399,6 +437,11 @@
         hub_.close(old);
         scheduler_.remove_target(agent, now);
     }
+    auto profile = hello.target;
+    if (profile.failure_domain.value().empty())
+    {
+        profile.failure_domain = hello.self.failure_domain;
+    }
     agents_[link] = agent;
     hub_.set_class(link, link_class::agent);
     agent_links_[agent] = link;
@@ -406,7 +449,8 @@
                          "agent " + hello.self.name + " connected, target " +
                              hello.target.target,
                          step_link, hello.self.name));
-    scheduler_.put_target(agent, hello.target, now);
+    send_evacuation(link);
+    scheduler_.put_target(agent, profile, now);
     scheduler_.set_load(agent, hello.load, now);
     context_.observer.on_phase(phase_link);
     if (hello.load.accepts_work)
--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -4,6 +4,7 @@
 #include <agatebank/core/crash_report.hpp>
 #include <agatebank/core/credit_allocator.hpp>
 #include <agatebank/core/entry_record.hpp>
+#include <agatebank/core/evacuation_state.hpp>
 #include <agatebank/core/event.hpp>
 #include <agatebank/core/execution_status.hpp>
 #include <agatebank/core/ids.hpp>
@@ -510,15 +511,42 @@
     }
 };
 
+/// @brief The failure domains that operators have taken out of service. An
+/// entry sends it as the first message on a link to an agent or an entry, and
+/// when it learns a higher version.
+struct evacuation_update
+{
+    evacuation_version version;
+    std::vector<failure_domain_name> domains; ///< in ascending order
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(version, domains);
+    }
+};
+
+inline evacuation_update to_evacuation_update(const evacuation_state& state)
+{
+    return {state.version(), {state.domains().begin(), state.domains().end()}};
+}
+
+inline evacuation_state to_evacuation_state(const evacuation_update& update)
+{
+    return {update.version, {update.domains.begin(), update.domains.end()}};
+}
+
 /// @brief Any message on a TCP connection. The order of the alternatives is
 /// part of the protocol.
-using message = std::variant<
-    heartbeat, agent_hello, target_report, slot_grant, start_reports,
-    gather_reply, entry_hello, demand_update, start_orders, acknowledgement,
-    cancel_starts, agent_configuration, gather_query, peer_hello,
-    forward_request, forward_reply, configuration_query, configuration_document,
-    event_query, event_reply, target_hello, target_update, run_batch,
-    order_results, cancel_orders, roster_update, crash_reports>;
+using message =
+    std::variant<heartbeat, agent_hello, target_report, slot_grant,
+                 start_reports, gather_reply, entry_hello, demand_update,
+                 start_orders, acknowledgement, cancel_starts,
+                 agent_configuration, gather_query, peer_hello, forward_request,
+                 forward_reply, configuration_query, configuration_document,
+                 event_query, event_reply, target_hello, target_update,
+                 run_batch, order_results, cancel_orders, roster_update,
+                 crash_reports, evacuation_update>;
 
 /// @brief Datagram that an entry sends periodically to the other entries. May
 /// be lost.
--- a/packages/wire/src/link_traffic.cpp
+++ b/packages/wire/src/link_traffic.cpp
@@ -8,15 +8,16 @@
 
 // In the order of the alternatives of message.
 constexpr std::array<const char*, message_kind_count> kind_names{
-    "heartbeat",       "agent_hello",         "target_report",
-    "slot_grant",      "start_reports",       "gather_reply",
-    "entry_hello",     "demand_update",       "start_orders",
-    "acknowledgement", "cancel_starts",       "agent_configuration",
-    "gather_query",    "peer_hello",          "forward_request",
-    "forward_reply",   "configuration_query", "configuration_document",
-    "event_query",     "event_reply",         "target_hello",
-    "target_update",   "run_batch",           "order_results",
-    "cancel_orders",   "roster_update",       "crash_reports"};
+    "heartbeat",        "agent_hello",         "target_report",
+    "slot_grant",       "start_reports",       "gather_reply",
+    "entry_hello",      "demand_update",       "start_orders",
+    "acknowledgement",  "cancel_starts",       "agent_configuration",
+    "gather_query",     "peer_hello",          "forward_request",
+    "forward_reply",    "configuration_query", "configuration_document",
+    "event_query",      "event_reply",         "target_hello",
+    "target_update",    "run_batch",           "order_results",
+    "cancel_orders",    "roster_update",       "crash_reports",
+    "evacuation_update"};
 
 template <class Traffic>
 void add(Traffic& sum, const Traffic& t)
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -61,6 +61,8 @@
         targets.push_back(std::make_unique<target_stand_in>(
             loop, timers, ledger, "i-" + std::to_string(i), agent_ip(i),
             target_port_, at(agent_ip(i), control_port_), plan.run_time));
+        targets.back()->set_failure_domain(
+            "z" + std::to_string(i % plan.domains + 1));
         start_agent(i);
     }
 }
@@ -230,10 +232,36 @@
     return status.value_or(0);
 }
 
+void node_cluster::evacuate(const std::string& domain, const std::string& value)
+{
+    for (const auto& it : stores)
+    {
+        it->put("evacuate/" + domain, value);
+    }
+}
+
+void node_cluster::return_to_service(const std::string& domain)
+{
+    for (const auto& it : stores)
+    {
+        it->erase("evacuate/" + domain);
+    }
+}
+
 double node_cluster::agent_metric(std::size_t i, const std::string& name)
+{
+    return metric(agent_ip(i), name);
+}
+
+double node_cluster::entry_metric(std::size_t i, const std::string& name)
+{
+    return metric(entry_ip(i), name);
+}
+
+double node_cluster::metric(const std::string& ip, const std::string& name)
 {
     http_call call;
-    call.url = "http://" + at(agent_ip(i), metrics_port_) + "/metrics";
+    call.url = "http://" + at(ip, metrics_port_) + "/metrics";
     call.timeout = 1s;
     std::optional<std::string> body;
     const auto handle = client_.send(call, [&body](const auto& r)
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -23,6 +23,8 @@
     bool keep_connections = false;
     bool seeded_agents = true; ///< false: agents get no seeds
     std::string log_level = "info";
+    /// failure domains of the targets: z1, z2 and so on, in turn
+    std::size_t domains = 1;
 };
 
 /// @brief A submitted job and its response. Status 0: no response yet, or the
@@ -61,11 +63,17 @@
     /// @brief Waits until all entries are ready for callers. @return whether
     /// they are
     bool wait_ready(duration timeout = std::chrono::seconds(10));
+    /// @brief Requests the evacuation of a failure domain in all stores.
+    void evacuate(const std::string& domain, const std::string& value = "{}");
+    /// @brief Returns a failure domain to service in all stores.
+    void return_to_service(const std::string& domain);
     /// @brief HTTP status of an entry's readiness check; 0 without a response.
     unsigned readiness(std::size_t i);
     /// @brief Value of a metric without labels on an agent's metrics page;
     /// negative without a response.
     double agent_metric(std::size_t i, const std::string& name);
+    /// @brief The same of an entry's metrics page.
+    double entry_metric(std::size_t i, const std::string& name);
 
     // callers
     /// @brief Submits a job of equal tasks. @return the number of the job
@@ -97,6 +105,7 @@
                   const std::vector<std::string>& more_prefixes = {});
 
   private:
+    double metric(const std::string& ip, const std::string& name);
     std::string entry_ip(std::size_t i) const;
     std::string agent_ip(std::size_t i) const;
     std::string file(const std::string& name) const;
--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -29,7 +29,7 @@
     : loop_(loop), server_(loop, listen_at(address, port))
 {
     server_.route("GET", "/v1/rows-get",
-                  [this](const auto&, const auto& r) { get(r); });
+                  [this](const auto& rq, const auto& r) { get(rq, r); });
     server_.route("GET", "/v1/rows-feed",
                   [this](const auto& rq, const auto& r) { follow(rq, r); });
     if (!server_.listen())
@@ -41,12 +41,25 @@
 
 void store_stand_in::write(const std::string& configuration)
 {
-    configuration_ = configuration;
-    ++version_;
-    for (const auto& it : std::exchange(waiting_, {}))
-    {
-        get(it);
-    }
+    put("config", configuration);
+}
+
+void store_stand_in::put(const std::string& key, const std::string& value)
+{
+    rows_[key] = {value, ++version_, false};
+    answer_waiting();
+}
+
+void store_stand_in::erase(const std::string& key)
+{
+    rows_[key] = {{}, ++version_, true};
+    answer_waiting();
+}
+
+void store_stand_in::discard_history()
+{
+    std::erase_if(rows_, [](const auto& r) { return r.second.deleted; });
+    oldest_change_ = ++version_;
 }
 
 void store_stand_in::set_mode(store_mode mode)
@@ -54,26 +67,34 @@
     mode_ = mode;
 }
 
+void store_stand_in::set_page_size(std::size_t rows)
+{
+    page_size_ = rows;
+}
+
 std::string store_stand_in::address() const
 {
     return server_.options().address + ":" +
            std::to_string(server_.options().port);
 }
 
-nlohmann::json store_stand_in::row() const
+nlohmann::json store_stand_in::to_json(const std::string& key,
+                                       const row_record& row) const
 {
     return {{"table", "op"},
             {"part", ""},
-            {"key", "config"},
-            {"value", to_base64(configuration_)},
-            {"schemaVersion", version_}};
+            {"key", key},
+            {"value", to_base64(row.value)},
+            {"deleted", row.deleted},
+            {"schemaVersion", row.version}};
 }
 
-void store_stand_in::get(const http_responder& respond)
+void store_stand_in::get(const http_request& request,
+                         const http_responder& respond)
 {
     if (mode_ == store_mode::silent)
     {
-        waiting_.push_back(respond);
+        waiting_.push_back({version_, respond});
         return;
     }
     if (mode_ == store_mode::refusing)
@@ -82,12 +103,24 @@
         return;
     }
     auto rows = nlohmann::json::array();
-    if (!configuration_.empty())
+    bool has_more = false;
+    const auto end = rows_.lower_bound(request.parameter("target"));
+    for (auto it = rows_.lower_bound(request.parameter("from"));
+         it != end && it != rows_.end(); ++it)
     {
-        rows.push_back(row());
+        if (it->second.deleted)
+        {
+            continue;
+        }
+        if (rows.size() == page_size_)
+        {
+            has_more = true;
+            break;
+        }
+        rows.push_back(to_json(it->first, it->second));
     }
     respond(json_response(200, {{"rows", rows},
-                                {"hasMore", false},
+                                {"hasMore", has_more},
                                 {"schemaVersion", version_},
                                 {"nowMs", 1}}));
 }
@@ -96,12 +129,49 @@
                             const http_responder& respond)
 {
     const auto after = std::stoll(request.parameter("after"));
-    if (mode_ != store_mode::serving || after < version_)
+    if (mode_ == store_mode::refusing)
+    {
+        respond(json_response(503, nlohmann::json::object()));
+        return;
+    }
+    if (mode_ == store_mode::silent || after >= version_)
+    {
+        waiting_.push_back({after, respond});
+        return;
+    }
+    answer_changes(after, respond);
+}
+
+void store_stand_in::answer_changes(int64_t after,
+                                    const http_responder& respond)
+{
+    if (after < oldest_change_)
     {
-        get(respond);
+        respond(json_response(410, nlohmann::json::object()));
         return;
     }
-    waiting_.push_back(respond);
+    auto rows = nlohmann::json::array();
+    for (const auto& [key, row] : rows_)
+    {
+        if (row.version > after)
+        {
+            rows.push_back(to_json(key, row));
+        }
+    }
+    respond(json_response(
+        200, {{"rows", rows}, {"schemaVersion", version_}, {"nowMs", 1}}));
+}
+
+void store_stand_in::answer_waiting()
+{
+    if (mode_ != store_mode::serving)
+    {
+        return;
+    }
+    for (const auto& it : std::exchange(waiting_, {}))
+    {
+        answer_changes(it.after, it.respond);
+    }
 }
 
 } // namespace agatebank
--- a/tests/platform/store_stand_in.hpp
+++ b/tests/platform/store_stand_in.hpp
@@ -21,7 +21,7 @@
 };
 
 /// @brief Stand-in of the platform's table service. Serves the published calls
-/// to read and to follow a table, which has one row, the configuration.
+/// to read and to follow a table.
 class store_stand_in
 {
   public:
@@ -31,22 +31,48 @@
     // modifiers
     /// @brief Replaces the configuration and answers all waiting calls.
     void write(const std::string& configuration);
+    /// @brief Writes a row and answers all waiting calls.
+    /// @param value not encoded
+    void put(const std::string& key, const std::string& value);
+    /// @brief Removes a row and answers all waiting calls.
+    void erase(const std::string& key);
+    /// @brief Discards the history of changes: calls that follow it from the
+    /// present version or an earlier one are answered 410.
+    void discard_history();
     void set_mode(store_mode mode);
+    /// @brief Limits the rows of one answer to a read.
+    void set_page_size(std::size_t rows);
 
     // lookup
     std::string address() const;
 
   private:
-    void get(const http_responder& respond);
+    struct row_record
+    {
+        std::string value; ///< not encoded
+        int64_t version = 0;
+        bool deleted = false;
+    };
+    struct waiting_call
+    {
+        int64_t after = 0;
+        http_responder respond;
+    };
+
+    void get(const http_request& request, const http_responder& respond);
     void follow(const http_request& request, const http_responder& respond);
-    nlohmann::json row() const;
+    void answer_changes(int64_t after, const http_responder& respond);
+    void answer_waiting();
+    nlohmann::json to_json(const std::string& key, const row_record& row) const;
 
     event_loop& loop_;
     http_server server_;
     store_mode mode_ = store_mode::serving;
-    std::string configuration_;
+    std::map<std::string, row_record> rows_;
     int64_t version_ = 10;
-    std::vector<http_responder> waiting_;
+    int64_t oldest_change_ = 0; ///< later changes are in the history
+    std::size_t page_size_ = 1000;
+    std::vector<waiting_call> waiting_;
 };
 
 } // namespace agatebank
--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -77,6 +77,11 @@
     mode_ = mode;
 }
 
+void target_stand_in::set_failure_domain(std::string name)
+{
+    failure_domain_ = std::move(name);
+}
+
 void target_stand_in::set_draining()
 {
     draining_ = true;
@@ -169,7 +174,7 @@
     const json body{
         {"service", "desk"},
         {"address", address()},
-        {"zone", "z1"},
+        {"zone", failure_domain_},
         {"version", "v1"},
         {"slots", 8},
         {"state", draining_ ? "draining" : "ready"},
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -57,6 +57,8 @@
     /// @brief Sets whether calls with an outdated fencing token are refused.
     void set_checks_fences(bool checks);
     void set_draining();
+    /// @brief Sets the failure domain that is announced, "z1" unless set.
+    void set_failure_domain(std::string name);
     /// @brief Changes the capacity, in tasks, of a target that starts all that
     /// it is asked to. Runs go on.
     void set_unguarded_capacity(std::size_t tasks);
@@ -128,6 +130,7 @@
     target_mode mode_ = target_mode::healthy;
     bool checks_fences_ = true;
     bool draining_ = false;
+    std::string failure_domain_ = "z1";
     std::size_t capacity_; ///< in tasks of one core
     bool guards_capacity_ = true;
     int lives_ = 1; ///< incarnations so far
