--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -62,6 +62,8 @@
         targets.push_back(std::make_unique<target_stand_in>(
             loop, timers, ledger, "i-" + std::to_string(i), agent_ip(i),
             target_port_, at(agent_ip(i), control_port_), plan.run_time));
+        targets.back()->set_failure_domain(
+            "z" + std::to_string(i % plan.domains + 1));
         start_agent(i);
     }
 }
@@ -239,6 +241,22 @@
     return status.value_or(0);
 }
 
+void node_cluster::evacuate(const std::string& domain, const std::string& value)
+{
+    for (const auto& it : stores)
+    {
+        it->put("evacuate/" + domain, value);
+    }
+}
+
+void node_cluster::return_to_service(const std::string& domain)
+{
+    for (const auto& it : stores)
+    {
+        it->erase("evacuate/" + domain);
+    }
+}
+
 double node_cluster::agent_metric(std::size_t i, const std::string& name)
 {
     return metric(agent_ip(i), name);
