Set the number of probation targets by what it refuses and what crashes take

A third of the targets was kept for a route on probation whatever its rate of crashing jobs, so harmless jobs of a route with few crashes were refused while targets were free.

size_probation weighs both losses: jobs/s x time of a first task plus crashing jobs/s x time away is what the route needs, and crashing jobs/s x crashes per job x time away over the targets is what crashes would take. crash_estimator keeps the inputs from crash reports, which all entries have, and this entry's jobs. Entries weigh anew every 250 ms from 1 s after probation begins; until then it is a third, as before. Selections are nested, so entries whose estimates differ agree on most targets.

New gauges agatebank_routes_on_probation and agatebank_probation_targets, and a log line for each change of size with its inputs.

--- a/packages/core/include/agatebank/core/probation_targets.hpp
+++ b/packages/core/include/agatebank/core/probation_targets.hpp
@@ -2,6 +2,7 @@
 
 #include <agatebank/core/ids.hpp>
 
+#include <cstddef>
 #include <set>
 #include <vector>
 
@@ -17,4 +18,16 @@
 std::set<agent_incarnation>
 select_probation_targets(const std::vector<agent_incarnation>& targets);
 
+/// @brief Selects a given number of targets in the same order, so that a larger
+/// selection includes each smaller one. Entries whose estimates differ a little
+/// still agree on most targets.
+/// @param count at least one is selected if there is any
+std::set<agent_incarnation>
+select_probation_targets(const std::vector<agent_incarnation>& targets,
+                         std::size_t count);
+
+/// @brief Number of probation targets before the crashes of a route can be
+/// estimated: a third of a service's targets, at least one.
+std::size_t initial_probation_targets(std::size_t targets);
+
 } // namespace agatebank
--- a/packages/core/src/probation_targets.cpp
+++ b/packages/core/src/probation_targets.cpp
@@ -19,8 +19,23 @@
 
 } // namespace
 
+std::size_t initial_probation_targets(std::size_t targets)
+{
+    return std::max<std::size_t>(
+        1, static_cast<std::size_t>(probation_share *
+                                    static_cast<double>(targets)));
+}
+
 std::set<agent_incarnation>
 select_probation_targets(const std::vector<agent_incarnation>& targets)
+{
+    return select_probation_targets(targets,
+                                    initial_probation_targets(targets.size()));
+}
+
+std::set<agent_incarnation>
+select_probation_targets(const std::vector<agent_incarnation>& targets,
+                         std::size_t count)
 {
     std::vector<std::pair<uint64_t, agent_incarnation>> ranked;
     for (const auto agent : targets)
@@ -29,11 +44,9 @@
         ranked.emplace_back(XXH3_64bits(&n, sizeof n), agent);
     }
     std::sort(ranked.begin(), ranked.end());
-    const auto count = std::max<std::size_t>(
-        1, static_cast<std::size_t>(probation_share *
-                                    static_cast<double>(ranked.size())));
+    count = std::min(std::max<std::size_t>(1, count), ranked.size());
     std::set<agent_incarnation> out;
-    for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i)
+    for (std::size_t i = 0; i < count; ++i)
     {
         out.insert(ranked[i].second);
     }
--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -137,6 +137,20 @@
     metrics.add_gauge(
         {"agatebank_targets", "Targets linked.", {}}, [&scheduler]
         { return static_cast<double>(scheduler.targets().size()); });
+    metrics.add_gauge({"agatebank_routes_on_probation",
+                       "Routes whose tasks crashed targets in the last 10 s.",
+                       {}},
+                      [&scheduler] {
+                          return static_cast<double>(
+                              scheduler.containment().routes_on_probation());
+                      });
+    metrics.add_gauge({"agatebank_probation_targets",
+                       "Targets kept for tasks that may crash them.",
+                       {}},
+                      [&scheduler] {
+                          return static_cast<double>(
+                              scheduler.containment().reserved_targets());
+                      });
     metrics.add_gauge(
         {"agatebank_configuration_version", "Version in force.", {}}, [&node]
         { return static_cast<double>(node.routes().version().value()); });
--- a/packages/fleet/include/agatebank/fleet/crash_containment.hpp
+++ b/packages/fleet/include/agatebank/fleet/crash_containment.hpp
@@ -3,6 +3,8 @@
 #include <agatebank/core/crash_history.hpp>
 #include <agatebank/core/ids.hpp>
 #include <agatebank/core/log.hpp>
+#include <agatebank/core/probation_size.hpp>
+#include <agatebank/fleet/crash_estimator.hpp>
 #include <agatebank/fleet/placement.hpp>
 #include <agatebank/fleet/scheduled_job.hpp>
 #include <agatebank/fleet/target_load_tracker.hpp>
@@ -51,8 +53,13 @@
 
     // targets
     void put_target();
+    void set_accepting(agent_incarnation agent, bool accepting, time_point now);
     void remove_target(agent_incarnation agent);
 
+    // jobs
+    void on_arrival(const arriving_job& job, time_point now);
+    void on_admitted(const route_name& route, time_point now);
+
     // orders
     void add_isolated_order(agent_incarnation agent, order_id order);
     void remove_order(agent_incarnation agent, order_id order);
@@ -66,6 +73,10 @@
     void expire(time_point now);
 
     // decisions
+    /// @brief Weighs, once in a period, what the probation of each route
+    /// refuses against what its crashes would take.
+    /// @param entries number of entries among which jobs are spread
+    void resize(const target_map& targets, std::size_t entries, time_point now);
     /// @brief Sets the tasks of a new job that may not start yet, or must run
     /// alone. @return whether the job may run at all
     bool apply_history(scheduled_job& job, time_point now) const;
@@ -89,6 +100,13 @@
     job_result result_after_crashes(const scheduled_job& job) const;
 
     // lookup
+    /// @brief Whether jobs of a route start with one task, on probation
+    /// targets.
+    bool is_contained(const route_name& route, time_point now) const;
+    /// @brief Number of routes on probation, contained or not.
+    std::size_t routes_on_probation() const noexcept;
+    /// @brief Number of probation targets of all contained routes.
+    std::size_t reserved_targets() const;
     /// @brief Whether a target was lost while a task of the job was there.
     bool has_losses(const scheduled_job& job) const;
     /// @brief Whether a task is known to crash its targets.
@@ -96,11 +114,27 @@
     const crash_history& history() const noexcept;
 
   private:
+    struct probation_record
+    {
+        service_name service;
+        time_point since;
+        /// nothing until the crashes can be estimated
+        std::optional<probation_size> size;
+        time_point logged;
+    };
+
     const std::set<agent_incarnation>&
     probation_targets(const service_name& service, const target_map& targets);
+    bool has_contained(const service_name& service, time_point now) const;
+    void resize_one(const route_name& route, probation_record& record,
+                    const target_map& targets, std::size_t entries,
+                    time_point now);
 
     log_sink log_;
     crash_history history_;
+    crash_estimator estimator_;
+    std::map<route_name, probation_record> probations_;
+    time_point next_resize_;
     std::map<service_name, std::set<agent_incarnation>> probation_targets_;
     std::map<agent_incarnation, order_id> isolated_orders_;
 };
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -33,6 +33,8 @@
     std::function<void(agent_incarnation, const std::vector<order_id>&)> cancel;
     std::function<void(job_key, const job_outcome&)> finish;
     log_sink log;
+    /// number of entries among which jobs are spread; unset: 1
+    std::function<std::size_t()> entry_count{};
 };
 
 /// @brief Event counts since construction.
@@ -122,6 +124,7 @@
     std::size_t held_jobs() const noexcept;
     const job_scheduler_counts& counts() const noexcept;
     const target_map& targets() const noexcept;
+    const crash_containment& containment() const noexcept;
     const crash_history& crashes() const noexcept;
     /// @brief Finds a running job by the caller's id.
     std::optional<job_key> find(const std::string& id) const;
@@ -171,6 +174,8 @@
     void send_orders(job_record& job, uint32_t step,
                      const std::vector<placed_task>& placed, time_point now);
     bool place_waiting(job_key key, job_record& job, time_point now);
+    arriving_job to_arriving_job(const job_record& job, duration chain,
+                                 duration objective) const;
     /// @brief Places the first tasks of a job that has no order yet, refuses
     /// the job or holds it until the next tick.
     void try_to_admit(job_key key, job_record& job, time_point now);
--- a/packages/fleet/src/crash_containment.cpp
+++ b/packages/fleet/src/crash_containment.cpp
@@ -1,7 +1,11 @@
+#include <agatebank/core/duration_math.hpp>
 #include <agatebank/core/probation_targets.hpp>
 #include <agatebank/fleet/crash_containment.hpp>
 
 #include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
 #include <iterator>
 #include <utility>
 
@@ -13,6 +17,35 @@
 
 /// The platform allows to fail a task after two crashes.
 constexpr std::size_t crashes_to_fail = 2;
+/// Time after which the crashes of a route on probation can be estimated.
+constexpr std::chrono::seconds min_evidence_time{1};
+constexpr std::chrono::milliseconds resize_period{250};
+/// Shortest interval between two log lines about the size of one probation.
+constexpr std::chrono::seconds size_log_period{1};
+
+// Share of the capacity of a service in use, in targets.
+double busy_targets(const target_map& targets, const service_name& service)
+{
+    double out = 0;
+    for (const auto& [agent, t] : targets)
+    {
+        const auto capacity = t.profile().capacity.cpu_millis;
+        if (t.profile().service == service && t.load().accepts_work &&
+            capacity > 0)
+        {
+            out += static_cast<double>(t.load().used.cpu_millis) /
+                   static_cast<double>(capacity);
+        }
+    }
+    return out;
+}
+
+std::string to_text(double value)
+{
+    std::array<char, 32> buf{};
+    std::snprintf(buf.data(), buf.size(), "%.2f", value);
+    return buf.data();
+}
 
 task_position position_of(const scheduled_job& job, std::size_t step,
                           std::size_t index)
@@ -32,10 +65,29 @@
     probation_targets_.clear();
 }
 
+void crash_containment::set_accepting(agent_incarnation agent, bool accepting,
+                                      time_point now)
+{
+    estimator_.set_accepting(agent, accepting, now);
+}
+
 void crash_containment::remove_target(agent_incarnation agent)
 {
     probation_targets_.clear();
     isolated_orders_.erase(agent);
+    estimator_.remove_target(agent);
+}
+
+// jobs
+
+void crash_containment::on_arrival(const arriving_job& job, time_point now)
+{
+    estimator_.on_arrival(job, now);
+}
+
+void crash_containment::on_admitted(const route_name& route, time_point now)
+{
+    estimator_.on_admitted(route, now);
 }
 
 const std::set<agent_incarnation>&
@@ -45,7 +97,21 @@
     const auto [it, is_new] = probation_targets_.try_emplace(service);
     if (is_new)
     {
-        it->second = select_probation_targets(agents_of(targets, service));
+        const auto agents = agents_of(targets, service);
+        std::size_t n = 0;
+        bool undecided = true;
+        for (const auto& [route, record] : probations_)
+        {
+            if (record.service == service && record.size)
+            {
+                n += record.size->targets;
+                undecided = false;
+            }
+        }
+        it->second = select_probation_targets(
+            agents, undecided
+                        ? initial_probation_targets(agents.size())
+                        : std::min(n, max_probation_targets(agents.size())));
     }
     return it->second;
 }
@@ -84,6 +150,7 @@
         before[it] = history_.on_probation(it, now);
     }
     auto added = history_.merge(reports, now);
+    estimator_.on_crashes(added, now);
     for (const auto& it : routes)
     {
         if (!before[it] && history_.on_probation(it, now))
@@ -97,6 +164,17 @@
             log_(r);
         }
     }
+    for (const auto& it : added)
+    {
+        if (history_.on_probation(it.route, now) &&
+            probations_
+                .try_emplace(it.route,
+                             probation_record{it.service, now, {}, {}})
+                .second)
+        {
+            probation_targets_.clear();
+        }
+    }
     return added;
 }
 
@@ -107,10 +185,74 @@
 
 // decisions
 
+void crash_containment::resize(const target_map& targets, std::size_t entries,
+                               time_point now)
+{
+    if (probations_.empty() || now < next_resize_)
+    {
+        return;
+    }
+    next_resize_ = now + resize_period;
+    const auto ended =
+        std::erase_if(probations_, [&](const auto& it)
+                      { return !history_.on_probation(it.first, now); });
+    if (ended != 0)
+    {
+        probation_targets_.clear();
+    }
+    for (auto& [route, record] : probations_)
+    {
+        if (now - record.since >= min_evidence_time)
+        {
+            resize_one(route, record, targets, entries, now);
+        }
+    }
+}
+
+void crash_containment::resize_one(const route_name& route,
+                                   probation_record& record,
+                                   const target_map& targets,
+                                   std::size_t entries, time_point now)
+{
+    auto in = estimator_.estimate(route, entries, now);
+    in.targets = agents_of(targets, record.service).size();
+    in.busy_targets = busy_targets(targets, record.service);
+    const auto size = size_probation(in);
+    if (record.size && record.size->targets == size.targets)
+    {
+        return;
+    }
+    const bool contained = !record.size || record.size->targets > 0;
+    record.size = size;
+    probation_targets_.clear();
+    if (contained == (size.targets > 0) &&
+        now - record.logged < size_log_period)
+    {
+        return;
+    }
+    record.logged = now;
+    log_record r;
+    r.level = log_level::warning;
+    r.text = "probation of route " + route.value() + " takes " +
+             std::to_string(size.targets) + " of " +
+             std::to_string(in.targets) + " targets, expected to refuse " +
+             to_text(size.refused_share) + " of its jobs and to lose " +
+             to_text(size.containment_loss) +
+             " of the service's value, crashes would lose " +
+             to_text(size.crash_loss) + "; crashing jobs " +
+             to_text(in.crashing_jobs_per_s) + "/s of " +
+             to_text(in.jobs_per_s) + "/s, " + to_text(in.crashes_per_job) +
+             " crashes each, targets away for " + to_ms_text(in.time_away) +
+             ", busy targets " + to_text(in.busy_targets) +
+             ", share of the work " + to_text(in.work_share);
+    r.step = "crash";
+    log_(r);
+}
+
 bool crash_containment::apply_history(scheduled_job& job, time_point now) const
 {
     const bool on_probation =
-        history_.on_probation(job.submission.matched_route.name, now);
+        is_contained(job.submission.matched_route.name, now);
     for (std::size_t i = 0; i < job.steps.size(); ++i)
     {
         for (std::size_t k = 0; k < job.steps[i].tasks.size(); ++k)
@@ -211,7 +353,8 @@
     }
     job.steps[step].tasks[index].isolated =
         standing == crash_standing::suspect ||
-        (standing == crash_standing::hit && on_probation);
+        (standing == crash_standing::hit &&
+         is_contained(job.submission.matched_route.name, now));
     return std::nullopt;
 }
 
@@ -240,6 +383,50 @@
 
 // lookup
 
+bool crash_containment::is_contained(const route_name& route,
+                                     time_point now) const
+{
+    if (!history_.on_probation(route, now))
+    {
+        return false;
+    }
+    const auto it = probations_.find(route);
+    return it == probations_.end() || !it->second.size ||
+           it->second.size->targets > 0;
+}
+
+bool crash_containment::has_contained(const service_name& service,
+                                      time_point now) const
+{
+    return std::any_of(probations_.begin(), probations_.end(),
+                       [&](const auto& it) {
+                           return it.second.service == service &&
+                                  is_contained(it.first, now);
+                       });
+}
+
+std::size_t crash_containment::routes_on_probation() const noexcept
+{
+    return probations_.size();
+}
+
+std::size_t crash_containment::reserved_targets() const
+{
+    std::size_t out = 0;
+    for (const auto& [service, agents] : probation_targets_)
+    {
+        const bool contains = std::any_of(
+            probations_.begin(), probations_.end(),
+            [&service](const auto& it)
+            {
+                return it.second.service == service &&
+                       (!it.second.size || it.second.size->targets > 0);
+            });
+        out += contains ? agents.size() : 0;
+    }
+    return out;
+}
+
 bool crash_containment::has_losses(const scheduled_job& job) const
 {
     for (std::size_t i = 0; i < job.steps.size(); ++i)
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -30,6 +30,9 @@
 /// Period in which held jobs are decided again. Each decision looks at all
 /// targets, and dozens of them may be discovered within 100 ms.
 constexpr duration held_decision_period = 30ms;
+/// Time between two runs of this entry on a probation target: the report of an
+/// end and the next order.
+constexpr duration order_turnaround_time = 20ms;
 /// Stalls of a task that are counted. Each multiplies the expected run time of
 /// its next attempt by 4, so the factor is at most 4096.
 constexpr uint32_t max_counted_stalls = 6;
@@ -66,6 +69,7 @@
     {
         forecast_.set_learned_speed(agent, load.speed);
     }
+    containment_.set_accepting(agent, load.accepts_work, now);
     if (it->second.set_load(load))
     {
         log_record r;
@@ -376,7 +380,6 @@
             }
         }
     }
-    const bool may_run = containment_.apply_history(job, now);
     const auto chain =
         forecast_.longest_chain(job.submission.matched_route.name, plan);
     const auto& r = job.submission.matched_route;
@@ -386,7 +389,8 @@
     job.objective = now + objective;
     job.useful_until = now + useful_objective_multiple * objective;
     job.deadline = now + job.submission.deadline;
-
+    containment_.on_arrival(to_arriving_job(job, chain, objective), now);
+    const bool may_run = containment_.apply_history(job, now);
     if (!may_run)
     {
         end_at_admission(key, job);
@@ -395,6 +399,33 @@
     try_to_admit(key, job, now);
 }
 
+arriving_job job_scheduler::to_arriving_job(const job_record& job,
+                                            duration chain,
+                                            duration objective) const
+{
+    const auto& r = job.submission.matched_route;
+    arriving_job out;
+    out.route = r.name;
+    out.service = r.service;
+    duration first{};
+    uint32_t first_tasks = 0;
+    for (const auto& step : job.submission.plan.steps)
+    {
+        const auto typical = forecast_.task_run_time(r.name, step).typical;
+        if (step.after.empty())
+        {
+            first = first_tasks == 0 ? typical : first;
+            first_tasks += step.tasks;
+        }
+        out.work += std::chrono::duration<double>(typical).count() *
+                    static_cast<double>(step.tasks) *
+                    static_cast<double>(step.task_resources.cpu_millis) / 1000;
+    }
+    out.first_task_time = first + order_turnaround_time;
+    out.late_on_probation = first_tasks > 1 && first + chain > objective;
+    return out;
+}
+
 void job_scheduler::try_to_admit(job_key key, job_record& job, time_point now)
 {
     const auto& plan = job.submission.plan;
@@ -471,6 +502,7 @@
         return;
     }
     ++counts_.admitted;
+    containment_.on_admitted(r.name, now);
     by_id_[job.submission.id] = key;
     job.held = false;
     deadlines_.emplace(job.deadline - answer_delivery_time, key);
@@ -910,6 +942,8 @@
         next_expiry_ = now + crash_expiry_period;
         containment_.expire(now);
     }
+    containment_.resize(targets_, hooks_.entry_count ? hooks_.entry_count() : 1,
+                        now);
     admit_held(now);
     release_lost_tasks(now);
     std::vector<job_key> in_vain;
@@ -969,6 +1003,11 @@
     return targets_;
 }
 
+const crash_containment& job_scheduler::containment() const noexcept
+{
+    return containment_;
+}
+
 const crash_history& job_scheduler::crashes() const noexcept
 {
     return containment_.history();
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -65,7 +65,11 @@
                   [this](agent_incarnation a, const std::vector<order_id>& ids)
                   { send_cancel(a, ids); },
                   [this](job_key k, const job_outcome& o) { on_finish(k, o); },
-                  context_.log})
+                  context_.log,
+                  [this]
+                  {
+                      return peers_.size() + 1;
+                  }})
     , hub_({context_.loop, context_.clock, context_.auth, node_link_options(),
             [this]
             {
