Shed load at admission while a service is overloaded

Cause: admission accepts each job whose answer may still be useful, so that under overload the queue grows until most jobs of all kinds are late; expected ends don't account for what other entries place between two load reports.

Change: fleet/forecast_correction compares the ends of the jobs of the last second with the expected ones (median ratio, share of late jobs), without jobs whose tasks failed, stalled or were lost. fleet/load_shedding decides whether a job is served: always if it is on time by the corrected forecast; while targets are full and a fifth of the jobs is late, a late job only if its route has got less than its minimum share, which counts at most the usual rate of a route.

Test: fleet_tests passes.

--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -134,7 +134,13 @@
          &counts::returned_early},
         {"agatebank_orders_moved",
          "Orders at another target after such a return.",
-         &counts::moved_orders}};
+         &counts::moved_orders},
+        {"agatebank_jobs_shed",
+         "Jobs refused as late while their service was overloaded.",
+         &counts::shed},
+        {"agatebank_jobs_refused_as_useless",
+         "Jobs refused as useless by the corrected forecast.",
+         &counts::refused_as_useless}};
     const auto& scheduler = node.scheduler();
     add_count_gauges(metrics, scheduler.counts(), rows);
     metrics.add_gauge(
--- /dev/null
+++ b/packages/fleet/include/agatebank/fleet/forecast_correction.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <agatebank/core/ids.hpp>
+#include <agatebank/core/units.hpp>
+
+#include <deque>
+#include <map>
+
+namespace agatebank
+{
+
+/// @brief How the ends of a service's latest jobs compare with what was
+/// expected at their admission.
+struct forecast_error
+{
+    std::size_t jobs = 0;  ///< that ended within the window
+    double ratio = 1;      ///< median of actual over expected time, 1 at least
+    double late_share = 0; ///< jobs that missed their objective, of all
+};
+
+/// @brief Compares the ends of an entry's jobs with the expected ones, over the
+/// last second.
+///
+/// Load pattern: a burst that loads a service over its capacity. Several
+/// entries place work between two load reports, and urgent orders overtake
+/// those that wait, so that the expected wait is too short as long as the
+/// burst lasts.
+class forecast_correction
+{
+  public:
+    // modifiers
+    /// @brief Adds a job that has ended.
+    /// @param actual time from its arrival to its end; of a job that was given
+    /// up, the time for which its answer would have been useful
+    /// @param expected the same time as expected at its admission, uncorrected
+    void on_end(const service_name& service, duration expected, duration actual,
+                bool late, time_point now);
+
+    // lookup
+    /// @brief Returns the error over the last second. With few jobs the ratio
+    /// is 1 and the late share 0, as single jobs vary too much.
+    forecast_error error(const service_name& service, time_point now) const;
+
+  private:
+    struct sample
+    {
+        time_point at;
+        double ratio = 1;
+        bool late = false;
+    };
+
+    std::map<service_name, std::deque<sample>> samples_;
+};
+
+} // namespace agatebank
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -8,8 +8,10 @@
 #include <agatebank/core/route_table.hpp>
 #include <agatebank/core/run_order.hpp>
 #include <agatebank/fleet/arrival_hold.hpp>
+#include <agatebank/fleet/forecast_correction.hpp>
 #include <agatebank/fleet/job_admission.hpp>
 #include <agatebank/fleet/job_forecast.hpp>
+#include <agatebank/fleet/load_shedding.hpp>
 #include <agatebank/fleet/order_return.hpp>
 #include <agatebank/fleet/placement.hpp>
 #include <agatebank/fleet/target_load_tracker.hpp>
@@ -79,6 +81,9 @@
     uint64_t returned_early = 0; ///< orders returned as ending too late
     /// orders of such tasks at another target
     uint64_t moved_orders = 0;
+    uint64_t shed = 0; ///< jobs refused as late while overloaded
+    /// jobs refused as useless by the corrected forecast
+    uint64_t refused_as_useless = 0;
 };
 
 /// @brief Settings of a job_scheduler.
@@ -90,6 +95,7 @@
     double remote_data_factor = 1; ///< see placement_request
     time_point started;            ///< of the process
     duration discovery_window{};   ///< see arrival_hold_input
+    bool shed_load = true;         ///< see decide_shedding
 };
 
 /// @brief Schedules the jobs of one entry, from admission to the answer. Does
@@ -196,6 +202,7 @@
         time_point objective;
         time_point useful_until;
         time_point deadline;
+        duration expected_finish{}; ///< from arrival, as admitted
         uint32_t unfinished_steps = 0;
         bool may_have_run = false;
         bool first_task_pending = false; ///< the others wait for its end
@@ -254,6 +261,16 @@
     /// @brief Places the first tasks of a job that has no order yet, refuses
     /// the job or holds it until the next tick.
     void try_to_admit(job_key key, job_record& job, time_point now);
+    /// @brief Decides whether a job that could be served is shed.
+    /// @return why it is refused, or nothing if it is served
+    std::optional<std::string> reason_to_shed(const job_record& job,
+                                              const admission_input& admission,
+                                              time_point now);
+    /// @brief Returns whether a task of a job stalled, failed or was lost, so
+    /// that its end says nothing about the load.
+    static bool had_faults(const job_record& job);
+    /// @brief Compares the end of an admitted job with the expected one.
+    void observe_end(const job_record& job, job_result result, time_point now);
     /// @brief Decides between placing, holding and refusing a new job.
     arrival_action action_on_arrival(const job_record& job,
                                      const admission_input& admission,
@@ -304,6 +321,8 @@
     job_scheduler_options options_;
     job_scheduler_hooks hooks_;
     job_forecast forecast_;
+    forecast_correction forecast_error_;
+    demand_tracker demand_;
     target_map targets_;
     crash_history crashes_;
     time_point next_expiry_;
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -635,6 +635,15 @@
         refuse(key, job, decision.retry_after, why);
         return;
     }
+    if (!job.first_task_pending && !has_losses(job))
+    {
+        if (const auto why = reason_to_shed(job, admission, now))
+        {
+            refuse(key, job, queue_timeout_retry_after, *why);
+            return;
+        }
+    }
+    job.expected_finish = now - job.arrived + admission.expected_finish;
     ++counts_.admitted;
     by_id_[job.submission.id] = key;
     job.held = false;
@@ -823,6 +832,7 @@
                             const char* why, time_point now)
 {
     const auto& job = jobs_.at(key);
+    observe_end(job, outcome.result, now);
     switch (outcome.result)
     {
     case job_result::succeeded:
--- a/packages/fleet/tests/overload_replay.hpp
+++ b/packages/fleet/tests/overload_replay.hpp
@@ -36,6 +36,7 @@
     duration burst_end = std::chrono::seconds(7);
     std::vector<replay_kind> kinds;
     order_return_options returns;
+    bool shed_load = true;
     /// share of the runs that make no progress, by target
     std::function<double(int target)> hang_share;
     /// whether a target accepts work at a time since the start
@@ -74,7 +75,9 @@
     int false_not_run = 0; ///< jobs refused although a task had run
     uint64_t returned = 0; ///< orders returned early
     uint64_t moved = 0;
+    uint64_t shed = 0;
     int max_returns_of_task = 0;
+    std::vector<std::string> decisions; ///< orders and answers, with times
     uint64_t hung_runs = 0;
     uint64_t runs = 0;
     std::vector<uint64_t> runs_by_target;
--- a/packages/fleet/tests/unit-overload_replay.cpp
+++ b/packages/fleet/tests/unit-overload_replay.cpp
@@ -60,7 +60,8 @@
         for (int e = 0; e < options_.entries; ++e)
         {
             entries_.push_back(std::make_unique<job_scheduler>(
-                job_scheduler_options{1100ms, 1, start, {}}, entry_hooks(e)));
+                job_scheduler_options{1100ms, 1, start, {}, options_.shed_load},
+                entry_hooks(e)));
         }
         for (int a = 0; a < options_.targets; ++a)
         {
@@ -104,6 +105,7 @@
         {
             result_.returned += it->counts().returned_early;
             result_.moved += it->counts().moved_orders;
+            result_.shed += it->counts().shed;
         }
         count_largest();
         return result_;
@@ -138,6 +140,11 @@
         return {options_.target_millis, 65536, 0};
     }
 
+    void decide(const std::string& text)
+    {
+        result_.decisions.push_back(to_ms_text(now_ - start) + ": " + text);
+    }
+
     bool is_up(int a) const
     {
         return !options_.is_up || options_.is_up(a, now_ - start);
@@ -198,6 +205,8 @@
     void finish(job_key key, const job_outcome& outcome)
     {
         const auto& job = jobs_.at(key);
+        decide("answer to j" + std::to_string(key.value()) + " is " +
+               std::to_string(int(outcome.result)));
         auto& k = result_.kinds[job.kind->name];
         const double value = 0.3 + 0.7 * job.work;
         const auto took = now_ - job.arrived;
@@ -241,6 +250,11 @@
         h.send = [this, e](agent_incarnation agent, const run_batch& b)
         {
             const int a = int(agent.value());
+            for (const auto& o : b.orders)
+            {
+                decide("order of task " + std::to_string(o.index) + " of " +
+                       b.job + " at target " + std::to_string(a));
+            }
             at(2ms,
                [this, e, a, b]
                {
@@ -429,7 +443,8 @@
 {
     std::ostringstream out;
     out << "value " << value_share() << ", runs " << runs << ", hung "
-        << hung_runs << ", returned " << returned << ", moved " << moved;
+        << hung_runs << ", returned " << returned << ", moved " << moved
+        << ", shed " << shed;
     for (const auto& [name, k] : kinds)
     {
         out << "\n  " << name << ": jobs " << k.jobs << ", on time "
@@ -447,6 +462,7 @@
     a.false_not_run += b.false_not_run;
     a.returned += b.returned;
     a.moved += b.moved;
+    a.shed += b.shed;
     a.max_returns_of_task =
         std::max(a.max_returns_of_task, b.max_returns_of_task);
     a.hung_runs += b.hung_runs;
