Give targets that hang a share of their runs less work

Cause: a target that hangs 57 % of its runs has a low load and is suspect only while more than 60 % of its last 8 runs failed; a job of 8 tasks is late if one of them hangs.

Change: agents report the share of runs that made no progress (progress unchanged for 0.3 times the expected run time and 60 ms), including those that hang now. Placement adds the time that a hung run costs, and the share itself to the target's use, in proportion; admission's expected end is unchanged. A target without hung runs is chosen as before.

--- a/packages/core/include/agatebank/core/target_load.hpp
+++ b/packages/core/include/agatebank/core/target_load.hpp
@@ -58,7 +58,8 @@
     /// unknown
     double speed = 0;
     uint64_t last_order_received =
-        0; ///< id of the last order received on this link
+        0;                 ///< id of the last order received on this link
+    double hang_share = 0; ///< runs without progress, of the latest runs
 
     bool operator==(const target_load&) const = default;
 
@@ -70,7 +71,7 @@
         {
             ar(it);
         }
-        ar(mean_run_us, slowdown, speed, last_order_received);
+        ar(mean_run_us, slowdown, speed, last_order_received, hang_share);
     }
 };
 
--- a/packages/fleet/include/agatebank/fleet/placement.hpp
+++ b/packages/fleet/include/agatebank/fleet/placement.hpp
@@ -57,11 +57,12 @@
 /// maximum of n standard normal variables within 0.06 for n up to 100.
 double slowest_task_ratio(uint32_t n);
 
-/// @brief Chooses the target for one task. Among the targets that finish the
-/// task in time it prefers those that are not crowded, of these the ones that
-/// are still in time if the run takes a quarter longer, then the slowest class
-/// of speeds, then the least utilised one. If none finishes in time, it chooses
-/// the target with the earliest end.
+/// @brief Chooses the target for one task. Targets that hang some of their runs
+/// count as later and as more utilised in proportion to that share. Among the
+/// targets that finish the task in time it prefers those that are not crowded,
+/// of these the ones that are still in time if the run takes a quarter longer,
+/// then the slowest class of speeds, then the least utilised one. If none
+/// finishes in time, it chooses the target with the earliest end.
 ///
 /// Load pattern: long and short tasks arrive together, and kinds of targets
 /// differ in speed. Short tasks have slack and can use slow targets; each fast
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -52,6 +52,7 @@
 struct run_scheduler_options
 {
     order_return_options returns;
+    bool report_hangs = true; ///< see target_load::hang_share
 };
 
 /// @brief Event counts since construction.
@@ -197,6 +198,8 @@
         run_outcome outcome = run_outcome::stopped;
         duration expected_wait{}; ///< of an order that is returned
         int percent = 0;
+        time_point progressed_at; ///< when percent last changed
+        bool hanging = false;     ///< as of the last listing
         uint64_t last_listed_in =
             0;           ///< number of the last listing to include it
         queue_rank rank; ///< valid while queued
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -57,6 +57,11 @@
     return it == request.placed->end() || it->second < step.max_per_target;
 }
 
+/// Time until a run that hangs is stopped and its task has run elsewhere: a
+/// multiple of its run time and a fixed time, see is_stalled.
+constexpr double hang_cost_factor = 2.5;
+constexpr duration hang_cost = std::chrono::milliseconds(145);
+
 /// Ratio between neighbouring classes of speed. Learned speeds are off by up to
 /// 10 %, so smaller differences must not decide the choice.
 constexpr double speed_class_ratio = 1.35;
@@ -118,9 +123,15 @@
         const auto wait =
             t.expected_wait(request.step->task_resources, request.band);
         const auto finish = wait + scale(work, 1 / current_speed);
+        // Only the choice accounts for runs that may hang; a job is not
+        // refused for them.
+        const double hang_share = t.load().hang_share;
+        const auto hang_time =
+            scale(scale(run, hang_cost_factor) + hang_cost, hang_share);
         const auto is_on_time = [&](double work_ratio, double run_ratio = 1)
         {
-            return wait + scale(work, run_ratio * work_ratio / current_speed) +
+            return wait + hang_time +
+                       scale(work, run_ratio * work_ratio / current_speed) +
                        dispatch_overhead <=
                    request.time_to_objective +
                        scale(work, request.stretch * (work_ratio - 1));
@@ -128,7 +139,7 @@
         const bool on_time =
             is_on_time(low_work_ratio) && is_on_time(high_work_ratio);
         const double utilisation =
-            t.utilisation_with(request.step->task_resources);
+            t.utilisation_with(request.step->task_resources) + hang_share;
         const bool crowded = utilisation > crowded_utilisation;
         const bool unsafe = !crowded && !is_on_time(1, safe_run_ratio);
         const choice_rank rank =
@@ -136,7 +147,8 @@
                 ? choice_rank{0, crowded, unsafe, speed_class(current_speed),
                               utilisation}
                 : choice_rank{1, false, false,
-                              static_cast<double>(finish.count()), utilisation};
+                              static_cast<double>((finish + hang_time).count()),
+                              utilisation};
         if (!best || rank < best_rank)
         {
             best = placement_choice{agent, run, finish, on_time, suspect};
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -235,6 +235,9 @@
     r.state = run_state::starting;
     r.known_to_run = false;
     r.started = now;
+    r.progressed_at = now;
+    r.percent = 0;
+    r.hanging = false;
     used_ += r.task_resources;
     isolated_runs_ += r.order.isolated ? 1 : 0;
     started_runs_[r.current_run] = key;
@@ -440,6 +443,7 @@
                     learned ? scale(reference, 1 / speed_.speed())
                             : duration(r.order.expected_us),
                     now);
+    health_.on_run_end(false, now);
     if (!learned || health_.slowdown(now) == 1)
     {
         speed_.observe(reference, measured);
@@ -460,7 +464,13 @@
             continue;
         }
         auto& r = orders_.at(found->second);
-        r.percent = it.percent;
+        if (r.percent != it.percent)
+        {
+            r.percent = it.percent;
+            r.progressed_at = asked_at;
+        }
+        r.hanging = is_hanging(asked_at - r.progressed_at,
+                               duration(r.order.expected_us));
         r.last_listed_in = listing_count_;
         r.known_to_run = true;
         if (r.state == run_state::starting)
@@ -478,6 +488,7 @@
                     ", expected run time " +
                     to_ms_text(duration(r.order.expected_us)));
             health_.on_failed(now);
+            health_.on_run_end(r.hanging, now);
             stop_run(r, run_outcome::stalled, now);
         }
     }
@@ -536,6 +547,18 @@
     out.suspect = health_.suspect(now);
     out.slowdown = health_.slowdown(now);
     out.speed = speed_.is_learned() ? speed_.speed() : 0;
+    if (options_.report_hangs)
+    {
+        const auto hanging =
+            std::count_if(started_runs_.begin(), started_runs_.end(),
+                          [this](const auto& it)
+                          {
+                              const auto& r = orders_.at(it.second);
+                              return r.hanging && r.state == run_state::running;
+                          });
+        out.hang_share =
+            health_.hang_share(static_cast<std::size_t>(hanging), now);
+    }
     int64_t expected = 0;
     for (const auto& [key, r] : orders_)
     {
--- a/packages/fleet/src/target_health_estimator.cpp
+++ b/packages/fleet/src/target_health_estimator.cpp
@@ -23,6 +23,20 @@
 /// Ends older than this are ignored, as they do not show the present state.
 constexpr duration max_sample_age = 4s;
 
+/// Number and age of the run ends that the share of hung runs rests on. A
+/// target that gets little work because of its share is tried again later.
+constexpr std::size_t max_run_ends = 32;
+constexpr duration max_run_end_age = 8s;
+/// Hung runs from which they count; a single one may have another cause.
+constexpr std::size_t min_hung_runs = 2;
+/// Runs that the share is taken of at least.
+constexpr std::size_t min_share_runs = 8;
+/// A run hangs if its progress has not changed for this share of its expected
+/// run time plus a fixed time. A run that takes 7 times as long as expected
+/// still proceeds by 1 % within a tenth of it.
+constexpr double hang_check_factor = 0.3;
+constexpr duration hang_check_delay = 60ms;
+
 /// Weight of one run in the moving average of the slowdown.
 constexpr double slowdown_weight = 0.15;
 /// Limit on the natural logarithm of the ratio of one run, so that a single run
@@ -81,6 +95,34 @@
     add(true, now);
 }
 
+void target_health_estimator::on_run_end(bool hung, time_point now)
+{
+    run_ends_.push_back({now, hung});
+    while (run_ends_.size() > max_run_ends)
+    {
+        run_ends_.pop_front();
+    }
+}
+
+double target_health_estimator::hang_share(std::size_t hanging,
+                                           time_point now) const
+{
+    std::size_t n = hanging;
+    std::size_t hung = hanging;
+    for (const auto& it : run_ends_)
+    {
+        if (now - it.at <= max_run_end_age)
+        {
+            ++n;
+            hung += it.failed ? 1 : 0;
+        }
+    }
+    return hung < min_hung_runs
+               ? 0
+               : static_cast<double>(hung) /
+                     static_cast<double>(std::max(n, min_share_runs));
+}
+
 void target_health_estimator::reset()
 {
     *this = target_health_estimator();
@@ -111,6 +153,11 @@
     return ratio < min_slowdown ? 1 : ratio;
 }
 
+bool is_hanging(duration unchanged, duration expected)
+{
+    return unchanged >= scale(expected, hang_check_factor) + hang_check_delay;
+}
+
 bool is_stalled(const run_progress& progress)
 {
     if (progress.age <
--- a/packages/fleet/tests/overload_replay.hpp
+++ b/packages/fleet/tests/overload_replay.hpp
@@ -37,6 +37,7 @@
     std::vector<replay_kind> kinds;
     order_return_options returns;
     bool shed_load = true;
+    bool report_hangs = true;
     /// share of the runs that make no progress, by target
     std::function<double(int target)> hang_share;
     /// whether a target accepts work at a time since the start
--- a/packages/fleet/tests/unit-load_shedding.cpp
+++ b/packages/fleet/tests/unit-load_shedding.cpp
@@ -25,6 +25,7 @@
 {
     options.returns = {on, on};
     options.shed_load = on;
+    options.report_hangs = on;
     return options;
 }
 
@@ -188,6 +189,34 @@
     CHECK(results[1].value_share() >= results[0].value_share());
 }
 
+// Guards against jobs that are late since one of their tasks hangs, on targets
+// that hang 57 % of their runs, look idle and are seldom suspect.
+TEST_CASE(
+    "load_shedding: targets that hang a share of their runs get less work")
+{
+    replay_result results[2];
+    for (const bool on : {false, true})
+    {
+        replay_options options;
+        options.kinds = usual_kinds(0.8);
+        options.hang_share = [](int target)
+        {
+            return target % 3 == 0 ? 0.57 : 0;
+        };
+        results[on] = replay_days(with_overload_control(options, on), 4);
+    }
+    INFO("off: " << results[0].text() << "\non: " << results[1].text());
+    CHECK(results[1].never_twice());
+    CHECK(results[1].hung_runs < results[0].hung_runs / 2);
+    // The goal for days with faults.
+    CHECK(results[1].value_share() >= 0.79);
+    for (const auto& [name, k] : results[1].kinds)
+    {
+        INFO(name);
+        CHECK(k.value_share() >= 0.44);
+    }
+}
+
 // Guards against overload control that changes a day without an overload.
 TEST_CASE("load_shedding: without an overload every decision is as before")
 {
--- a/packages/fleet/tests/unit-overload_replay.cpp
+++ b/packages/fleet/tests/unit-overload_replay.cpp
@@ -66,7 +66,8 @@
         for (int a = 0; a < options_.targets; ++a)
         {
             agents_.push_back(std::make_unique<run_scheduler>(
-                agent_hooks(a), run_scheduler_options{options_.returns}));
+                agent_hooks(a), run_scheduler_options{options_.returns,
+                                                      options_.report_hangs}));
             agents_[a]->set_capacity(capacity(), now_);
             agents_[a]->set_accepting_orders(true, now_);
             for (int e = 0; e < options_.entries; ++e)
--- a/packages/fleet/tests/unit-target_health_estimator.cpp
+++ b/packages/fleet/tests/unit-target_health_estimator.cpp
@@ -103,3 +103,46 @@
         CHECK(a.retry_after == it.retry_after);
     }
 }
+
+// Guards against a target that hangs half of its runs and still gets its full
+// share of the work, and against one that is avoided for a single hung run or
+// for long.
+TEST_CASE("target_health_estimator: reports the share of hung runs")
+{
+    struct row
+    {
+        const char* name;
+        int ended;
+        int hung;
+        std::size_t hanging; ///< now
+        duration age;
+        double share;
+    };
+    const row rows[] = {
+        {"no hung run", 20, 0, 0, 0ms, 0},   {"a single one", 3, 1, 0, 0ms, 0},
+        {"half", 10, 10, 0, 0ms, 0.5},       {"two of few", 0, 2, 0, 0ms, 0.25},
+        {"hanging now", 6, 0, 2, 0ms, 0.25}, {"long ago", 10, 10, 0, 9s, 0}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        target_health_estimator health;
+        const time_point now(1h);
+        for (int i = 0; i < it.ended + it.hung; ++i)
+        {
+            health.on_run_end(i < it.hung, now);
+        }
+        CHECK(health.hang_share(it.hanging, now + it.age) == Approx(it.share));
+        health.reset();
+        CHECK(health.hang_share(0, now) == 0);
+    }
+}
+
+// Guards against a long run with seven times the expected work that is taken
+// for a hung one: it proceeds by 1 % in a fourteenth of its expected time.
+TEST_CASE("target_health_estimator: a slow run that proceeds does not hang")
+{
+    CHECK_FALSE(is_hanging(900ms * 7 / 100, 900ms));
+    CHECK_FALSE(is_hanging(60ms * 7 / 100, 60ms));
+    CHECK(is_hanging(200ms, 60ms));
+    CHECK(is_hanging(400ms, 900ms));
+}
