--- a/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
+++ b/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
@@ -92,6 +92,7 @@
     time_point objective;
     time_point useful_until;
     time_point deadline;
+    duration expected_finish{}; ///< from arrival, as admitted
     uint32_t unfinished_steps = 0;
     bool may_have_run = false;
     bool first_task_pending = false; ///< the others wait for its end
