Copy the key of a queued order that is returned when a target closes

Cause: set_accepting_orders(false) passed finish() a reference into the queue. finish() erases that entry, and then read the order source from freed memory to report the end. A replay in which half of a rack is lost crashed with a segmentation fault in fleet_tests.

Change: the key is copied.

--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -57,7 +57,9 @@
     }
     while (!queue_.empty())
     {
-        finish(std::get<order_key>(*queue_.begin()), run_outcome::not_run, now);
+        // Copied, as finish() erases the entry of the queue.
+        const auto key = std::get<order_key>(*queue_.begin());
+        finish(key, run_outcome::not_run, now);
     }
 }
 
