Predict the start of waiting orders from the ends of single runs

Cause: 67 to 75 % of the waits near their data were given up. The agent expected an order to start when the target could have done all running work at its full capacity. Where long runs hold a target, the first of them ends far earlier.

Change: fleet/release_forecast predicts the start of an order from the expected ends of runs and of orders ahead of it; waits are returned by this prediction.

--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -196,6 +196,7 @@
     void enqueue(const order_key& key, order_record& r, time_point now);
     void start_next(time_point now);
     void return_infeasible(time_point now);
+    void return_overdue_waits(time_point now);
     void start_run(const order_key& key, order_record& r, time_point now);
     void release_resources(const order_record& r);
     void stop_run(order_record& r, run_outcome outcome, time_point now);
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -1,4 +1,5 @@
 #include <agatebank/core/duration_math.hpp>
+#include <agatebank/fleet/release_forecast.hpp>
 #include <agatebank/fleet/run_scheduler.hpp>
 
 #include <algorithm>
@@ -280,8 +281,7 @@
     }
 }
 
-// Returns the queued orders that cannot finish before their deadline, or cannot
-// start within the time granted for waiting near their data. The
+// Returns the queued orders that cannot finish before their deadline. The
 // earliest start of an order is estimated as the time that the target, at full
 // capacity, needs for all work ahead of it; new orders can only delay it.
 void run_scheduler::return_infeasible(time_point now)
@@ -312,27 +312,12 @@
         }
     }
     std::vector<order_key> infeasible;
-    std::vector<order_key> overdue; // longer near their data than granted
     for (const auto& rank : queue_)
     {
         const auto& key = std::get<order_key>(rank);
         const auto& r = orders_.at(key);
         const auto expected = duration(r.order.expected_us);
-        // A slowed target delays the run as a later start would.
-        const auto start =
-            now + ahead + scale(expected, std::max(0.0, slowdown_factor - 1));
-        if (r.order.max_wait_us > 0 &&
-            start > r.received + duration(r.order.max_wait_us))
-        {
-            log(log_level::info, r,
-                "order waited " + to_ms_text(now - r.received) +
-                    " near its data and can start no earlier than in " +
-                    to_ms_text(start - now) + "; granted " +
-                    to_ms_text(duration(r.order.max_wait_us)) +
-                    ", slowdown factor " + std::to_string(slowdown_factor));
-            overdue.push_back(key);
-        }
-        else if (now + ahead + expected + report_delivery_time > r.deadline)
+        if (now + ahead + expected + report_delivery_time > r.deadline)
         {
             log(log_level::info, r,
                 "order cannot finish before its deadline; work ahead " +
@@ -351,6 +336,54 @@
     {
         finish(it, run_outcome::past_deadline, now);
     }
+}
+
+// Returns the queued orders that are not expected to start within the time
+// granted for waiting near their data.
+void run_scheduler::return_overdue_waits(time_point now)
+{
+    const auto has_limit = [this](const queue_rank& rank)
+    {
+        return orders_.at(std::get<order_key>(rank)).order.max_wait_us > 0;
+    };
+    if (std::none_of(queue_.begin(), queue_.end(), has_limit))
+    {
+        return;
+    }
+    const double slowdown_factor = health_.slowdown(now);
+    const auto run_time = [slowdown_factor](const order_record& r)
+    {
+        return scale(duration(r.order.expected_us), slowdown_factor);
+    };
+    release_forecast forecast(capacity_.cpu_millis);
+    for (const auto& [id, key] : started_runs_)
+    {
+        const auto& r = orders_.at(key);
+        forecast.add_run(r.started + run_time(r) - now,
+                         r.task_resources.cpu_millis);
+    }
+    std::vector<order_key> overdue;
+    for (const auto& rank : queue_)
+    {
+        const auto& key = std::get<order_key>(rank);
+        const auto& r = orders_.at(key);
+        // A slowed target delays the end as a later start would.
+        const auto start = now +
+                           forecast.time_to_start(r.task_resources.cpu_millis) +
+                           run_time(r) - duration(r.order.expected_us);
+        const duration granted(r.order.max_wait_us);
+        if (granted.count() == 0 || start <= r.received + granted)
+        {
+            forecast.add_queued(run_time(r), r.task_resources.cpu_millis);
+            continue;
+        }
+        log(log_level::info, r,
+            "order waited " + to_ms_text(now - r.received) +
+                " near its data and is expected to start in " +
+                to_ms_text(start - now) + ", granted " + to_ms_text(granted) +
+                ", slowdown factor " + std::to_string(slowdown_factor));
+        overdue.push_back(key);
+    }
     for (const auto& it : overdue)
     {
         finish(it, run_outcome::not_run, now);
@@ -658,6 +691,7 @@
         }
     }
     return_infeasible(now);
+    return_overdue_waits(now);
     start_next(now);
 }
 
