Start orders that wait near their data behind all others

Cause: a task that waits for a place near its data must not delay work that does not wait. An agent queued waiting orders among the others.

Change: waiting orders sort behind all others of the agent; the flag keep is set on waiting orders only.

The whole test program was not run.

--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -156,9 +156,10 @@
         late,    ///< after the objective, but still useful
         useless  ///< no longer useful
     };
-    /// Sorts by timeliness, then priority band, then latest start time.
+    /// Sorts orders that wait near their data behind others, then by
+    /// timeliness, priority band and latest start time.
     using queue_rank =
-        std::tuple<timeliness, std::size_t, time_point, order_key>;
+        std::tuple<bool, timeliness, std::size_t, time_point, order_key>;
     struct order_record
     {
         std::string job;
@@ -191,6 +192,9 @@
     using record_map = std::map<order_key, order_record>;
 
     static timeliness timeliness_of(const order_record& r, time_point now);
+    /// @brief Whether an order may be queued for a place near its data although
+    /// it could run elsewhere.
+    static bool waits_near_data(const order_record& r);
     queue_rank rank_of(const order_key& key, const order_record& r,
                        time_point now) const;
     void enqueue(const order_key& key, order_record& r, time_point now);
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -315,7 +315,7 @@
         batches[it.choice.agent].orders.push_back(
             {task.order, step, it.index, task.attempt, expected.count(),
              reference.value_or(duration(0)).count(), task.isolated,
-             max_wait.count() > 0, max_wait.count()});
+             task.wait.has_value(), max_wait.count()});
     }
     const auto& plan = job.submission.plan;
     for (auto& [agent, batch] : batches)
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -232,6 +232,11 @@
     return end <= r.useful_until ? timeliness::late : timeliness::useless;
 }
 
+bool run_scheduler::waits_near_data(const order_record& r)
+{
+    return r.order.keep && r.order.max_wait_us > 0;
+}
+
 run_scheduler::queue_rank run_scheduler::rank_of(const order_key& key,
                                                  const order_record& r,
                                                  time_point now) const
@@ -240,8 +245,8 @@
     const auto until = how == timeliness::on_time ? r.objective
                        : how == timeliness::late  ? r.useful_until
                                                   : r.deadline;
-    return {how, to_band(r.priority), until - duration(r.order.expected_us),
-            key};
+    return {waits_near_data(r), how, to_band(r.priority),
+            until - duration(r.order.expected_us), key};
 }
 
 void run_scheduler::enqueue(const order_key& key, order_record& r,
