Report orders that wait near their data in the last band

Cause: an order that waits near its data delays no other work at its agent, but entries counted it as work ahead of theirs and avoided the target.

Change: it is reported in the last band; a task that names the rack counts all bands, as it is queued behind them.

--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -98,6 +98,13 @@
     return step.data_rack.empty() || t.has_label(step.data_rack);
 }
 
+// Returns whether the locality rule decides on the task.
+bool rack_matters(const placement_request& request)
+{
+    return request.locality != nullptr && request.remote_data_factor > 1 &&
+           !request.step->data_rack.empty();
+}
+
 // Ranks a target that may run the task.
 ranked_target rank_target(agent_incarnation agent, const target_load_tracker& t,
                           const placement_request& request, double speed)
@@ -109,8 +116,11 @@
         (is_near_data(t, *request.step) ? 1.0 : request.remote_data_factor);
     const double current_speed = usual_speed / std::max(1.0, t.load().slowdown);
     const auto run = scale(request.expected.typical, 1 / usual_speed);
-    const auto wait =
-        t.expected_wait(request.step->task_resources, request.band);
+    // Orders that wait near their data are reported in the last band.
+    const auto band = rack_matters(request) && is_near_data(t, *request.step)
+                          ? priority_bands - 1
+                          : request.band;
+    const auto wait = t.expected_wait(request.step->task_resources, band);
     const auto slowest_run = scale(work, 1 / current_speed);
     const auto finish = wait + slowest_run;
     const auto is_on_time = [&](double work_ratio, double run_ratio = 1)
@@ -211,9 +221,6 @@
                                               const speed_lookup& speed,
                                               time_point now)
 {
-    const bool rack_matters = request.locality != nullptr &&
-                              request.remote_data_factor > 1 &&
-                              !request.step->data_rack.empty();
     std::optional<ranked_target> near;
     std::optional<ranked_target> elsewhere;
     for (const auto& [agent, t] : targets)
@@ -223,15 +230,16 @@
         {
             continue;
         }
-        auto& best =
-            !rack_matters || is_near_data(t, *request.step) ? near : elsewhere;
+        auto& best = !rack_matters(request) || is_near_data(t, *request.step)
+                         ? near
+                         : elsewhere;
         auto ranked = rank_target(agent, t, request, speed(agent));
         if (!best || ranked.rank < best->rank)
         {
             best = std::move(ranked);
         }
     }
-    if (rack_matters)
+    if (rack_matters(request))
     {
         return choose_by_locality(targets, request, near, elsewhere);
     }
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -716,7 +716,9 @@
         expected += r.order.expected_us;
         if (r.state == run_state::queued)
         {
-            const bool on_time = timeliness_of(r, now) == timeliness::on_time;
+            // The last band does not delay tasks of the other bands.
+            const bool on_time = timeliness_of(r, now) == timeliness::on_time &&
+                                 !waits_near_data(r);
             out.queued_cpu_millis[on_time ? to_band(r.priority)
                                           : priority_bands - 1] +=
                 r.task_resources.cpu_millis;
