Test waiting orders at agents and entries, export their counters

Change: metrics of the waits near the data; an order that no longer fits at the target after its capacity shrank is returned, as its start is not predictable.

Test: waits are returned when runs take longer, more work is ahead, the capacity shrinks, the target drains or turns slow; they start behind all others; a wait that is given up leads elsewhere and is counted and logged.

--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -128,7 +128,25 @@
          "Jobs refused while their route is on probation.",
          &counts::refused_on_probation},
         {"agatebank_jobs_held",
-         "Jobs that waited for targets to be discovered.", &counts::held}};
+         "Jobs that waited for targets to be discovered.", &counts::held},
+        {"agatebank_locality_waits", "Orders that waited near their data.",
+         &counts::locality_waits},
+        {"agatebank_locality_waits_given_up",
+         "Waits near the data that ended without a complete run there.",
+         &counts::locality_waits_given_up},
+        {"agatebank_locality_elsewhere",
+         "Orders sent away from the rack of their data.",
+         &counts::locality_elsewhere},
+        {"agatebank_locality_granted_ms",
+         "Time granted for waits near the data.", &counts::locality_granted_ms},
+        {"agatebank_locality_waited_ms", "Time waited near the data.",
+         &counts::locality_waited_ms},
+        {"agatebank_locality_gained_ms",
+         "Time by which waiting tasks ended before the expected end elsewhere.",
+         &counts::locality_gained_ms},
+        {"agatebank_locality_lost_ms",
+         "Time by which they ended after it, and time of waits given up.",
+         &counts::locality_lost_ms}};
     const auto& scheduler = node.scheduler();
     add_count_gauges(metrics, scheduler.counts(), rows);
     metrics.add_gauge(
--- a/packages/fleet/include/agatebank/fleet/release_forecast.hpp
+++ b/packages/fleet/include/agatebank/fleet/release_forecast.hpp
@@ -3,6 +3,7 @@
 #include <agatebank/core/units.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -31,7 +32,8 @@
     // lookup
     /// @brief Returns the expected time to the start of an order behind those
     /// that were added.
-    duration time_to_start(int64_t cpu_millis);
+    /// @return nothing if it does not fit at the target
+    std::optional<duration> time_to_start(int64_t cpu_millis);
 
   private:
     int64_t free_millis_;
--- a/packages/fleet/src/release_forecast.cpp
+++ b/packages/fleet/src/release_forecast.cpp
@@ -20,10 +20,13 @@
 
 void release_forecast::add_queued(duration expected_run, int64_t cpu_millis)
 {
-    add_run(time_to_start(cpu_millis) + expected_run, cpu_millis);
+    if (const auto start = time_to_start(cpu_millis))
+    {
+        add_run(*start + expected_run, cpu_millis);
+    }
 }
 
-duration release_forecast::time_to_start(int64_t cpu_millis)
+std::optional<duration> release_forecast::time_to_start(int64_t cpu_millis)
 {
     while (free_millis_ < cpu_millis && !ends_.empty())
     {
@@ -32,7 +35,8 @@
         free_millis_ += ends_.back().second;
         ends_.pop_back();
     }
-    return last_start_;
+    return free_millis_ < cpu_millis ? std::nullopt
+                                     : std::optional(last_start_);
 }
 
 } // namespace agatebank
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -372,21 +372,22 @@
     {
         const auto& key = std::get<order_key>(rank);
         const auto& r = orders_.at(key);
+        const auto start = forecast.time_to_start(r.task_resources.cpu_millis);
         // A slowed target delays the end as a later start would.
-        const auto start = now +
-                           forecast.time_to_start(r.task_resources.cpu_millis) +
-                           run_time(r) - duration(r.order.expected_us);
+        const auto delay = run_time(r) - duration(r.order.expected_us);
         const duration granted(r.order.max_wait_us);
-        if (granted.count() == 0 || start <= r.received + granted)
+        if (granted.count() == 0 ||
+            (start && now + *start + delay <= r.received + granted))
         {
             forecast.add_queued(run_time(r), r.task_resources.cpu_millis);
             continue;
         }
         log(log_level::info, r,
             "order waited " + to_ms_text(now - r.received) +
-                " near its data and is expected to start in " +
-                to_ms_text(start - now) + ", granted " + to_ms_text(granted) +
-                ", slowdown factor " + std::to_string(slowdown_factor));
+                " near its data and is expected to start " +
+                (start ? "in " + to_ms_text(*start) : std::string("never")) +
+                ", granted " + to_ms_text(granted) + ", slowdown factor " +
+                std::to_string(slowdown_factor));
         overdue.push_back(key);
     }
     for (const auto& it : overdue)
