Count a task as waiting only where it starts later than elsewhere

Cause: in an overloaded service each target has a queue. A place in the rack that is free no later than the others was taken as a wait, and its order sorted behind all others.

Change: a task runs near its data without waiting if its start is expected no later than elsewhere.

--- a/packages/fleet/include/agatebank/fleet/locality_wait.hpp
+++ b/packages/fleet/include/agatebank/fleet/locality_wait.hpp
@@ -37,8 +37,8 @@
 /// @brief Where a task whose data is in one rack runs.
 enum class locality_action : uint8_t
 {
-    run_near,  ///< near the data, where a run can start now
-    wait_near, ///< near the data, where a run can start later
+    run_near,  ///< near the data, where a run starts no later than elsewhere
+    wait_near, ///< near the data, where a run starts later than elsewhere
     run_elsewhere
 };
 
--- a/packages/fleet/src/locality_wait.cpp
+++ b/packages/fleet/src/locality_wait.cpp
@@ -72,13 +72,13 @@
     {
         return {};
     }
-    const bool is_free = input.near->start.count() <= 0;
-    const auto action =
-        is_free ? locality_action::run_near : locality_action::wait_near;
     if (!input.elsewhere)
     {
-        return {action, {}, 0};
+        return {locality_action::run_near, {}, 0};
     }
+    const bool is_free = input.near->start <= input.elsewhere->start;
+    const auto action =
+        is_free ? locality_action::run_near : locality_action::wait_near;
     const double least =
         expected_value(*input.elsewhere, input) - displaced_value(input);
     const auto gain_at = [&](duration start)
