Explain the choice of a target by the ranking that makes it

Cause: nothing said why a task is sent to one target and not to another.

Change: explain_placement reports the chosen target with the components of its rank in words, the decision on the rack of the data, and the best targets passed over with the component that decided. choose_target and it share visit_ranked_targets. No command uses it yet.

Test: fleet_tests passed: 76 test cases, 1,186 assertions.

--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -1,10 +1,9 @@
 #include <agatebank/core/duration_math.hpp>
 #include <agatebank/fleet/placement.hpp>
+#include <agatebank/fleet/target_rank.hpp>
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
-#include <utility>
 
 namespace agatebank
 {
@@ -73,11 +72,6 @@
 /// that the expected objective rests on.
 constexpr double safe_run_ratio = 1.25;
 
-// Sorts by lateness, crowding, lack of safety if not crowded, then speed class
-// and utilisation for targets in time, or expected end in us and utilisation
-// for late ones. Lower is better.
-using choice_rank = std::tuple<int, bool, bool, double, double>;
-
 /// Standard deviation of the logarithm of a job's work around the expected one;
 /// low_work_ratio and high_work_ratio are quantiles of the same distribution.
 constexpr double work_log_deviation = 0.3;
@@ -86,13 +80,6 @@
 /// that are 25 to 100 ms old.
 constexpr double wait_deviation = 0.5;
 
-struct ranked_target
-{
-    choice_rank rank;
-    placement_choice choice;
-    place_forecast forecast;
-};
-
 bool is_near_data(const target_load_tracker& t, const step_plan& step)
 {
     return step.data_rack.empty() || t.has_label(step.data_rack);
@@ -135,10 +122,10 @@
     const double utilisation = t.utilisation_with(request.step->task_resources);
     const bool crowded = utilisation > crowded_utilisation;
     const bool unsafe = !crowded && !is_on_time(1, safe_run_ratio);
-    const choice_rank rank =
-        on_time ? choice_rank{0, crowded, unsafe, speed_class(current_speed),
-                              utilisation}
-                : choice_rank{1, false, false,
+    const target_rank rank =
+        on_time ? target_rank{false, crowded, unsafe,
+                              speed_class(current_speed), utilisation}
+                : target_rank{true, false, false,
                               static_cast<double>(finish.count()), utilisation};
     // More work than expected delays the end, but also the objective.
     const auto work_spread =
@@ -153,7 +140,8 @@
     return {rank,
             {agent, run, finish, on_time, t.load().suspect, {}},
             {wait, finish + dispatch_overhead,
-             scale(request.expected.typical, 1 / current_speed), spread}};
+             scale(request.expected.typical, 1 / current_speed), spread},
+            rack_matters(request) && !is_near_data(t, *request.step)};
 }
 
 // Returns the processor need of all tasks over the capacity, of the targets of
@@ -216,6 +204,21 @@
     return std::exp(task_log_deviation * std::max(0.0, deviations));
 }
 
+void visit_ranked_targets(
+    const target_map& targets, const placement_request& request,
+    const speed_lookup& speed, time_point now,
+    const std::function<void(const ranked_target&)>& visit)
+{
+    for (const auto& [agent, t] : targets)
+    {
+        if (is_allowed(t, request, agent) &&
+            (!t.load().suspect || t.may_probe(now)))
+        {
+            visit(rank_target(agent, t, request, speed(agent)));
+        }
+    }
+}
+
 std::optional<placement_choice> choose_target(const target_map& targets,
                                               const placement_request& request,
                                               const speed_lookup& speed,
@@ -223,22 +226,15 @@
 {
     std::optional<ranked_target> near;
     std::optional<ranked_target> elsewhere;
-    for (const auto& [agent, t] : targets)
-    {
-        if (!is_allowed(t, request, agent) ||
-            (t.load().suspect && !t.may_probe(now)))
-        {
-            continue;
-        }
-        auto& best = !rack_matters(request) || is_near_data(t, *request.step)
-                         ? near
-                         : elsewhere;
-        auto ranked = rank_target(agent, t, request, speed(agent));
-        if (!best || ranked.rank < best->rank)
-        {
-            best = std::move(ranked);
-        }
-    }
+    visit_ranked_targets(targets, request, speed, now,
+                         [&near, &elsewhere](const ranked_target& t)
+                         {
+                             auto& best = t.outside_rack ? elsewhere : near;
+                             if (!best || t.rank < best->rank)
+                             {
+                                 best = t;
+                             }
+                         });
     if (rack_matters(request))
     {
         return choose_by_locality(targets, request, near, elsewhere);
--- /dev/null
+++ b/packages/fleet/src/placement_explanation.cpp
@@ -0,0 +1,124 @@
+#include <agatebank/core/duration_math.hpp>
+#include <agatebank/fleet/placement_explanation.hpp>
+#include <agatebank/fleet/target_rank.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace agatebank
+{
+
+namespace
+{
+
+std::string to_percent(double share)
+{
+    return std::to_string(std::lround(100 * share)) + " %";
+}
+
+std::string to_text(const ranked_target& t)
+{
+    const auto& r = t.rank;
+    return std::string(r.late ? "late" : "in time") +
+           (r.crowded ? ", crowded" : "") +
+           (r.unsafe ? ", late if the run takes longer" : "") +
+           (t.outside_rack ? ", outside the rack of the data" : "") +
+           ", start in " + to_ms_text(t.forecast.start) + ", end in " +
+           to_ms_text(t.choice.finish) + ", run time " +
+           to_ms_text(t.forecast.run) + ", utilisation " +
+           to_percent(r.utilisation);
+}
+
+// Names the first component in which a target ranks behind the chosen one.
+std::string deciding_component(const ranked_target& chosen,
+                               const ranked_target& other)
+{
+    const auto& a = chosen.rank;
+    const auto& b = other.rank;
+    if (chosen.outside_rack != other.outside_rack)
+    {
+        return other.outside_rack ? "outside the rack of the data"
+                                  : "waiting near the data does not pay off";
+    }
+    if (a.late != b.late)
+    {
+        return "late";
+    }
+    if (a.crowded != b.crowded)
+    {
+        return "crowded";
+    }
+    if (a.unsafe != b.unsafe)
+    {
+        return "late if the run takes longer";
+    }
+    if (a.speed_or_finish != b.speed_or_finish)
+    {
+        return a.late ? "later end, by " + to_ms_text(other.choice.finish -
+                                                      chosen.choice.finish)
+                      : "faster than needed, kept for longer tasks";
+    }
+    return a.utilisation != b.utilisation
+               ? "higher utilisation"
+               : "equal rank, higher number of its agent";
+}
+
+} // namespace
+
+placement_explanation explain_placement(const target_map& targets,
+                                        const placement_request& request,
+                                        const speed_lookup& speed,
+                                        time_point now, std::size_t most)
+{
+    placement_explanation out;
+    std::vector<ranked_target> ranked;
+    visit_ranked_targets(targets, request, speed, now,
+                         [&ranked](const ranked_target& t)
+                         { ranked.push_back(t); });
+    out.unusable = targets.size() - ranked.size();
+    const auto choice = choose_target(targets, request, speed, now);
+    if (!choice)
+    {
+        return out;
+    }
+    if (choice->locality)
+    {
+        out.locality = to_text(*choice->locality);
+    }
+    const auto chosen =
+        *std::find_if(ranked.begin(), ranked.end(),
+                      [&choice](const ranked_target& t)
+                      { return t.choice.agent == choice->agent; });
+    const auto explain = [&targets](const ranked_target& t)
+    {
+        return explained_target{t.choice.agent,
+                                targets.at(t.choice.agent).profile().target,
+                                to_text(t),
+                                {}};
+    };
+    out.chosen = explain(chosen);
+    std::sort(ranked.begin(), ranked.end(),
+              [&chosen](const ranked_target& a, const ranked_target& b)
+              {
+                  const auto key = [&chosen](const ranked_target& t)
+                  {
+                      return std::tuple(t.outside_rack != chosen.outside_rack,
+                                        t.rank, t.choice.agent);
+                  };
+                  return key(a) < key(b);
+              });
+    for (const auto& it : ranked)
+    {
+        if (it.choice.agent == chosen.choice.agent ||
+            out.passed_over.size() == most)
+        {
+            continue;
+        }
+        out.passed_over.push_back(explain(it));
+        out.passed_over.back().decided_by = deciding_component(chosen, it);
+    }
+    return out;
+}
+
+} // namespace agatebank
