--- a/packages/core/include/agatebank/core/run_order.hpp
+++ b/packages/core/include/agatebank/core/run_order.hpp
@@ -27,11 +27,15 @@
     bool isolated = false;
     /// the agent must not return it only because it would end late
     bool keep = false;
+    /// returned as not_run once its start is expected later than this after its
+    /// receipt; 0: no limit
+    int64_t max_wait_us = 0;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(id, step, index, attempt, expected_us, reference_us, isolated, keep);
+        ar(id, step, index, attempt, expected_us, reference_us, isolated, keep,
+           max_wait_us);
     }
 };
 
--- a/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
+++ b/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
@@ -6,6 +6,7 @@
 #include <agatebank/core/route_table.hpp>
 #include <agatebank/core/run_order.hpp>
 #include <agatebank/core/units.hpp>
+#include <agatebank/fleet/locality_wait.hpp>
 #include <agatebank/fleet/order_return.hpp>
 
 #include <cstdint>
@@ -72,6 +73,8 @@
     bool isolated = false; ///< runs alone, on a probation target
     /// set once an agent has returned it early; its orders are then kept
     std::optional<order_return> returned;
+    bool has_waited = false; ///< near its data; it waits there only once
+    std::optional<locality_choice> wait; ///< near its data, not over yet
     std::set<agent_incarnation> excluded;
 };
 
--- a/packages/fleet/src/run_scheduler_queue.cpp
+++ b/packages/fleet/src/run_scheduler_queue.cpp
@@ -24,6 +24,11 @@
     return end <= r.useful_until ? timeliness::late : timeliness::useless;
 }
 
+bool run_scheduler::waits_near_data(const order_record& r)
+{
+    return r.order.keep && r.order.max_wait_us > 0;
+}
+
 run_scheduler::queue_rank run_scheduler::rank_of(const order_key& key,
                                                  const order_record& r,
                                                  time_point now) const
@@ -32,8 +37,8 @@
     const auto until = how == timeliness::on_time ? r.objective
                        : how == timeliness::late  ? r.useful_until
                                                   : r.deadline;
-    return {how, to_band(r.priority), until - duration(r.order.expected_us),
-            key};
+    return {waits_near_data(r), how, to_band(r.priority),
+            until - duration(r.order.expected_us), key};
 }
 
 void run_scheduler::enqueue(const order_key& key, order_record& r,
@@ -87,6 +92,21 @@
     return scale(run, health_.slowdown(now));
 }
 
+bool run_scheduler::is_overdue_wait(const order_record& r, duration wait,
+                                    time_point now) const
+{
+    if (!waits_near_data(r))
+    {
+        return false;
+    }
+    // A slowed target delays the end as a later start would.
+    const auto delay =
+        scale(duration(r.order.expected_us), health_.slowdown(now)) -
+        duration(r.order.expected_us);
+    return !capacity_.can_fit(r.task_resources) ||
+           now + wait + delay > r.received + duration(r.order.max_wait_us);
+}
+
 void run_scheduler::return_queued(time_point now)
 {
     if (queue_.empty())
@@ -108,6 +128,7 @@
         duration wait;
     };
     std::vector<returned_order> returned;
+    std::vector<order_key> overdue;
     for (const auto& rank : queue_)
     {
         const auto& key = std::get<order_key>(rank);
@@ -121,6 +142,18 @@
         input.to_useful_end = r.useful_until - now;
         input.to_deadline = r.deadline - now;
         input.keep = r.order.keep || r.order.isolated;
+        if (is_overdue_wait(r, input.wait, now))
+        {
+            log(log_level::info, r,
+                "order waited " + to_ms_text(now - r.received) +
+                    " near its data and is expected to wait for another " +
+                    to_ms_text(input.wait) + ", granted " +
+                    to_ms_text(duration(r.order.max_wait_us)) +
+                    ", slowdown factor " +
+                    std::to_string(health_.slowdown(now)));
+            overdue.push_back(key);
+            continue;
+        }
         const auto fate = decide_queued_order(input, options_.returns);
         if (fate == order_fate::wait)
         {
@@ -139,6 +172,10 @@
                 ", slowdown factor " + std::to_string(health_.slowdown(now)));
         returned.push_back({key, fate, input.wait});
     }
+    for (const auto& it : overdue)
+    {
+        finish(it, run_outcome::not_run, now);
+    }
     for (const auto& it : returned)
     {
         const bool late = it.fate == order_fate::return_late;
