Correct forecasts by priority band, and by the lesser of ratio and delay

Cause: one ratio for all jobs of a service made long jobs look late because of the ratio of short ones, and urgent jobs because of the less urgent ones.

Change: the error is taken of the jobs of a band (of the service if few of the band have ended). The corrected end is the earlier of the expected end times the median ratio and the expected end plus the median delay.

--- a/packages/fleet/include/agatebank/fleet/forecast_correction.hpp
+++ b/packages/fleet/include/agatebank/fleet/forecast_correction.hpp
@@ -5,16 +5,18 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace agatebank
 {
 
-/// @brief How the ends of a service's latest jobs compare with what was
+/// @brief How the ends of the latest jobs compare with what was
 /// expected at their admission.
 struct forecast_error
 {
     std::size_t jobs = 0;  ///< that ended within the window
     double ratio = 1;      ///< median of actual over expected time, 1 at least
+    duration delay{};      ///< median of actual less expected time, 0 at least
     double late_share = 0; ///< jobs that missed their objective, of all
 };
 
@@ -33,22 +35,31 @@
     /// @param actual time from its arrival to its end; of a job that was given
     /// up, the time for which its answer would have been useful
     /// @param expected the same time as expected at its admission, uncorrected
-    void on_end(const service_name& service, duration expected, duration actual,
-                bool late, time_point now);
+    void on_end(const service_name& service, std::size_t band,
+                duration expected, duration actual, bool late, time_point now);
 
     // lookup
-    /// @brief Returns the error over the last second. With few jobs the ratio
-    /// is 1 and the late share 0, as single jobs vary too much.
-    forecast_error error(const service_name& service, time_point now) const;
+    /// @brief Returns the error over the last second for a priority band, as
+    /// urgent orders overtake others, or for all bands of the service if few
+    /// jobs of that band have ended. With few jobs in all, the ratio is 1 and
+    /// the late share 0, as single jobs vary too much.
+    forecast_error error(const service_name& service, std::size_t band,
+                         time_point now) const;
 
   private:
     struct sample
     {
         time_point at;
+        std::size_t band = 0;
         double ratio = 1;
+        duration delay{};
         bool late = false;
     };
 
+    static forecast_error error_of(const std::deque<sample>& samples,
+                                   std::optional<std::size_t> band,
+                                   time_point now);
+
     std::map<service_name, std::deque<sample>> samples_;
 };
 
--- a/packages/fleet/src/forecast_correction.cpp
+++ b/packages/fleet/src/forecast_correction.cpp
@@ -22,20 +22,30 @@
 /// about its run time than about the load.
 constexpr double max_ratio = 3;
 
+template <class T>
+T median(std::vector<T>& values)
+{
+    const auto middle =
+        values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
 } // namespace
 
-void forecast_correction::on_end(const service_name& service, duration expected,
-                                 duration actual, bool late, time_point now)
+void forecast_correction::on_end(const service_name& service, std::size_t band,
+                                 duration expected, duration actual, bool late,
+                                 time_point now)
 {
     if (expected.count() <= 0)
     {
         return;
     }
     auto& samples = samples_[service];
-    samples.push_back({now,
+    samples.push_back({now, band,
                        static_cast<double>(actual.count()) /
                            static_cast<double>(expected.count()),
-                       late});
+                       actual - expected, late});
     while (samples.size() > max_samples || now - samples.front().at > window)
     {
         samples.pop_front();
@@ -43,21 +53,34 @@
 }
 
 forecast_error forecast_correction::error(const service_name& service,
+                                          std::size_t band,
                                           time_point now) const
 {
-    forecast_error out;
     const auto found = samples_.find(service);
     if (found == samples_.end())
     {
-        return out;
+        return {};
     }
+    const auto of_band = error_of(found->second, band, now);
+    return of_band.jobs >= min_samples
+               ? of_band
+               : error_of(found->second, std::nullopt, now);
+}
+
+forecast_error forecast_correction::error_of(const std::deque<sample>& samples,
+                                             std::optional<std::size_t> band,
+                                             time_point now)
+{
+    forecast_error out;
     std::vector<double> ratios;
+    std::vector<duration> delays;
     std::size_t late = 0;
-    for (const auto& it : found->second)
+    for (const auto& it : samples)
     {
-        if (now - it.at <= window)
+        if (now - it.at <= window && (!band || it.band == *band))
         {
             ratios.push_back(it.ratio);
+            delays.push_back(it.delay);
             late += it.late ? 1 : 0;
         }
     }
@@ -66,10 +89,8 @@
     {
         return out;
     }
-    const auto middle =
-        ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
-    std::nth_element(ratios.begin(), middle, ratios.end());
-    out.ratio = std::clamp(*middle, 1.0, max_ratio);
+    out.ratio = std::clamp(median(ratios), 1.0, max_ratio);
+    out.delay = std::max(median(delays), duration(0));
     out.late_share =
         static_cast<double>(late) / static_cast<double>(ratios.size());
     return out;
--- a/packages/fleet/src/job_scheduler_overload.cpp
+++ b/packages/fleet/src/job_scheduler_overload.cpp
@@ -23,7 +23,7 @@
     input.latest_useful = admission.latest_useful;
     input.band = to_band(r.priority);
     input.utilisation = service_utilisation(targets_, r.service);
-    input.error = forecast_error_.error(r.service, now);
+    input.error = forecast_error_.error(r.service, input.band, now);
     input.demand = demand_.demand(r.name, now);
     const auto verdict = decide_shedding(input);
     demand_.on_decision(r.name, verdict == shedding_verdict::serve, now);
@@ -80,6 +80,7 @@
         took = std::max(took, job.useful_until - job.arrived);
     }
     forecast_error_.on_end(job.submission.matched_route.service,
+                           to_band(job.submission.matched_route.priority),
                            job.expected_finish, took,
                            job.arrived + took > job.objective, now);
 }
--- a/packages/fleet/src/load_shedding.cpp
+++ b/packages/fleet/src/load_shedding.cpp
@@ -38,7 +38,10 @@
 
 duration corrected_finish(const shedding_input& input)
 {
-    return scale(input.expected_finish, input.error.ratio);
+    // Work that waits delays long and short jobs by like times; a short job's
+    // error is bounded by the ratio as well, since its tasks pass long ones.
+    return std::min(scale(input.expected_finish, input.error.ratio),
+                    input.expected_finish + input.error.delay);
 }
 
 double service_utilisation(const target_map& targets,
--- a/packages/fleet/tests/unit-load_shedding.cpp
+++ b/packages/fleet/tests/unit-load_shedding.cpp
@@ -29,6 +29,27 @@
     return options;
 }
 
+// Compares a day of old load reports with and without overload control.
+void check_each_kind_earns_its_minimum(replay_options options)
+{
+    options.report_period = 100ms;
+    replay_result results[2];
+    for (const bool on : {false, true})
+    {
+        results[on] = replay_days(with_overload_control(options, on), 4);
+    }
+    INFO("off: " << results[0].text() << "\non: " << results[1].text());
+    CHECK(results[1].never_twice());
+    CHECK(results[1].value_share() > results[0].value_share());
+    for (const auto& [name, k] : results[1].kinds)
+    {
+        INFO(name);
+        // The highest minimum that a customer asks for.
+        CHECK(k.value_share() >= 0.44);
+        CHECK(k.largest_served >= 0.5 * k.served_share() * k.largest_jobs);
+    }
+}
+
 } // namespace
 
 // Guards against a correction that follows single jobs of unusual length, that
@@ -56,12 +77,16 @@
         forecast_correction correction;
         for (int i = 0; i < it.jobs; ++i)
         {
-            correction.on_end(service, 100ms, i % 3 == 2 ? it.third : it.usual,
-                              false, start);
+            correction.on_end(service, 1, 100ms,
+                              i % 3 == 2 ? it.third : it.usual, false, start);
+        }
+        // The jobs of all bands stand for one without ended jobs.
+        for (const std::size_t band : {0, 1})
+        {
+            CHECK(correction.error(service, band, start + it.age).ratio ==
+                  Approx(it.ratio));
         }
-        CHECK(correction.error(service, start + it.age).ratio ==
-              Approx(it.ratio));
-        CHECK(correction.error(service_name("other"), start).jobs == 0);
+        CHECK(correction.error(service_name("other"), 1, start).jobs == 0);
     }
 }
 
@@ -69,9 +94,9 @@
 // nothing, or that floods the service at the cost of others.
 TEST_CASE("load_shedding: decides who is served")
 {
-    const forecast_error calm{20, 1, 0.1};
-    const forecast_error overload{20, 1, 0.5};
-    const forecast_error twice{20, 2, 0.5};
+    const forecast_error calm{20, 1, 0ms, 0.1};
+    const forecast_error overload{20, 1, 0ms, 0.5};
+    const forecast_error twice{20, 2, 200ms, 0.5};
     const route_demand served{10, 9, 10, 10};
     const route_demand starved{10, 5, 10, 10};
     const route_demand half_of_flood{30, 15, 10, 30};
@@ -168,6 +193,29 @@
     }
 }
 
+// Guards against a peak at which a band starves, or at which urgent jobs are
+// shed for less urgent ones.
+TEST_CASE("load_shedding: twice the usual load in three bands")
+{
+    replay_options options;
+    options.targets = 6;
+    options.target_millis = 64000;
+    options.task_millis = 4900;
+    options.kinds = {replay_kind{"short", 8, 51ms, 22.6, 0, 2},
+                     replay_kind{"medium", 2, 170ms, 66, 1, 2},
+                     replay_kind{"long", 4, 760ms, 4.1, 2, 2}};
+    check_each_kind_earns_its_minimum(options);
+}
+
+// Guards against a route that floods at the cost of the others.
+TEST_CASE("load_shedding: three times the usual short jobs")
+{
+    replay_options options;
+    options.kinds = usual_kinds(1);
+    options.kinds[0].burst = 3;
+    check_each_kind_earns_its_minimum(options);
+}
+
 // Guards against targets that flap, and are mistaken for an overload or make
 // their orders wander.
 TEST_CASE("load_shedding: targets that go down and up every 1.5 s")
