--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -166,6 +166,8 @@
         {"agatebank_runs_stopped", "Runs that were stopped.", &counts::stopped},
         {"agatebank_runs_stalled", "Runs stopped without progress.",
          &counts::stalled},
+        {"agatebank_runs_hung", "Runs stopped that did not proceed at all.",
+         &counts::hung},
         {"agatebank_runs_lost", "Runs that ended with the target.",
          &counts::lost_runs},
         {"agatebank_target_losses", "Times that runs ended with the target.",
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -64,6 +64,7 @@
     uint64_t failed = 0;
     uint64_t stopped = 0;
     uint64_t stalled = 0;
+    uint64_t hung = 0; ///< of the stalled runs, those without progress
     uint64_t not_run = 0;
     uint64_t unanswered_starts = 0;
     uint64_t target_losses = 0; ///< times that runs ended with the target
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -76,7 +76,8 @@
         r.text = std::string("target ") +
                  (load.accepts_work ? "accepts work" : "does not accept work") +
                  (load.suspect ? ", is suspect" : "") + ", slowdown factor " +
-                 std::to_string(load.slowdown) + ", speed factor " +
+                 std::to_string(load.slowdown) + ", share of hung runs " +
+                 std::to_string(load.hang_share) + ", speed factor " +
                  std::to_string(forecast_.speed(agent)) +
                  (forecast_.has_learned_speed(agent) ? " learned" : " guessed");
         r.step = "target.state";
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -489,6 +489,7 @@
                     to_ms_text(duration(r.order.expected_us)));
             health_.on_failed(now);
             health_.on_run_end(r.hanging, now);
+            counts_.hung += r.hanging ? 1 : 0;
             stop_run(r, run_outcome::stalled, now);
         }
     }
--- a/packages/fleet/src/run_scheduler_queue.cpp
+++ b/packages/fleet/src/run_scheduler_queue.cpp
@@ -130,7 +130,9 @@
         log(log_level::info, r,
             std::string(fate == order_fate::return_late
                             ? "order would end after its objective here"
-                            : "order cannot end while its answer is useful") +
+                        : fate == order_fate::drop_useless
+                            ? "order cannot end while its answer is useful"
+                            : "order cannot finish before its deadline") +
                 "; expected wait " + to_ms_text(input.wait) +
                 ", expected run time " + to_ms_text(input.run) +
                 ", time to objective " + to_ms_text(input.to_objective) +
--- a/packages/fleet/src/target_load_tracker.cpp
+++ b/packages/fleet/src/target_load_tracker.cpp
@@ -15,7 +15,8 @@
 {
     const bool changed = load.accepts_work != load_.accepts_work ||
                          load.suspect != load_.suspect ||
-                         (load.slowdown > 1) != (load_.slowdown > 1);
+                         (load.slowdown > 1) != (load_.slowdown > 1) ||
+                         (load.hang_share > 0) != (load_.hang_share > 0);
     load_ = load;
     if (load.capacity != resources())
     {
--- a/packages/fleet/tests/unit-order_return.cpp
+++ b/packages/fleet/tests/unit-order_return.cpp
@@ -254,6 +254,7 @@
         replay_options options;
         options.targets = 9;
         options.returns = {on, on};
+        options.shed_load = false;
         options.report_period = 100ms;
         options.kinds = {replay_kind{"short", 8, 60ms, 50},
                          replay_kind{"long", 4, 900ms, 11}};
