Correct forecasts by the error that two of three jobs keep

Cause: corrected by the median, half of the jobs that are admitted as just on time are late, and take the capacity of others.

Change: the correction is the two-thirds quantile. Jobs of unusual length, up to a third, still don't decide.

--- a/packages/fleet/include/agatebank/fleet/forecast_correction.hpp
+++ b/packages/fleet/include/agatebank/fleet/forecast_correction.hpp
@@ -14,9 +14,11 @@
 /// expected at their admission.
 struct forecast_error
 {
-    std::size_t jobs = 0;  ///< that ended within the window
-    double ratio = 1;      ///< median of actual over expected time, 1 at least
-    duration delay{};      ///< median of actual less expected time, 0 at least
+    std::size_t jobs = 0; ///< that ended within the window
+    double ratio =
+        1; ///< two-thirds quantile of actual over expected time, 1 at least
+    duration delay{}; ///< two-thirds quantile of actual less expected time, 0
+                      ///< at least
     double late_share = 0; ///< jobs that missed their objective, of all
 };
 
--- a/packages/fleet/src/forecast_correction.cpp
+++ b/packages/fleet/src/forecast_correction.cpp
@@ -22,13 +22,19 @@
 /// about its run time than about the load.
 constexpr double max_ratio = 3;
 
+/// Share of the ended jobs whose error is at most the one that is used. With
+/// the median, half of the jobs that are expected to be just on time are late;
+/// a third of unusual jobs must not decide.
+constexpr double error_quantile = 0.66;
+
 template <class T>
-T median(std::vector<T>& values)
+T quantile(std::vector<T>& values)
 {
-    const auto middle =
-        values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
+    const auto it = values.begin() +
+                    static_cast<std::ptrdiff_t>(
+                        static_cast<double>(values.size()) * error_quantile);
+    std::nth_element(values.begin(), it, values.end());
+    return *it;
 }
 
 } // namespace
@@ -89,8 +95,8 @@
     {
         return out;
     }
-    out.ratio = std::clamp(median(ratios), 1.0, max_ratio);
-    out.delay = std::max(median(delays), duration(0));
+    out.ratio = std::clamp(quantile(ratios), 1.0, max_ratio);
+    out.delay = std::max(quantile(delays), duration(0));
     out.late_share =
         static_cast<double>(late) / static_cast<double>(ratios.size());
     return out;
--- a/packages/fleet/tests/unit-load_shedding.cpp
+++ b/packages/fleet/tests/unit-load_shedding.cpp
@@ -54,7 +54,7 @@
 
 // Guards against a correction that follows single jobs of unusual length, that
 // never expires, or that expects earlier ends than the forecast itself.
-TEST_CASE("forecast_correction: takes the median over the last second")
+TEST_CASE("forecast_correction: leaves out a third of unusual jobs")
 {
     struct row
     {
