--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -398,7 +398,7 @@
         batches[it.choice.agent].orders.push_back(
             {task.order, step, it.index, task.attempt, expected.count(),
              reference.value_or(duration(0)).count(), task.isolated,
-             task.returned || task.wait, max_wait.count()});
+             task.returned || task.wait, task.returned ? 0 : max_wait.count()});
     }
     const auto& plan = job.submission.plan;
     for (auto& [agent, batch] : batches)
