Move the options into the job scheduler

Cause: the options hold a function since waits near the data are decided by one, and clang-tidy reported the copy. Test: clang-tidy on the changed files of fleet reports nothing; fleet_tests passed: 76 test cases, 1,186 assertions.

--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -38,7 +38,9 @@
 
 job_scheduler::job_scheduler(job_scheduler_options options,
                              job_scheduler_hooks hooks)
-    : options_(options), hooks_(std::move(hooks)), containment_(hooks_.log)
+    : options_(std::move(options))
+    , hooks_(std::move(hooks))
+    , containment_(hooks_.log)
 {
 }
 
