Decide probation earlier, accuse no route for crashes that are explained

A harmless route was put on probation beside the harmful one, since its tasks had started last at crashes of the other. A probation that grew took the last targets from other routes after most had been lost. And a job all of whose tasks crash was no evidence until one of them had crashed two targets.

Losses at which a task of another route on probation was present no longer accuse a route. A route is accused at once when one task is the only one at two confirmed crashes and had started last at one, or when tasks of one job had started last at three. The size leaves the targets that are there to the work that waits and runs.

--- a/packages/core/include/agatebank/core/crash_history.hpp
+++ b/packages/core/include/agatebank/core/crash_history.hpp
@@ -30,8 +30,13 @@
 /// targets away: 3.3 such jobs a second with two crashes of 3.2 s each are 21
 /// targets. Hence the route is put on probation; see job_scheduler for what
 /// that means. The reason is a target that crashed while a task of the route
-/// was alone there, a task that had started last at two crashes, or a series of
-/// crashes at most of which a task of the route had started last.
+/// was alone there, a task that had started last at two crashes or was the only
+/// common one of two and had started last at one, a job whose tasks had started
+/// last at three, or a series of crashes at most of which a task of the route
+/// had started last.
+///
+/// Losses at which a task of another route on probation was present accuse no
+/// further route.
 ///
 /// A task is suspect after two crashes, or one while it was alone. A crash at
 /// which a task of another route on probation was present does not count, as
@@ -85,12 +90,25 @@
                                    time_point now) const;
     void begin_probation(const crash_report& cause, time_point now);
     /// @brief Number of losses at which a task had started last.
-    std::size_t last_started_losses(const task_position& task) const;
+    std::size_t last_started_losses(const task_position& task,
+                                    time_point now) const;
+    /// @brief Number of confirmed losses at which a task of a job had started
+    /// last.
+    std::size_t last_started_losses(const std::string& job,
+                                    time_point now) const;
+    /// @brief Whether a task alone was at two targets that crashed, and had
+    /// started last at one of them. Several tasks may be sent on together from
+    /// one crashed target to the next; then none is the only one.
+    bool is_only_common_task(const crash_report& latest, time_point now) const;
+    /// @brief Whether a task of another route on probation was at a loss.
+    bool is_explained(const target_loss_id& loss, const route_name& route,
+                      time_point now) const;
     /// @brief Whether the latest losses have a route's tasks as their cause.
     bool causes_series(const route_name& route, time_point now);
 
     std::map<task_position, task_record> tasks_;
     std::map<target_loss_id, std::set<route_name>> routes_at_loss_;
+    std::map<target_loss_id, std::set<task_position>> tasks_at_loss_;
     std::map<target_loss_id, recent_loss> recent_losses_;
     std::map<route_name, probation_record> probations_;
 };
--- a/packages/core/include/agatebank/core/probation_size.hpp
+++ b/packages/core/include/agatebank/core/probation_size.hpp
@@ -11,7 +11,10 @@
 struct probation_input
 {
     std::size_t targets = 0; ///< of the service, also those that are away
-    double busy_targets = 0; ///< taken by the runs of the service, in targets
+    /// that are away and are no probation targets, or don't accept work
+    std::size_t away_targets = 0;
+    /// taken by running and waiting tasks of the service, in targets
+    double busy_targets = 0;
     double crashing_jobs_per_s = 0;
     double crashes_per_job = 0; ///< if its jobs ran like any other
     duration time_away{};       ///< of a target after a crash
@@ -42,7 +45,8 @@
 ///
 /// A probation target serves one first task at a time and is away after a
 /// crash, so the route needs jobs/s x time of a first task plus crashing jobs/s
-/// x time away, in targets. It gets as many as the other work leaves. Without
+/// x time away, in targets. It gets as many as the other work leaves of the
+/// targets that are there. Without
 /// probation, crashing jobs/s x crashes per job x time away of the targets are
 /// lost to all routes. Probation ends where it loses more than that, and the
 /// other routes lose no more than 5 % either way.
--- a/packages/core/src/crash_history.cpp
+++ b/packages/core/src/crash_history.cpp
@@ -20,6 +20,9 @@
 /// Limit on the remembered tasks, to bound memory; the oldest are forgotten.
 constexpr std::size_t max_tasks = 4096;
 constexpr std::size_t suspect_losses = 2;
+/// The tasks of one job start at about the same time on several targets, so one
+/// of them starts last more often than a single task does.
+constexpr std::size_t suspect_job_losses = 3;
 /// A route is taken for the cause of a series of losses if a task of it had
 /// started last at so many of them, which is most of all losses of the period.
 /// Targets that are lost at the same moment are one event, not a series.
@@ -48,6 +51,7 @@
             task.route = it.route;
             task.latest = now;
             routes_at_loss_[it.loss].insert(it.route);
+            tasks_at_loss_[it.loss].insert(it.task);
             added.push_back(it);
             if (it.isolated)
             {
@@ -61,9 +65,16 @@
     }
     for (const auto& it : added)
     {
-        if (it.started_last &&
-            (last_started_losses(it.task) >= suspect_losses ||
-             causes_series(it.route, now)))
+        if (is_explained(it.loss, it.route, now))
+        {
+            continue;
+        }
+        const bool last_repeatedly =
+            it.started_last &&
+            (last_started_losses(it.task, now) >= suspect_losses ||
+             last_started_losses(it.task.job, now) >= suspect_job_losses ||
+             causes_series(it.route, now));
+        if (last_repeatedly || is_only_common_task(it, now))
         {
             begin_probation(it, now);
         }
@@ -80,12 +91,73 @@
     probations_[cause.route] = {cause.service, now + probation_period};
 }
 
-std::size_t crash_history::last_started_losses(const task_position& task) const
+bool crash_history::is_explained(const target_loss_id& loss,
+                                 const route_name& route, time_point now) const
 {
-    const auto& losses = tasks_.at(task).losses;
-    return static_cast<std::size_t>(std::count_if(
-        losses.begin(), losses.end(),
-        [](const auto& loss) { return loss.second.started_last; }));
+    const auto& routes = routes_at_loss_.at(loss);
+    return std::any_of(routes.begin(), routes.end(),
+                       [&](const route_name& other)
+                       { return other != route && on_probation(other, now); });
+}
+
+std::size_t crash_history::last_started_losses(const task_position& task,
+                                               time_point now) const
+{
+    const auto& record = tasks_.at(task);
+    return static_cast<std::size_t>(
+        std::count_if(record.losses.begin(), record.losses.end(),
+                      [&](const auto& loss)
+                      {
+                          return loss.second.started_last &&
+                                 !is_explained(loss.first, record.route, now);
+                      }));
+}
+
+std::size_t crash_history::last_started_losses(const std::string& job,
+                                               time_point now) const
+{
+    std::set<target_loss_id> losses;
+    for (auto it = tasks_.lower_bound({job, 0, 0});
+         it != tasks_.end() && it->first.job == job; ++it)
+    {
+        for (const auto& [id, report] : it->second.losses)
+        {
+            if (report.started_last && report.confirmed &&
+                !is_explained(id, report.route, now))
+            {
+                losses.insert(id);
+            }
+        }
+    }
+    return losses.size();
+}
+
+bool crash_history::is_only_common_task(const crash_report& latest,
+                                        time_point now) const
+{
+    if (!latest.confirmed)
+    {
+        return false;
+    }
+    const auto& here = tasks_at_loss_.at(latest.loss);
+    for (const auto& [id, earlier] : tasks_.at(latest.task).losses)
+    {
+        if (id == latest.loss || !earlier.confirmed ||
+            is_explained(id, latest.route, now) ||
+            !(earlier.started_last || latest.started_last))
+        {
+            continue;
+        }
+        const auto& there = tasks_at_loss_.at(id);
+        const auto common = std::count_if(here.begin(), here.end(),
+                                          [&](const auto& task)
+                                          { return there.count(task) != 0; });
+        if (common == 1)
+        {
+            return true;
+        }
+    }
+    return false;
 }
 
 bool crash_history::causes_series(const route_name& route, time_point now)
@@ -128,6 +200,8 @@
     }
     std::erase_if(routes_at_loss_, [&used](const auto& it)
                   { return used.count(it.first) == 0; });
+    std::erase_if(tasks_at_loss_, [&used](const auto& it)
+                  { return used.count(it.first) == 0; });
     std::erase_if(probations_,
                   [now](const auto& it) { return it.second.until <= now; });
 }
@@ -139,12 +213,7 @@
 {
     const auto is_unexplained = [&](const auto& it)
     {
-        const auto& routes = routes_at_loss_.at(it.first);
-        return std::none_of(routes.begin(), routes.end(),
-                            [&](const route_name& other) {
-                                return other != task.route &&
-                                       on_probation(other, now);
-                            });
+        return !is_explained(it.first, task.route, now);
     };
     return static_cast<std::size_t>(
         std::count_if(task.losses.begin(), task.losses.end(), is_unexplained));
--- a/packages/core/src/probation_size.cpp
+++ b/packages/core/src/probation_size.cpp
@@ -41,7 +41,9 @@
     const double harmless =
         std::max(0.0, in.jobs_per_s - in.crashing_jobs_per_s);
     const double needed = away + harmless * to_seconds(in.first_task_time);
-    const double left = std::floor(targets - in.busy_targets / max_utilisation);
+    const double left =
+        std::floor(targets - static_cast<double>(in.away_targets) -
+                   in.busy_targets / max_utilisation);
     const double available = std::clamp(
         left, 1.0, static_cast<double>(max_probation_targets(in.targets)));
     const double size =
--- a/packages/core/tests/unit-crash_history.cpp
+++ b/packages/core/tests/unit-crash_history.cpp
@@ -214,3 +214,78 @@
         CHECK_FALSE(h.on_probation(route_name("c"), now));
     }
 }
+
+// Guards against a harmful route that is recognised only after most targets are
+// gone, and against a harmless route that is accused in its place.
+TEST_CASE("crash_history: early evidence puts the route of the cause on "
+          "probation, and no other")
+{
+    const auto of_task = [](crash_report r, uint32_t index)
+    {
+        r.task.index = index;
+        return r;
+    };
+    const auto silent = [](crash_report r)
+    {
+        r.confirmed = false;
+        return r;
+    };
+    struct row
+    {
+        const char* name;
+        std::vector<std::vector<crash_report>> crashes;
+        bool a_on_probation;
+        bool b_on_probation;
+    };
+    const row rows[] = {
+        {"the only task at both crashes, last at one",
+         {{report("a1", 1, false, true), report("b1", 1)},
+          {report("a1", 2), report("b2", 2, false, true)}},
+         true,
+         false},
+        {"the same, and targets only went silent",
+         {{silent(report("a1", 1, false, true)), report("b1", 1)},
+          {silent(report("a1", 2)), report("b2", 2)}},
+         false,
+         false},
+        {"two tasks were sent on together",
+         {{report("a1", 1, false, true), report("b1", 1)},
+          {report("a1", 2), report("b1", 2, false, true)}},
+         false,
+         false},
+        {"the only one at both, but never last",
+         {{report("a1", 1), report("b1", 1, false, true)},
+          {report("a1", 2), report("b2", 2, false, true)}},
+         false,
+         false},
+        {"tasks of one job last at three crashes at once",
+         {{of_task(report("a1", 1, false, true), 0), report("b1", 1),
+           of_task(report("a1", 2, false, true), 1), report("b2", 2),
+           of_task(report("a1", 3, false, true), 2), report("b3", 3)}},
+         true,
+         false},
+        {"tasks of one job last at two crashes at once",
+         {{of_task(report("a1", 1, false, true), 0), report("b1", 1),
+           of_task(report("a1", 2, false, true), 1), report("b2", 2)}},
+         false,
+         false},
+        {"last at two crashes that a route on probation explains",
+         {{report("a1", 1, true)},
+          {report("a2", 2), report("b1", 2, false, true)},
+          {report("a3", 3), report("b1", 3, false, true)}},
+         true,
+         false}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        crash_history h;
+        auto now = start;
+        for (const auto& crash : it.crashes)
+        {
+            h.merge(crash, now);
+            now += 100ms;
+        }
+        CHECK(h.on_probation(route_name("a"), now) == it.a_on_probation);
+        CHECK(h.on_probation(route_name("b"), now) == it.b_on_probation);
+    }
+}
--- a/packages/fleet/src/crash_containment.cpp
+++ b/packages/fleet/src/crash_containment.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdio>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace agatebank
@@ -23,21 +24,16 @@
 /// Shortest interval between two log lines about the size of one probation.
 constexpr std::chrono::seconds size_log_period{1};
 
-// Share of the capacity of a service in use, in targets.
-double busy_targets(const target_map& targets, const service_name& service)
+// Work of the tasks that run or wait at a target, in targets.
+double busy_share(const target_load_tracker& t)
 {
-    double out = 0;
-    for (const auto& [agent, t] : targets)
-    {
-        const auto capacity = t.profile().capacity.cpu_millis;
-        if (t.profile().service == service && t.load().accepts_work &&
-            capacity > 0)
-        {
-            out += static_cast<double>(t.load().used.cpu_millis) /
-                   static_cast<double>(capacity);
-        }
-    }
-    return out;
+    const auto capacity = t.profile().capacity.cpu_millis;
+    const auto& queued = t.load().queued_cpu_millis;
+    const auto taken =
+        std::accumulate(queued.begin(), queued.end(), t.load().used.cpu_millis);
+    return capacity > 0
+               ? static_cast<double>(taken) / static_cast<double>(capacity)
+               : 0;
 }
 
 std::string to_text(double value)
@@ -215,8 +211,18 @@
                                    std::size_t entries, time_point now)
 {
     auto in = estimator_.estimate(route, entries, now);
-    in.targets = agents_of(targets, record.service).size();
-    in.busy_targets = busy_targets(targets, record.service);
+    const auto& probation = probation_targets(record.service, targets);
+    for (const auto& [agent, t] : targets)
+    {
+        if (t.profile().service != record.service)
+        {
+            continue;
+        }
+        const bool accepts = t.load().accepts_work;
+        ++in.targets;
+        in.away_targets += !accepts && probation.count(agent) == 0 ? 1 : 0;
+        in.busy_targets += accepts ? busy_share(t) : 0;
+    }
     const auto size = size_probation(in);
     if (record.size && record.size->targets == size.targets)
     {
@@ -233,18 +239,19 @@
     record.logged = now;
     log_record r;
     r.level = log_level::warning;
-    r.text = "probation of route " + route.value() + " takes " +
-             std::to_string(size.targets) + " of " +
-             std::to_string(in.targets) + " targets, expected to refuse " +
-             to_text(size.refused_share) + " of its jobs and to lose " +
-             to_text(size.containment_loss) +
-             " of the service's value, crashes would lose " +
-             to_text(size.crash_loss) + "; crashing jobs " +
-             to_text(in.crashing_jobs_per_s) + "/s of " +
-             to_text(in.jobs_per_s) + "/s, " + to_text(in.crashes_per_job) +
-             " crashes each, targets away for " + to_ms_text(in.time_away) +
-             ", busy targets " + to_text(in.busy_targets) +
-             ", share of the work " + to_text(in.work_share);
+    r.text =
+        "probation of route " + route.value() + " takes " +
+        std::to_string(size.targets) + " of " + std::to_string(in.targets) +
+        " targets, of which " + std::to_string(in.away_targets) +
+        " others are away; expected to refuse " + to_text(size.refused_share) +
+        " of its jobs and to lose " + to_text(size.containment_loss) +
+        " of the service's value, crashes would lose " +
+        to_text(size.crash_loss) + "; crashing jobs " +
+        to_text(in.crashing_jobs_per_s) + "/s of " + to_text(in.jobs_per_s) +
+        "/s, " + to_text(in.crashes_per_job) +
+        " crashes each, targets away for " + to_ms_text(in.time_away) +
+        ", busy targets " + to_text(in.busy_targets) + ", share of the work " +
+        to_text(in.work_share);
     r.step = "crash";
     log_(r);
 }
--- a/packages/fleet/src/crash_estimator.cpp
+++ b/packages/fleet/src/crash_estimator.cpp
@@ -130,12 +130,15 @@
             first = std::min(first, it.at);
         }
     }
-    std::size_t most_tasks = 1;
-    for (const auto& [job, tasks] : tasks_by_job)
+    std::size_t tasks = 0;
+    for (const auto& [job, crashing] : tasks_by_job)
     {
-        most_tasks = std::max(most_tasks, tasks.size());
+        tasks += crashing.size();
     }
-    out.crashes_per_job = crashes_per_task * static_cast<double>(most_tasks);
+    const auto jobs =
+        static_cast<double>(std::max<std::size_t>(1, tasks_by_job.size()));
+    out.crashes_per_job =
+        crashes_per_task * std::max(1.0, static_cast<double>(tasks) / jobs);
     const double arrivals = r.arrivals.value_at(now);
     const double admitted = r.admitted.value_at(now);
     const double refused_ratio =
