Return orders that a shrunk capacity never fits, and pause after a refusal

An order that needs more than the capacity left blocked the queue of its agent until its deadline, as it was judged by the work ahead only. A start that the target refused for lack of capacity was repeated at each tick, until the announcement of the smaller capacity came.

Orders that fit no more are returned as not run when the capacity is set; runs continue. After a refusal, no start leads to the same use of the target or a larger one for 200 ms, doubled with each further refusal up to 2 s; a smaller use may be started, and an announcement with another capacity ends the pause.

--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -188,6 +188,13 @@
             0;           ///< number of the last listing to include it
         queue_rank rank; ///< valid while queued
     };
+    /// A use of resources for which the target refused a start.
+    struct capacity_refusal
+    {
+        resources use;
+        time_point until; ///< the same use is not tried before
+        duration pause{};
+    };
     using record_map = std::map<order_key, order_record>;
 
     static timeliness timeliness_of(const order_record& r, time_point now);
@@ -196,6 +203,10 @@
     void enqueue(const order_key& key, order_record& r, time_point now);
     void start_next(time_point now);
     void return_infeasible(time_point now);
+    /// @brief Whether the target has just refused a start to this use of its
+    /// resources, or to a smaller one.
+    bool was_refused(const resources& use, time_point now) const;
+    void on_capacity_refusal(const order_record& r, time_point now);
     void start_run(const order_key& key, order_record& r, time_point now);
     void release_resources(const order_record& r);
     void stop_run(order_record& r, run_outcome outcome, time_point now);
@@ -216,6 +227,7 @@
     run_scheduler_hooks hooks_;
     resources capacity_;
     resources used_;
+    std::optional<capacity_refusal> refusal_;
     bool open_ = false;
     record_map orders_;
     std::set<queue_rank> queue_;
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -18,6 +18,11 @@
 constexpr duration report_delivery_time = 10ms;
 /// Interval after which an unanswered stop request is repeated.
 constexpr duration stop_retry_interval = 200ms;
+/// Time for which a use of resources that the target refused is not tried
+/// again, doubled with each refusal. A refused start has a cost, and the
+/// announcement of a smaller capacity follows within seconds.
+constexpr duration first_refusal_pause = 200ms;
+constexpr duration max_refusal_pause = 2s;
 /// Limit on the tasks whose last run number is kept, to bound memory. A number
 /// that is reused after the limit was exceeded is answered as superseded, and
 /// the next higher one is tried.
@@ -40,6 +45,7 @@
 void run_scheduler::set_capacity(const resources& capacity, time_point now)
 {
     capacity_ = capacity;
+    refusal_.reset();
     tick(now);
 }
 
@@ -271,7 +277,8 @@
         }
         const bool must_wait = !left_runs_.empty() || isolated_runs_ > 0 ||
                                (r.order.isolated && !started_runs_.empty());
-        if (must_wait || !capacity_.can_fit(used_ + r.task_resources))
+        if (must_wait || !capacity_.can_fit(used_ + r.task_resources) ||
+            was_refused(used_ + r.task_resources, now))
         {
             return;
         }
@@ -280,6 +287,32 @@
     }
 }
 
+bool run_scheduler::was_refused(const resources& use, time_point now) const
+{
+    return refusal_ && now < refusal_->until &&
+           (use == refusal_->use || !refusal_->use.can_fit(use));
+}
+
+void run_scheduler::on_capacity_refusal(const order_record& r, time_point now)
+{
+    if (refusal_ && now < refusal_->until)
+    {
+        // Of several starts that were under way at once.
+        refusal_->use = used_;
+        return;
+    }
+    const auto pause = refusal_
+                           ? std::min(2 * refusal_->pause, max_refusal_pause)
+                           : first_refusal_pause;
+    refusal_ = capacity_refusal{used_, now + pause, pause};
+    log(log_level::warning, r,
+        "target refused the start for lack of capacity with " +
+            std::to_string(used_.cpu_millis) +
+            " thousandths of a core in use, announced " +
+            std::to_string(capacity_.cpu_millis) +
+            "; no start to this use for " + to_ms_text(pause));
+}
+
 // Returns the queued orders that cannot finish before their deadline. The
 // earliest start of an order is estimated as the time that the target, at full
 // capacity, needs for all work ahead of it; new orders can only delay it.
@@ -311,12 +344,21 @@
         }
     }
     std::vector<order_key> infeasible;
+    std::vector<order_key> too_large; // since the capacity has shrunk
     for (const auto& rank : queue_)
     {
         const auto& key = std::get<order_key>(rank);
         const auto& r = orders_.at(key);
         const auto expected = duration(r.order.expected_us);
-        if (now + ahead + expected + report_delivery_time > r.deadline)
+        if (!capacity_.can_fit(r.task_resources))
+        {
+            log(log_level::info, r,
+                "order needs " + std::to_string(r.task_resources.cpu_millis) +
+                    " thousandths of a core, capacity is " +
+                    std::to_string(capacity_.cpu_millis));
+            too_large.push_back(key);
+        }
+        else if (now + ahead + expected + report_delivery_time > r.deadline)
         {
             log(log_level::info, r,
                 "order cannot finish before its deadline; work ahead " +
@@ -335,6 +377,10 @@
     {
         finish(it, run_outcome::past_deadline, now);
     }
+    for (const auto& it : too_large)
+    {
+        finish(it, run_outcome::not_run, now);
+    }
 }
 
 void run_scheduler::start_run(const order_key& key, order_record& r,
@@ -455,6 +501,10 @@
         r.state = run_state::running;
         r.known_to_run = true;
         r.last_exchange_at = now;
+        if (refusal_ && now >= refusal_->until)
+        {
+            refusal_.reset();
+        }
         return;
     case start_answer::unknown:
         ++counts_.unanswered_starts;
@@ -466,8 +516,12 @@
     case start_answer::superseded:
         log(log_level::info, r,
             "run number superseded at the target; trying the next one");
-        [[fallthrough]];
+        release_resources(r);
+        r.state = run_state::queued;
+        enqueue(key, r, now);
+        return;
     case start_answer::no_capacity:
+        on_capacity_refusal(r, now);
         release_resources(r);
         r.state = run_state::queued;
         enqueue(key, r, now);
--- a/packages/fleet/tests/unit-job_scheduler.cpp
+++ b/packages/fleet/tests/unit-job_scheduler.cpp
@@ -556,3 +556,34 @@
     CHECK(f.answers.at(key).result == job_result::failed);
     CHECK(f.sent.empty());
 }
+
+// Guards against an entry that keeps to the capacity with which a target
+// announced itself.
+TEST_CASE("job_scheduler: places by the capacity of the latest load report")
+{
+    struct row
+    {
+        const char* name;
+        resources capacity;
+        bool admitted;
+    };
+    const row rows[] = {{"unchanged", {16000, 65536, 0}, true},
+                        {"shrunk below a task", {500, 65536, 0}, false},
+                        {"less memory than a task", {16000, 5, 0}, false}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        scheduler_fixture f;
+        f.add_target(1);
+        target_load load;
+        load.accepts_work = true;
+        load.capacity = it.capacity;
+        f.scheduler.set_load(agent_incarnation(1), load, f.now);
+        const auto key = f.admit(1);
+        CHECK((f.answers.count(key) == 0) == it.admitted);
+        load.capacity = {16000, 65536, 0};
+        f.scheduler.set_load(agent_incarnation(1), load, f.now);
+        const auto again = f.admit(1);
+        CHECK(f.answers.count(again) == 0);
+    }
+}
--- a/packages/fleet/tests/unit-run_scheduler.cpp
+++ b/packages/fleet/tests/unit-run_scheduler.cpp
@@ -383,3 +383,88 @@
         CHECK(f.losses[0].confirmed == it.confirmed);
     }
 }
+
+// Guards against an order that blocks the queue until its deadline, since it
+// needs more than the target's capacity after this has shrunk.
+TEST_CASE(
+    "run_scheduler: after the capacity has shrunk, orders that fit no more "
+    "are returned at once, and runs continue")
+{
+    struct row
+    {
+        const char* name;
+        resources capacity;
+        std::size_t returned;
+        std::size_t queued;
+    };
+    const row rows[] = {{"less than an order needs", {500, 1000, 0}, 2, 0},
+                        {"less memory than it needs", {2000, 5, 0}, 2, 0},
+                        {"less than what runs", {1000, 1000, 0}, 0, 2},
+                        {"grown", {3000, 1000, 0}, 0, 1}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        scheduler_fixture f;
+        for (uint64_t id = 1; id <= 4; ++id)
+        {
+            f.order(id, "a");
+        }
+        REQUIRE(f.started.size() == 2);
+        f.accept_all();
+        f.scheduler.set_capacity(it.capacity, f.now);
+        REQUIRE(f.ends.size() == it.returned);
+        for (const auto& end : f.ends)
+        {
+            CHECK(end.outcome == run_outcome::not_run);
+        }
+        CHECK(f.scheduler.queued() == it.queued);
+        CHECK(f.stopped.empty());
+        CHECK(f.scheduler.load(f.now).capacity == it.capacity);
+    }
+}
+
+// Guards against a series of starts that the target refuses, between the time
+// at which its capacity shrinks and its announcement.
+TEST_CASE("run_scheduler: a start that the target refused for lack of capacity "
+          "is not repeated in series")
+{
+    scheduler_fixture f;
+    f.order(1, "a", 0, 9s);
+    f.order(2, "b", 0, 9s);
+    REQUIRE(f.started.size() == 2);
+    f.scheduler.on_start_answer(f.started[0], start_answer::accepted, f.now);
+    f.scheduler.on_start_answer(f.started[1], start_answer::no_capacity, f.now);
+    const auto first = f.started[0];
+    const auto tick_for = [&f](duration d)
+    {
+        for (const auto end = f.now + d; f.now < end; f.now += 10ms)
+        {
+            f.scheduler.tick(f.now);
+        }
+    };
+    tick_for(150ms);
+    CHECK(f.started.size() == 2);
+    tick_for(100ms);
+    REQUIRE(f.started.size() == 3);
+    f.scheduler.on_start_answer(f.started[2], start_answer::no_capacity, f.now);
+    tick_for(350ms);
+    CHECK(f.started.size() == 3);
+
+    // The other run ends, so the start would lead to a smaller use.
+    f.list({}, {{end_position(1), first, ended_run_status::done}});
+    REQUIRE(f.started.size() == 4);
+    f.scheduler.on_start_answer(f.started[3], start_answer::accepted, f.now);
+}
+
+// Guards against a pause that outlasts the lack of capacity.
+TEST_CASE("run_scheduler: an announcement of the capacity ends the pause after "
+          "a refused start")
+{
+    scheduler_fixture f;
+    f.order(1, "a", 0, 9s);
+    f.scheduler.on_start_answer(f.started[0], start_answer::no_capacity, f.now);
+    f.scheduler.tick(f.now);
+    CHECK(f.started.size() == 1);
+    f.scheduler.set_capacity({3000, 1000, 0}, f.now);
+    CHECK(f.started.size() == 2);
+}
