--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -210,6 +210,13 @@
             0;           ///< number of the last listing to include it
         queue_rank rank; ///< valid while queued
     };
+    /// A use of resources for which the target refused a start.
+    struct capacity_refusal
+    {
+        resources use;
+        time_point until; ///< the same use is not tried before
+        duration pause{};
+    };
     using record_map = std::map<order_key, order_record>;
 
     static timeliness timeliness_of(const order_record& r, time_point now);
@@ -230,6 +237,10 @@
     /// granted for waiting near its data.
     bool is_overdue_wait(const order_record& r, duration wait,
                          time_point now) const;
+    /// @brief Whether the target has just refused a start to this use of its
+    /// resources, or to a smaller one.
+    bool was_refused(const resources& use, time_point now) const;
+    void on_capacity_refusal(const order_record& r, time_point now);
     void start_run(const order_key& key, order_record& r, time_point now);
     void release_resources(const order_record& r);
     void stop_run(order_record& r, run_outcome outcome, time_point now);
@@ -251,6 +262,7 @@
     run_scheduler_options options_;
     resources capacity_;
     resources used_;
+    std::optional<capacity_refusal> refusal_;
     bool open_ = false;
     record_map orders_;
     std::set<queue_rank> queue_;
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -38,6 +38,7 @@
 void run_scheduler::set_capacity(const resources& capacity, time_point now)
 {
     capacity_ = capacity;
+    refusal_.reset();
     tick(now);
 }
 
@@ -359,6 +360,10 @@
         r.state = run_state::running;
         r.known_to_run = true;
         r.last_exchange_at = now;
+        if (refusal_ && now >= refusal_->until)
+        {
+            refusal_.reset();
+        }
         return;
     case start_answer::unknown:
         ++counts_.unanswered_starts;
@@ -370,13 +375,17 @@
     case start_answer::superseded:
         log(log_level::info, r,
             "run number superseded at the target; trying the next one");
-        [[fallthrough]];
+        release_resources(r);
+        r.state = run_state::queued;
+        enqueue(key, r, now);
+        return;
     case start_answer::no_capacity:
         if (!open_)
         {
             finish(key, run_outcome::not_run, now);
             return;
         }
+        on_capacity_refusal(r, now);
         release_resources(r);
         r.state = run_state::queued;
         enqueue(key, r, now);
--- a/packages/fleet/src/run_scheduler_queue.cpp
+++ b/packages/fleet/src/run_scheduler_queue.cpp
@@ -11,6 +11,19 @@
 namespace agatebank
 {
 
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Time for which a use of resources that the target refused is not tried
+/// again, doubled with each refusal. A refused start has a cost, and the
+/// announcement of a smaller capacity follows within seconds.
+constexpr duration first_refusal_pause = 200ms;
+constexpr duration max_refusal_pause = 2s;
+
+} // namespace
+
 // queue
 
 run_scheduler::timeliness run_scheduler::timeliness_of(const order_record& r,
@@ -69,7 +82,8 @@
         }
         const bool must_wait = !left_runs_.empty() || isolated_runs_ > 0 ||
                                (r.order.isolated && !started_runs_.empty());
-        if (must_wait || !capacity_.can_fit(used_ + r.task_resources))
+        if (must_wait || !capacity_.can_fit(used_ + r.task_resources) ||
+            was_refused(used_ + r.task_resources, now))
         {
             return;
         }
@@ -78,6 +92,32 @@
     }
 }
 
+bool run_scheduler::was_refused(const resources& use, time_point now) const
+{
+    return refusal_ && now < refusal_->until &&
+           (use == refusal_->use || !refusal_->use.can_fit(use));
+}
+
+void run_scheduler::on_capacity_refusal(const order_record& r, time_point now)
+{
+    if (refusal_ && now < refusal_->until)
+    {
+        // Of several starts that were under way at once.
+        refusal_->use = used_;
+        return;
+    }
+    const auto pause = refusal_
+                           ? std::min(2 * refusal_->pause, max_refusal_pause)
+                           : first_refusal_pause;
+    refusal_ = capacity_refusal{used_, now + pause, pause};
+    log(log_level::warning, r,
+        "target refused the start for lack of capacity with " +
+            std::to_string(used_.cpu_millis) +
+            " thousandths of a core in use, announced " +
+            std::to_string(capacity_.cpu_millis) +
+            "; no start to this use for " + to_ms_text(pause));
+}
+
 duration run_scheduler::expected_run(const order_record& r,
                                      time_point now) const
 {
@@ -103,8 +143,7 @@
     const auto delay =
         scale(duration(r.order.expected_us), health_.slowdown(now)) -
         duration(r.order.expected_us);
-    return !capacity_.can_fit(r.task_resources) ||
-           now + wait + delay > r.received + duration(r.order.max_wait_us);
+    return now + wait + delay > r.received + duration(r.order.max_wait_us);
 }
 
 void run_scheduler::return_queued(time_point now)
@@ -128,7 +167,7 @@
         duration wait;
     };
     std::vector<returned_order> returned;
-    std::vector<order_key> overdue;
+    std::vector<order_key> unstartable;
     for (const auto& rank : queue_)
     {
         const auto& key = std::get<order_key>(rank);
@@ -142,6 +181,16 @@
         input.to_useful_end = r.useful_until - now;
         input.to_deadline = r.deadline - now;
         input.keep = r.order.keep || r.order.isolated;
+        if (!capacity_.can_fit(r.task_resources))
+        {
+            // The capacity has shrunk since the order was sent.
+            log(log_level::info, r,
+                "order needs " + std::to_string(r.task_resources.cpu_millis) +
+                    " thousandths of a core, capacity is " +
+                    std::to_string(capacity_.cpu_millis));
+            unstartable.push_back(key);
+            continue;
+        }
         if (is_overdue_wait(r, input.wait, now))
         {
             log(log_level::info, r,
@@ -151,7 +200,7 @@
                     to_ms_text(duration(r.order.max_wait_us)) +
                     ", slowdown factor " +
                     std::to_string(health_.slowdown(now)));
-            overdue.push_back(key);
+            unstartable.push_back(key);
             continue;
         }
         const auto fate = decide_queued_order(input, options_.returns);
@@ -174,7 +223,7 @@
                 ", slowdown factor " + std::to_string(health_.slowdown(now)));
         returned.push_back({key, fate, input.wait});
     }
-    for (const auto& it : overdue)
+    for (const auto& it : unstartable)
     {
         finish(it, run_outcome::not_run, now);
     }
