Size probation from its start, and end it for a route accused wrongly

In the first second, probation kept a third of the targets even if others had lost theirs. The size is now weighed at once; the third is only its upper limit there. From 1 s on, only crashes of tasks that ran alone count for the rate, so probation ends for a route whose tasks crash nothing.

--- a/packages/fleet/include/agatebank/fleet/crash_estimator.hpp
+++ b/packages/fleet/include/agatebank/fleet/crash_estimator.hpp
@@ -46,8 +46,9 @@
     // lookup
     /// @brief Returns what is known of a route, except for the targets.
     /// @param entries number of entries among which jobs are spread
+    /// @param probation_since when the route's probation began
     probation_input estimate(const route_name& route, std::size_t entries,
-                             time_point now) const;
+                             time_point probation_since, time_point now) const;
 
   private:
     /// A count that decays with time.
@@ -63,6 +64,7 @@
     {
         task_position task;
         time_point at;
+        bool isolated = false;
     };
     struct route_record
     {
--- a/packages/fleet/src/crash_containment.cpp
+++ b/packages/fleet/src/crash_containment.cpp
@@ -169,6 +169,7 @@
                 .second)
         {
             probation_targets_.clear();
+            next_resize_ = now;
         }
     }
     return added;
@@ -198,10 +199,7 @@
     }
     for (auto& [route, record] : probations_)
     {
-        if (now - record.since >= min_evidence_time)
-        {
-            resize_one(route, record, targets, entries, now);
-        }
+        resize_one(route, record, targets, entries, now);
     }
 }
 
@@ -210,7 +208,7 @@
                                    const target_map& targets,
                                    std::size_t entries, time_point now)
 {
-    auto in = estimator_.estimate(route, entries, now);
+    auto in = estimator_.estimate(route, entries, record.since, now);
     const auto& probation = probation_targets(record.service, targets);
     for (const auto& [agent, t] : targets)
     {
@@ -223,7 +221,13 @@
         in.away_targets += !accepts && probation.count(agent) == 0 ? 1 : 0;
         in.busy_targets += accepts ? busy_share(t) : 0;
     }
-    const auto size = size_probation(in);
+    auto size = size_probation(in);
+    if (now - record.since < min_evidence_time)
+    {
+        // The rate is not known, but what others can spare is.
+        size.targets = std::clamp<std::size_t>(
+            size.targets, 1, initial_probation_targets(in.targets));
+    }
     if (record.size && record.size->targets == size.targets)
     {
         return;
--- a/packages/fleet/src/crash_estimator.cpp
+++ b/packages/fleet/src/crash_estimator.cpp
@@ -14,6 +14,8 @@
 
 /// Crashes of this time are counted; several times as long as a target is away.
 constexpr duration crash_window = 10s;
+/// Time on probation after which crashes among other tasks are not counted.
+constexpr duration certain_after = 1s;
 /// A rate is taken over no less than this.
 constexpr duration min_crash_window = 1s;
 /// Time constant of the counts of jobs.
@@ -72,7 +74,7 @@
         if (it.isolated || it.started_last)
         {
             auto& causes = routes_[it.route].causes;
-            causes.push_back({it.task, now});
+            causes.push_back({it.task, now, it.isolated});
             while (now - causes.front().at > crash_window)
             {
                 causes.pop_front();
@@ -110,6 +112,7 @@
 
 probation_input crash_estimator::estimate(const route_name& route,
                                           std::size_t entries,
+                                          time_point probation_since,
                                           time_point now) const
 {
     probation_input out;
@@ -124,7 +127,11 @@
     time_point first = now;
     for (const auto& it : r.causes)
     {
-        if (now - it.at <= crash_window)
+        // Once tasks of the route run alone, only their crashes are certain to
+        // be its own.
+        const bool counts =
+            now - probation_since < certain_after || it.isolated;
+        if (now - it.at <= crash_window && counts)
         {
             tasks_by_job[it.task.job].insert(it.task);
             first = std::min(first, it.at);
