--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -252,7 +252,9 @@
     /// that the job's answer would be useless.
     bool waits_in_vain(const job_record& job, time_point now) const;
     /// @brief Ends a job of which a task waits although no target outside the
-    /// evacuated domains can run it. @return whether the job has ended
+    /// evacuated domains can run it. Called in a tick, when its other orders
+    /// have been returned too: only then it is known that none has run.
+    /// @return whether the job has ended
     bool end_if_evacuated(job_key key, time_point now);
     void send_orders(job_record& job, uint32_t step,
                      const std::vector<placed_task>& placed, time_point now);
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -1105,9 +1105,7 @@
     if (place_waiting(ref.job, job, now))
     {
         waiting_jobs_.erase(ref.job);
-        return;
     }
-    end_if_evacuated(ref.job, now);
 }
 
 void job_scheduler::tick(time_point now)
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -210,6 +210,21 @@
     return false;
 }
 
+std::string node_cluster::entry_log(std::size_t i,
+                                    const std::string& text) const
+{
+    std::ifstream in(file("entry-" + std::to_string(i) + ".log"));
+    std::string out;
+    for (std::string line; std::getline(in, line);)
+    {
+        if (line.find(text) != std::string::npos)
+        {
+            out += line + "\n";
+        }
+    }
+    return out;
+}
+
 child_process& node_cluster::entry(std::size_t i)
 {
     return *entries_[i];
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -58,6 +58,8 @@
                               const std::string& text = {});
     /// @brief Whether a line of an agent's log contains a text.
     bool agent_logged(std::size_t i, const std::string& text) const;
+    /// @brief The lines of an entry's log that contain a text.
+    std::string entry_log(std::size_t i, const std::string& text) const;
     child_process& entry(std::size_t i);
     child_process& agent(std::size_t i);
     /// @brief Waits until all entries are ready for callers. @return whether
