Give cold targets less work, and learn nothing from their runs

Cause: a target's announcement says how long it stays cold, and the field was ignored.

The agent reports its target as cold until then, with a slowdown of 2 or the measured one, learns neither speed nor slowdown from runs that started cold, and allows them twice their expected time before they count as stalled. Entries rank a cold target after the warm ones that are as crowded, and learn nothing from its runs. Where no target is cold the ranks compare as before.

--- a/packages/core/include/agatebank/core/run_order.hpp
+++ b/packages/core/include/agatebank/core/run_order.hpp
@@ -77,11 +77,14 @@
     run_outcome outcome = run_outcome::not_run;
     int64_t run_us = 0;    ///< time at the target
     int64_t queued_us = 0; ///< time in the agent's queue
+    /// the target was cold when the run started, so its time shows neither the
+    /// usual speed of the target nor that of the route
+    bool cold = false;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(id, outcome, run_us, queued_us);
+        ar(id, outcome, run_us, queued_us, cold);
     }
 };
 
--- a/packages/core/include/agatebank/core/target_interface.hpp
+++ b/packages/core/include/agatebank/core/target_interface.hpp
@@ -40,6 +40,7 @@
     target_profile profile;
     uint64_t sequence = 0; ///< increases within one incarnation
     bool draining = false;
+    duration cold_remaining{}; ///< 0: the target is warm
 };
 
 /// @brief Asks a target to start a run.
--- a/packages/core/include/agatebank/core/target_load.hpp
+++ b/packages/core/include/agatebank/core/target_load.hpp
@@ -59,6 +59,9 @@
     double speed = 0;
     uint64_t last_order_received =
         0; ///< id of the last order received on this link
+    /// whether the target has just started or become cold, so that its runs
+    /// take longer
+    bool cold = false;
 
     bool operator==(const target_load&) const = default;
 
@@ -70,7 +73,7 @@
         {
             ar(it);
         }
-        ar(mean_run_us, slowdown, speed, last_order_received);
+        ar(mean_run_us, slowdown, speed, last_order_received, cold);
     }
 };
 
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -303,7 +303,7 @@
     void unblock_later_steps(job_key key, job_record& job);
     /// @brief Updates the forecast with the time of a run. Once the speed of a
     /// target is learned, runs during a slowdown are ignored, as they do not
-    /// show its usual speed.
+    /// show its usual speed. Runs of a cold target are always ignored.
     void learn_run_time(const job_record& job, uint32_t step,
                         agent_incarnation agent, const order_result& end);
     void log(log_level level, const job_record& job, std::string text,
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -87,6 +87,9 @@
 
     // target
     void set_capacity(const resources& capacity, time_point now);
+    /// @brief Sets until when the target is cold. Runs that start before then
+    /// are expected to take longer, and nothing is learned from their time.
+    void set_cold_until(time_point t);
     /// @brief Sets whether new runs may start. While they may not, queued and
     /// new orders are returned to their entries as not run.
     void set_accepting_orders(bool open, time_point now);
@@ -182,6 +185,7 @@
         /// request was answered, or the run was first listed as running
         time_point last_exchange_at;
         bool stop_accepted = false;
+        bool cold = false;         ///< the target was cold at its start
         bool known_to_run = false; ///< its start was accepted, or it was listed
         bool report_requested =
             true; ///< whether the entry still expects a report
@@ -215,12 +219,15 @@
     void process_active_runs(const lease_answer& listing, time_point asked_at,
                              time_point now);
     void finish_unlisted_runs(time_point asked_at, time_point now);
+    /// @brief Factor by which runs take longer that start now.
+    double slowdown(time_point now) const;
     void log(log_level level, const order_record& r, std::string text) const;
 
     run_scheduler_hooks hooks_;
     resources capacity_;
     resources used_;
     bool open_ = false;
+    time_point cold_until_;
     record_map orders_;
     std::set<queue_rank> queue_;
     std::map<run_id, order_key> started_runs_;
--- a/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
+++ b/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
@@ -27,8 +27,8 @@
     // modifiers
     /// @brief Stores a load report, and discards the orders that it includes.
     /// The reported capacity replaces that of the profile, unless it is zero.
-    /// @return whether acceptance of work, suspicion or the presence of a
-    /// slowdown changed
+    /// @return whether acceptance of work, suspicion, coldness or the presence
+    /// of a slowdown changed
     bool set_load(const target_load& load);
     /// @param expected_run expected run time at this target
     void add_order(order_id id, const resources& task_resources,
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -77,7 +77,8 @@
         log_record r;
         r.text = std::string("target ") +
                  (load.accepts_work ? "accepts work" : "does not accept work") +
-                 (load.suspect ? ", is suspect" : "") + ", slowdown factor " +
+                 (load.suspect ? ", is suspect" : "") +
+                 (load.cold ? ", is cold" : "") + ", slowdown factor " +
                  std::to_string(load.slowdown) + ", speed factor " +
                  std::to_string(forecast_.speed(agent)) +
                  (forecast_.has_learned_speed(agent) ? " learned" : " guessed");
@@ -937,7 +938,7 @@
                                    const order_result& end)
 {
     const auto it = targets_.find(agent);
-    if (it == targets_.end() ||
+    if (it == targets_.end() || end.cold ||
         (it->second.load().slowdown > 1 && forecast_.has_learned_speed(agent)))
     {
         return;
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -75,7 +75,14 @@
 // Sorts by lateness, crowding, lack of safety if not crowded, then speed class
 // and utilisation for targets in time, or expected end in us and utilisation
 // for late ones. Lower is better.
-using choice_rank = std::tuple<int, bool, bool, double, double>;
+using choice_rank = std::tuple<int, int, bool, double, double>;
+
+// Returns the place of a target among those in time. A cold target would be
+// preferred as a slow one, so it follows the warm ones that are as crowded.
+int crowding(bool crowded, bool cold)
+{
+    return (crowded ? 2 : 0) + (cold ? 1 : 0);
+}
 
 } // namespace
 
@@ -133,10 +140,10 @@
         const bool unsafe = !crowded && !is_on_time(1, safe_run_ratio);
         const choice_rank rank =
             on_time
-                ? choice_rank{0, crowded, unsafe, speed_class(current_speed),
-                              utilisation}
-                : choice_rank{1, false, false,
-                              static_cast<double>(finish.count()), utilisation};
+                ? choice_rank{0, crowding(crowded, t.load().cold), unsafe,
+                              speed_class(current_speed), utilisation}
+                : choice_rank{1, 0, false, static_cast<double>(finish.count()),
+                              utilisation};
         if (!best || rank < best_rank)
         {
             best = placement_choice{agent, run, finish, on_time, suspect};
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -23,6 +23,10 @@
 /// the next higher one is tried.
 constexpr std::size_t max_tracked_run_numbers = 20000;
 
+/// Factor by which a run of a cold target is assumed to take longer. The
+/// announcement says how long the target stays cold, not how slow it is.
+constexpr double cold_slowdown = 2;
+
 std::string to_task_name(const std::string& job, const run_order& o)
 {
     return job + ".0." + std::to_string(o.step) + "." + std::to_string(o.index);
@@ -43,6 +47,17 @@
     tick(now);
 }
 
+void run_scheduler::set_cold_until(time_point t)
+{
+    cold_until_ = t;
+}
+
+double run_scheduler::slowdown(time_point now) const
+{
+    return now < cold_until_ ? std::max(cold_slowdown, health_.slowdown(now))
+                             : health_.slowdown(now);
+}
+
 void run_scheduler::set_accepting_orders(bool open, time_point now)
 {
     if (open_ == open)
@@ -302,7 +317,7 @@
 {
     const double capacity_millis =
         static_cast<double>(std::max<int64_t>(1, capacity_.cpu_millis));
-    const double slowdown_factor = health_.slowdown(now);
+    const double slowdown_factor = slowdown(now);
     const auto processing_time =
         [capacity_millis, slowdown_factor](const order_record& r)
     {
@@ -365,6 +380,7 @@
     r.current_run.run = last;
     r.state = run_state::starting;
     r.known_to_run = false;
+    r.cold = now < cold_until_;
     r.started = now;
     used_ += r.task_resources;
     isolated_runs_ += r.order.isolated ? 1 : 0;
@@ -409,6 +425,7 @@
     {
         end.queued_us = (r.started - r.received).count();
         end.run_us = (now - r.started).count();
+        end.cold = r.cold;
         release_resources(r);
     }
     switch (outcome)
@@ -568,6 +585,13 @@
 // show the usual speed.
 void run_scheduler::learn_from_run(const order_record& r, time_point now)
 {
+    if (r.cold)
+    {
+        // Counts as a success only: the time shows neither the usual speed nor
+        // a fault of the target.
+        health_.on_done(duration(0), duration(0), now);
+        return;
+    }
     const duration measured = now - r.started;
     const duration reference(r.order.reference_us);
     const bool learned = speed_.is_learned() && reference.count() > 0;
@@ -604,7 +628,9 @@
             r.last_exchange_at = now;
         }
         if (r.state == run_state::running &&
-            is_stalled({asked_at - r.started, duration(r.order.expected_us),
+            is_stalled({asked_at - r.started,
+                        scale(duration(r.order.expected_us),
+                              r.cold ? cold_slowdown : 1),
                         it.percent}))
         {
             log(log_level::warning, r,
@@ -669,7 +695,8 @@
     out.capacity = capacity_;
     out.used = used_;
     out.suspect = health_.suspect(now);
-    out.slowdown = health_.slowdown(now);
+    out.slowdown = slowdown(now);
+    out.cold = now < cold_until_;
     out.speed = speed_.is_learned() ? speed_.speed() : 0;
     int64_t expected = 0;
     for (const auto& [key, r] : orders_)
--- a/packages/fleet/src/target_load_tracker.cpp
+++ b/packages/fleet/src/target_load_tracker.cpp
@@ -15,6 +15,7 @@
 {
     const bool changed = load.accepts_work != reported_acceptance_ ||
                          load.suspect != load_.suspect ||
+                         load.cold != load_.cold ||
                          (load.slowdown > 1) != (load_.slowdown > 1);
     load_ = load;
     reported_acceptance_ = load.accepts_work;
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -94,6 +94,8 @@
 
     // target
     void begin_incarnation(const target_announcement& announcement);
+    /// @brief Takes over for how long the target is cold.
+    void set_cold(const target_announcement& announcement);
     void extend_lease();
     void on_lease_answer(const lease_answer& answer, time_point sent);
     void on_lease_failure(const lease_failure& why);
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/core/duration_math.hpp>
 #include <agatebank/node/agent_node.hpp>
 
 #include <algorithm>
@@ -62,7 +63,7 @@
         std::abs(queued_cpu(load) - queued_cpu(reported));
     return load.accepts_work != reported.accepts_work ||
            load.capacity != reported.capacity ||
-           load.suspect != reported.suspect ||
+           load.suspect != reported.suspect || load.cold != reported.cold ||
            static_cast<double>(change) >
                large_change_share * static_cast<double>(capacity.cpu_millis);
 }
@@ -199,6 +200,7 @@
         return;
     }
     const bool changed = target_->draining != announcement.draining;
+    set_cold(announcement);
     const auto& capacity = announcement.profile.capacity;
     const auto previous = target_->profile.capacity;
     target_ = announcement;
@@ -238,6 +240,20 @@
     }
 }
 
+void agent_node::set_cold(const target_announcement& announcement)
+{
+    const auto now = context_.loop.now();
+    const bool before = target_ && target_->cold_remaining.count() != 0;
+    if (!before && announcement.cold_remaining.count() != 0)
+    {
+        context_.log(to_line(log_level::info,
+                             "target announced that it is cold for another " +
+                                 to_ms_text(announcement.cold_remaining),
+                             step_target, announcement.profile.target));
+    }
+    scheduler_.set_cold_until(now + announcement.cold_remaining);
+}
+
 void agent_node::begin_incarnation(const target_announcement& announcement)
 {
     const auto now = context_.loop.now();
@@ -251,6 +267,7 @@
                 step_target, announcement.profile.target));
     const bool first = !target_;
     previous_target_drained_ = target_ && target_->draining;
+    set_cold(announcement);
     target_ = announcement;
     lease_.reset();
     last_end_seen_ = {};
