--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -161,6 +161,15 @@
         metrics, [&scheduler]() -> const auto& {
             return scheduler.evacuated().state();
         });
+    metrics.add_gauge(
+        {"agatebank_targets_cold", "Linked targets that are cold.", {}},
+        [&scheduler]
+        {
+            const auto& targets = scheduler.targets();
+            return static_cast<double>(std::count_if(
+                targets.begin(), targets.end(),
+                [](const auto& t) { return t.second.load().cold; }));
+        });
     metrics.add_gauge(
         {"agatebank_targets_evacuated",
          "Linked targets in evacuated failure domains.",
