--- a/packages/core/include/agatebank/core/run_order.hpp
+++ b/packages/core/include/agatebank/core/run_order.hpp
@@ -86,11 +86,14 @@
     int64_t queued_us = 0; ///< time in the agent's queue
     /// further time that a returned order was expected to wait
     int64_t expected_wait_us = 0;
+    /// the target was cold when the run started, so its time shows neither the
+    /// usual speed of the target nor that of the route
+    bool cold = false;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(id, outcome, run_us, queued_us, expected_wait_us);
+        ar(id, outcome, run_us, queued_us, expected_wait_us, cold);
     }
 };
 
--- a/packages/core/include/agatebank/core/target_load.hpp
+++ b/packages/core/include/agatebank/core/target_load.hpp
@@ -60,6 +60,9 @@
     uint64_t last_order_received =
         0;                 ///< id of the last order received on this link
     double hang_share = 0; ///< runs without progress, of the latest runs
+    /// whether the target has just started or become cold, so that its runs
+    /// take longer
+    bool cold = false;
 
     bool operator==(const target_load&) const = default;
 
@@ -71,7 +74,7 @@
         {
             ar(it);
         }
-        ar(mean_run_us, slowdown, speed, last_order_received, hang_share);
+        ar(mean_run_us, slowdown, speed, last_order_received, hang_share, cold);
     }
 };
 
--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -203,7 +203,9 @@
     /// that the job's answer would be useless.
     bool waits_in_vain(const job_record& job, time_point now) const;
     /// @brief Ends a job of which a task waits although no target outside the
-    /// evacuated domains can run it. @return whether the job has ended
+    /// evacuated domains can run it. Called in a tick, when its other orders
+    /// have been returned too: only then it is known that none has run.
+    /// @return whether the job has ended
     bool end_if_evacuated(job_key key, time_point now);
     void send_orders(job_record& job, uint32_t step,
                      const std::vector<placed_task>& placed, time_point now);
@@ -261,7 +263,7 @@
     void unblock_later_steps(job_key key, job_record& job);
     /// @brief Updates the forecast with the time of a run. Once the speed of a
     /// target is learned, runs during a slowdown are ignored, as they do not
-    /// show its usual speed.
+    /// show its usual speed. Runs of a cold target are always ignored.
     void learn_run_time(const job_record& job, uint32_t step,
                         agent_incarnation agent, const order_result& end);
     /// @brief Counts where an order runs relative to its data.
--- a/packages/fleet/include/agatebank/fleet/target_rank.hpp
+++ b/packages/fleet/include/agatebank/fleet/target_rank.hpp
@@ -13,7 +13,10 @@
 {
     bool late = false;
     bool crowded = false; ///< false if late
-    bool unsafe = false;  ///< not in time if the run takes longer than expected
+    /// a cold target in time would be preferred as a slow one, so it follows
+    /// the warm ones that are as crowded; false if late
+    bool cold = false;
+    bool unsafe = false; ///< not in time if the run takes longer than expected
     /// class of the speed if in time, expected end in us if late
     double speed_or_finish = 0;
     double utilisation = 0; ///< with the task; above 1 if it has to wait
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -135,9 +135,16 @@
     const bool crowded = utilisation > crowded_utilisation;
     const bool unsafe = !crowded && !is_on_time(1, safe_run_ratio);
     const target_rank rank =
-        on_time ? target_rank{false, crowded, unsafe,
-                              speed_class(current_speed), utilisation}
-                : target_rank{true, false, false,
+        on_time ? target_rank{false,
+                              crowded,
+                              t.load().cold,
+                              unsafe,
+                              speed_class(current_speed),
+                              utilisation}
+                : target_rank{true,
+                              false,
+                              false,
+                              false,
                               static_cast<double>((finish + hang_time).count()),
                               utilisation};
     // More work than expected delays the end, but also the objective.
--- a/packages/fleet/src/placement_explanation.cpp
+++ b/packages/fleet/src/placement_explanation.cpp
@@ -21,7 +21,7 @@
 {
     const auto& r = t.rank;
     return std::string(r.late ? "late" : "in time") +
-           (r.crowded ? ", crowded" : "") +
+           (r.crowded ? ", crowded" : "") + (r.cold ? ", cold" : "") +
            (r.unsafe ? ", late if the run takes longer" : "") +
            (t.outside_rack ? ", outside the rack of the data" : "") +
            ", start in " + to_ms_text(t.forecast.start) + ", end in " +
@@ -49,6 +49,10 @@
     {
         return "crowded";
     }
+    if (a.cold != b.cold)
+    {
+        return "cold";
+    }
     if (a.unsafe != b.unsafe)
     {
         return "late if the run takes longer";
--- a/packages/fleet/src/run_scheduler_queue.cpp
+++ b/packages/fleet/src/run_scheduler_queue.cpp
@@ -129,7 +129,7 @@
         run = std::min(
             run, scale(duration(r.order.reference_us), 1 / speed_.speed()));
     }
-    return scale(run, health_.slowdown(now));
+    return scale(run, slowdown(now));
 }
 
 bool run_scheduler::is_overdue_wait(const order_record& r, duration wait,
@@ -140,9 +140,8 @@
         return false;
     }
     // A slowed target delays the end as a later start would.
-    const auto delay =
-        scale(duration(r.order.expected_us), health_.slowdown(now)) -
-        duration(r.order.expected_us);
+    const auto delay = scale(duration(r.order.expected_us), slowdown(now)) -
+                       duration(r.order.expected_us);
     return now + wait + delay > r.received + duration(r.order.max_wait_us);
 }
 
@@ -198,8 +197,7 @@
                     " near its data and is expected to wait for another " +
                     to_ms_text(input.wait) + ", granted " +
                     to_ms_text(duration(r.order.max_wait_us)) +
-                    ", slowdown factor " +
-                    std::to_string(health_.slowdown(now)));
+                    ", slowdown factor " + std::to_string(slowdown(now)));
             unstartable.push_back(key);
             continue;
         }
@@ -220,7 +218,7 @@
                 ", time to objective " + to_ms_text(input.to_objective) +
                 ", useful for " + to_ms_text(input.to_useful_end) +
                 ", time to deadline " + to_ms_text(input.to_deadline) +
-                ", slowdown factor " + std::to_string(health_.slowdown(now)));
+                ", slowdown factor " + std::to_string(slowdown(now)));
         returned.push_back({key, fate, input.wait});
     }
     for (const auto& it : unstartable)
--- a/packages/fleet/tests/unit-run_scheduler.cpp
+++ b/packages/fleet/tests/unit-run_scheduler.cpp
@@ -431,7 +431,7 @@
 TEST_CASE("run_scheduler: a start that the target refused for lack of capacity "
           "is not repeated in series")
 {
-    scheduler_fixture f;
+    scheduler_fixture f({false, false});
     f.order(1, "a", 0, 9s);
     f.order(2, "b", 0, 9s);
     REQUIRE(f.started.size() == 2);
