--- a/packages/fleet/src/crash_containment.cpp
+++ b/packages/fleet/src/crash_containment.cpp
@@ -424,16 +424,17 @@
 std::size_t crash_containment::reserved_targets() const
 {
     std::size_t out = 0;
-    for (const auto& [service, agents] : probation_targets_)
+    for (const auto& it : probation_targets_)
     {
-        const bool contains = std::any_of(
-            probations_.begin(), probations_.end(),
-            [&service](const auto& it)
-            {
-                return it.second.service == service &&
-                       (!it.second.size || it.second.size->targets > 0);
-            });
-        out += contains ? agents.size() : 0;
+        const bool contains =
+            std::any_of(probations_.begin(), probations_.end(),
+                        [&it](const auto& probation)
+                        {
+                            const auto& record = probation.second;
+                            return record.service == it.first &&
+                                   (!record.size || record.size->targets > 0);
+                        });
+        out += contains ? it.second.size() : 0;
     }
     return out;
 }
