--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -2,6 +2,7 @@
 #include "process_metrics.hpp"
 #include <agatebank/daemon/node_roles.hpp>
 #include <agatebank/daemon/process_runtime.hpp>
+#include <agatebank/loop/poll_spacing.hpp>
 #include <agatebank/node/node_settings.hpp>
 #include <agatebank/observe/metrics_api.hpp>
 
@@ -147,6 +148,7 @@
                                  const node_settings& settings,
                                  const settings_reader& reread_settings)
 {
+    set_poll_spacing(settings.poll_spacing);
     timer_queue timers(rt.loop);
     process_metrics measured(rt.metrics, rt.loop, settings.processor_share,
                              {phase_link, phase_configuration, phase_target});
--- a/packages/node/include/agatebank/node/node_settings.hpp
+++ b/packages/node/include/agatebank/node/node_settings.hpp
@@ -41,6 +41,8 @@
     /// entry: jobs are relayed to other entries while this one exceeds its
     /// processor share
     bool relay = false;
+    /// entry: shortest time between two waits for sockets; 0: none
+    duration poll_spacing{};
 };
 
 /// @brief Role of the process; decides which settings are read.
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -17,6 +17,7 @@
 constexpr double max_processor_share = 1024; // cores
 constexpr number_range lease_range{100, 60'000};
 constexpr number_range announcement_range{0, 60'000};
+constexpr number_range poll_spacing_range_us{0, 20'000};
 
 endpoint to_endpoint(const std::string& text, const std::string& path,
                      json_errors& errors)
@@ -78,6 +79,10 @@
                                      out.announcement_period,
                                      announcement_range);
         fields.optional_boolean("relay", out.relay);
+        int64_t spacing_us = 0;
+        fields.optional_number("poll_spacing_us", spacing_us,
+                               poll_spacing_range_us);
+        out.poll_spacing = duration(spacing_us);
     }
     else
     {
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -175,6 +175,10 @@
                   {"callers", at(ip, callers_port_)},
                   {"readiness", at(ip, readiness_port_)},
                   {"table_service", stores[i]->address()}};
+    if (plan_.poll_spacing_us != 0)
+    {
+        settings["poll_spacing_us"] = plan_.poll_spacing_us;
+    }
     if (!plan_.relay_shares.empty())
     {
         settings["relay"] = true;
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -25,6 +25,7 @@
     std::string log_level = "info";
     /// processor shares in cores of entries that relay jobs; empty: none does
     std::vector<double> relay_shares = {};
+    unsigned poll_spacing_us = 0; ///< of entries
 };
 
 /// @brief A submitted job and its response. Status 0: no response yet, or the
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -68,6 +68,10 @@
         "jobs per second in the node scenario")(
         "duration-s", po::value(&load.duration_s),
         "duration of the load in the node scenario")(
+        "agents", po::value(&load.agents),
+        "agents and targets in the node scenario")(
+        "poll-spacing-us", po::value(&load.poll_spacing_us),
+        "shortest time between two waits of the entry for its sockets")(
         "log-level", po::value(&load.log_level),
         "log level of the processes in the node scenario");
     try
--- a/tools/bench/node_scenario.cpp
+++ b/tools/bench/node_scenario.cpp
@@ -30,6 +30,7 @@
 {
     cluster_plan plan{1, load.agents, 60ms, true};
     plan.log_level = load.log_level;
+    plan.poll_spacing_us = load.poll_spacing_us;
     node_cluster c(plan);
     c.configure(1);
     if (!c.wait_ready())
--- a/tools/bench/node_scenario.hpp
+++ b/tools/bench/node_scenario.hpp
@@ -13,6 +13,7 @@
     unsigned agents = 4;
     unsigned duration_s = 10;
     std::string log_level = "info"; ///< of all processes
+    unsigned poll_spacing_us = 0;   ///< of the entry
 };
 
 /// @brief Measures the processor time of one entry and its agents under a
