Make the relay simulation's runs outlast a caller's retry

Cause: runs of at most 520 ms had ended when a caller submitted its job again after 1.3 s, so the test passed although the second entry did not cancel.

Change: with relays, runs take up to 2.5 s, agents repeat unanswered stops as their timer does, and a link keeps the order of its messages.

--- a/packages/fleet/tests/unit-single_run.cpp
+++ b/packages/fleet/tests/unit-single_run.cpp
@@ -79,11 +79,16 @@
         }
         if (with_relays_)
         {
+            // Repeats stops that were not answered, as the agent's timer does.
+            for (int a = 0; a < agent_count; ++a)
+            {
+                tick_agent(a);
+            }
             link_entries();
             at(random_ms(2000), [this] { close_entry_link(); });
             at(2s + random_ms(2000), [this] { close_entry_link(); });
         }
-        while (!events_.empty() && now_ < start + 12s)
+        while (!events_.empty() && now_ < start + (with_relays_ ? 16s : 12s))
         {
             const auto it = events_.begin();
             now_ = std::max(now_, it->first);
@@ -335,7 +340,10 @@
         {
             return; // lost, which this end has not noticed
         }
-        at(1ms + random_ms(3),
+        // A link keeps the order of its messages.
+        auto& delivery = last_delivery_[e];
+        delivery = std::max(delivery, now_ + 1ms + random_ms(3));
+        at(delivery - now_,
            [this, e, connection, m]
            {
                if (peer_connection_ == connection)
@@ -429,6 +437,13 @@
 
     // agents and targets
 
+    void tick_agent(int a)
+    {
+        agents_[a]->tick(now_);
+        list(a);
+        at(40ms, [this, a] { tick_agent(a); });
+    }
+
     run_scheduler_hooks agent_hooks(int a)
     {
         run_scheduler_hooks h;
@@ -520,7 +535,9 @@
         started_jobs_[n.task.substr(0, n.task.find('.'))] = true;
         const auto status = happens_with_percent(10) ? ended_run_status::failed
                                                      : ended_run_status::done;
-        at(20ms + random_ms(500),
+        // With relays, runs last longer than a caller waits before it submits
+        // its job again.
+        at(20ms + random_ms(with_relays_ ? 2500 : 500),
            [this, a, n, status] { end_run(a, n, status); });
         return start_answer::accepted;
     }
@@ -580,6 +597,7 @@
     std::map<std::pair<int, job_key>, waiting_caller> callers_;
     relay_peer_id peer_connection_;    ///< 0 while the link is down
     relay_peer_id peers_[entry_count]; ///< as each end knows it
+    time_point last_delivery_[entry_count];
     time_point last_entry_loss_;
     time_point last_agent_loss_;
     uint64_t last_number_ = 0;
