--- a/packages/fleet/tests/unit-job_relay.cpp
+++ b/packages/fleet/tests/unit-job_relay.cpp
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include <memory>
+#include <optional>
 #include <variant>
 
 using namespace agatebank;
@@ -327,3 +327,56 @@
     check_refused(bad);
     CHECK(second.served.empty());
 }
+
+// Guards against a relayed job whose objective begins anew at the second entry.
+TEST_CASE("job_scheduler: the objective counts from the arrival at the first "
+          "entry, the deadline is what remains")
+{
+    std::optional<run_batch> unrelayed;
+    for (const auto spent : {0ms, 40ms})
+    {
+        INFO(spent.count() << " ms");
+        std::vector<run_batch> sent;
+        job_scheduler_hooks h;
+        h.send = [&sent](agent_incarnation, const run_batch& b)
+        {
+            sent.push_back(b);
+        };
+        h.cancel = [](agent_incarnation, const std::vector<order_id>&) {
+        };
+        h.finish = [](job_key, const job_outcome&) {
+        };
+        h.log = [](const log_record&) {
+        };
+        job_scheduler s({}, h);
+        target_profile p;
+        p.service = service_name("desk");
+        p.capacity = {4000, 1000, 0};
+        s.put_target(agent_incarnation(1), p, start);
+        target_load l;
+        l.accepts_work = true;
+        s.set_load(agent_incarnation(1), l, start);
+        job_submission job;
+        job.id = "j";
+        job.matched_route.service = service_name("desk");
+        job.matched_route.stretch = 1.5;
+        job.matched_route.added_latency = 60ms;
+        step_plan step;
+        step.task_resources = {1000, 10, 0};
+        step.declared_run_time = 100ms;
+        job.plan.steps = {step};
+        job.deadline = 1500ms;
+        job.spent = spent;
+        s.admit(job_key(1), job, start);
+        REQUIRE(sent.size() == 1);
+        if (!unrelayed)
+        {
+            unrelayed = sent[0];
+        }
+        CHECK(duration(sent[0].objective_us) ==
+              duration(unrelayed->objective_us) - spent);
+        CHECK(duration(sent[0].useful_until_us) ==
+              duration(unrelayed->useful_until_us) - spent);
+        CHECK(duration(sent[0].deadline_us) == 1500ms);
+    }
+}
--- a/packages/fleet/tests/unit-processor_load.cpp
+++ b/packages/fleet/tests/unit-processor_load.cpp
@@ -121,3 +121,19 @@
     run(50, 0);
     CHECK(sent.empty());
 }
+
+// Guards against load messages where relaying is off.
+TEST_CASE("entry_load_exchange: sends nothing where relaying is off")
+{
+    int sent = 0;
+    entry_load_exchange x({0.5, failure_domain_name("a"), false},
+                          [&](relay_peer_id, const entry_load&) { ++sent; });
+    x.add_peer(relay_peer_id(1));
+    for (int i = 1; i < 100; ++i)
+    {
+        x.tick(start + i * 40ms, i * 20ms, 3, true);
+    }
+    x.retire_peer(relay_peer_id(1));
+    CHECK(x.own().over());
+    CHECK(sent == 0);
+}
