--- a/packages/node/src/entry_node_relay.cpp
+++ b/packages/node/src/entry_node_relay.cpp
@@ -119,6 +119,10 @@
 
 void entry_node::on_load(link_id link, const entry_load& load)
 {
+    if (peers_.count(link) == 0)
+    {
+        return;
+    }
     const auto dialed = entry_links_.failure_domain(link);
     loads_.on_load(to_peer(link), load, dialed ? *dialed : peer_domains_[link],
                    context_.loop.now());
