--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -27,6 +27,7 @@
     std::vector<double> relay_shares = {};
     /// failure domains of the targets: z1, z2 and so on, in turn
     std::size_t domains = 1;
+    unsigned poll_spacing_us = 0; ///< of entries
 };
 
 /// @brief A submitted job and its response. Status 0: no response yet, or the
@@ -113,7 +114,6 @@
     std::string entry_ip(std::size_t i) const;
     std::string agent_ip(std::size_t i) const;
     std::string file(const std::string& name) const;
-    double metric(const std::string& ip, const std::string& name);
     static std::string agent_name(std::size_t i);
     nlohmann::json agent_settings(std::size_t i, bool with_seed) const;
     void write_settings(const std::string& name,
--- a/tools/bench/node_scenario.hpp
+++ b/tools/bench/node_scenario.hpp
@@ -13,6 +13,9 @@
     unsigned agents = 4;
     unsigned duration_s = 10;
     std::string log_level = "info"; ///< of all processes
+    unsigned poll_spacing_us = 0;   ///< of the entry
+    /// a second entry serves the jobs, which the first one relays to it
+    bool relay = false;
 };
 
 /// @brief Measures the processor time of one entry and its agents under a
