--- a/packages/core/tests/unit-evacuation_state.cpp
+++ b/packages/core/tests/unit-evacuation_state.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-evacuation_state state(uint64_t version, std::set<std::string> names)
+evacuation_state state(uint64_t version, const std::set<std::string>& names)
 {
     std::set<failure_domain_name> domains;
     for (const auto& it : names)
