--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -151,7 +151,11 @@
     set_poll_spacing(settings.poll_spacing);
     timer_queue timers(rt.loop);
     process_metrics measured(rt.metrics, rt.loop, settings.processor_share,
-                             {phase_link, phase_configuration, phase_target});
+                             {phase_settings, phase_listening, phase_link,
+                              phase_configuration, phase_greeting, phase_target,
+                              phase_ready, phase_order, phase_answer},
+                             rt.log());
+    measured.complete(phase_settings);
     entry_node node(make_context(rt, timers, settings, measured),
                     {{settings.address, settings.link_port},
                      settings.seeds,
@@ -187,6 +191,7 @@
     {
         return tl::unexpected(started.error());
     }
+    measured.complete(phase_listening);
     feed.start();
     return run_until_stopped(rt, node, "entry", reread_settings);
 }
@@ -200,7 +205,11 @@
     lease_options lease;
     lease.max_duration = settings.max_lease;
     process_metrics measured(rt.metrics, rt.loop, settings.processor_share,
-                             {phase_link, phase_target});
+                             {phase_settings, phase_listening, phase_link,
+                              phase_announcement, phase_greeting, phase_target,
+                              phase_order, phase_run},
+                             rt.log());
+    measured.complete(phase_settings);
     agent_node node(make_context(rt, timers, settings, measured),
                     {settings.seeds,
                      lease,
@@ -222,6 +231,7 @@
     {
         return tl::unexpected(listening.error());
     }
+    measured.complete(phase_listening);
     node.start();
     return run_until_stopped(rt, node, "agent", reread_settings);
 }
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -144,6 +144,8 @@
     void on_finish(job_key key, const job_outcome& outcome);
     void on_timer();
     void finish_stop();
+    /// @brief Reports the phase of the start once this entry is ready.
+    void report_readiness();
 
     node_context context_;
     entry_node_settings settings_;
@@ -167,6 +169,7 @@
     watch timer_;
     time_point last_timer_;
     uint64_t last_key_ = 0;
+    bool ready_reported_ = false;
     bool stopping_ = false;
     time_point stop_began_;
     std::function<void()> on_stopped_;
--- a/packages/node/include/agatebank/node/node_context.hpp
+++ b/packages/node/include/agatebank/node/node_context.hpp
@@ -26,9 +26,21 @@
 };
 
 /// Phases of the start of a node, see node_observer.
-constexpr const char* phase_link = "link"; ///< first link to an entry or agent
+constexpr const char* phase_settings = "settings";   ///< read and valid
+constexpr const char* phase_listening = "listening"; ///< on all ports
 constexpr const char* phase_configuration = "configuration";
-constexpr const char* phase_target = "target"; ///< first that accepts work
+constexpr const char* phase_link = "link"; ///< first link to an entry or agent
+/// entry: first greeting of an agent, with its target; agent: first one sent
+constexpr const char* phase_greeting = "greeting";
+/// agent: the target has announced itself
+constexpr const char* phase_announcement = "announcement";
+/// entry: first load of a target that accepts work; agent: first lease answer
+constexpr const char* phase_target = "target";
+constexpr const char* phase_ready = "ready"; ///< entry: for callers
+constexpr const char* phase_order = "order"; ///< first sent or received
+/// entry: the first job succeeded and is answered
+constexpr const char* phase_answer = "answer";
+constexpr const char* phase_run = "run"; ///< agent: the target started a task
 
 /// @brief Services and identity that a process supplies to its entry or agent
 /// node. The references must outlive the node.
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -268,6 +268,7 @@
                     " thousandths of a core",
                 step_target, announcement.profile.target));
     const bool first = !target_;
+    context_.observer.on_phase(phase_announcement);
     previous_target_drained_ = target_ && target_->draining;
     set_cold(announcement);
     target_ = announcement;
@@ -426,6 +427,10 @@
         {
             if (incarnation == target_->profile.incarnation)
             {
+                if (a == start_answer::accepted)
+                {
+                    context_.observer.on_phase(phase_run);
+                }
                 scheduler_.on_start_answer(id, a, context_.loop.now());
                 schedule_flush();
             }
@@ -513,6 +518,7 @@
     const auto now = context_.loop.now();
     if (const auto* batch = std::get_if<run_batch>(&m))
     {
+        context_.observer.on_phase(phase_order);
         for (const auto& it : batch->orders)
         {
             found->second.last_order_received =
@@ -608,6 +614,7 @@
 
 void agent_node::send_hello(link_id link)
 {
+    context_.observer.on_phase(phase_greeting);
     auto& entry = entries_.at(link);
     entry.reported_load = current_load();
     entry.reported_load.last_order_received = entry.last_order_received;
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -95,8 +95,12 @@
             {
                 on_closed(l, f);
             }})
-    , listener_([this](object_ptr<GSocketConnection> c)
-                { hub_.add(std::move(c)); })
+    , listener_(
+          [this](object_ptr<GSocketConnection> c)
+          {
+              hub_.add(std::move(c));
+              context_.observer.on_phase(phase_link);
+          })
     , entry_links_(context_, hub_,
                    {context_.self.name,
                     entry_record{to_address(settings_.links),
@@ -104,6 +108,7 @@
                     entry_link_count, true},
                    {[this](link_id l)
                     {
+                        context_.observer.on_phase(phase_link);
                         add_peer(l);
                         hub_.send(l, peer_hello{context_.self});
                         send_evacuation(l);
@@ -226,6 +231,7 @@
             " is in force, " + std::to_string(routes_.routes().size()) +
             " routes, received from " + source,
         step_configuration));
+    report_readiness();
 }
 
 void entry_node::update_evacuation(const evacuation_state& state,
@@ -296,6 +302,10 @@
     callers_.erase(it);
     job_by_request_.erase(caller.number);
     caller.done(outcome);
+    if (outcome.result == job_result::succeeded)
+    {
+        context_.observer.on_phase(phase_answer);
+    }
 }
 
 void entry_node::abandon(uint64_t number)
@@ -346,6 +356,15 @@
                        { return t.second.load().accepts_work; });
 }
 
+void entry_node::report_readiness()
+{
+    if (!ready_reported_ && ready())
+    {
+        ready_reported_ = true;
+        context_.observer.on_phase(phase_ready);
+    }
+}
+
 bool entry_node::stopping() const noexcept
 {
     return stopping_;
@@ -395,6 +414,7 @@
             if (update->load.accepts_work)
             {
                 context_.observer.on_phase(phase_target);
+                report_readiness();
             }
         }
     }
@@ -530,10 +550,11 @@
     send_evacuation(link);
     scheduler_.put_target(agent, profile, now);
     scheduler_.set_load(agent, hello.load, now);
-    context_.observer.on_phase(phase_link);
+    context_.observer.on_phase(phase_greeting);
     if (hello.load.accepts_work)
     {
         context_.observer.on_phase(phase_target);
+        report_readiness();
     }
     hub_.send(link, entry_links_.roster());
 }
@@ -575,6 +596,7 @@
     if (it != agent_links_.end())
     {
         hub_.send(it->second, batch);
+        context_.observer.on_phase(phase_order);
     }
 }
 
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -64,6 +64,13 @@
             target_port_, at(agent_ip(i), control_port_), plan.run_time));
         targets.back()->set_failure_domain(
             "z" + std::to_string(i % plan.domains + 1));
+        if (plan.announcement_period.count() != 0)
+        {
+            targets.back()->set_announcement_period(
+                plan.announcement_period, plan.announcement_period *
+                                              static_cast<int>(i) /
+                                              static_cast<int>(plan.agents));
+        }
         start_agent(i);
     }
 }
@@ -185,6 +192,13 @@
     {
         settings["poll_spacing_us"] = plan_.poll_spacing_us;
     }
+    if (plan_.announcement_period.count() != 0)
+    {
+        settings["announcement_period_ms"] =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                plan_.announcement_period)
+                .count();
+    }
     if (!plan_.relay_shares.empty())
     {
         settings["relay"] = true;
@@ -212,21 +226,25 @@
 
 bool node_cluster::agent_logged(std::size_t i, const std::string& text) const
 {
-    std::ifstream in(file(agent_name(i) + ".log"));
-    for (std::string line; std::getline(in, line);)
-    {
-        if (line.find(text) != std::string::npos)
-        {
-            return true;
-        }
-    }
-    return false;
+    return !agent_log(i, text).empty();
 }
 
 std::string node_cluster::entry_log(std::size_t i,
                                     const std::string& text) const
 {
-    std::ifstream in(file("entry-" + std::to_string(i) + ".log"));
+    return log_lines("entry-" + std::to_string(i), text);
+}
+
+std::string node_cluster::agent_log(std::size_t i,
+                                    const std::string& text) const
+{
+    return log_lines(agent_name(i), text);
+}
+
+std::string node_cluster::log_lines(const std::string& name,
+                                    const std::string& text) const
+{
+    std::ifstream in(file(name + ".log"));
     std::string out;
     for (std::string line; std::getline(in, line);)
     {
@@ -354,10 +372,12 @@
     call.may_resend = plan_.keep_connections;
     jobs_.push_back(std::make_unique<caller_job>());
     auto* j = jobs_.back().get();
+    j->submitted = loop.now();
     j->call = client_.send(call,
-                           [j](const auto& r)
+                           [this, j](const auto& r)
                            {
                                j->ended = true;
+                               j->took = loop.now() - j->submitted;
                                if (!r)
                                {
                                    return;
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -28,6 +28,9 @@
     /// failure domains of the targets: z1, z2 and so on, in turn
     std::size_t domains = 1;
     unsigned poll_spacing_us = 0; ///< of entries
+    /// period of the targets' announcements, spread over it, and setting of the
+    /// entries that goes with it; 0: 150 ms, and no setting
+    duration announcement_period{};
 };
 
 /// @brief A submitted job and its response. Status 0: no response yet, or the
@@ -38,6 +41,8 @@
     std::string body;
     std::string retry_after;
     bool ended = false; ///< answered, failed or disconnected
+    time_point submitted;
+    duration took{}; ///< until it was answered or failed
     http_call_handle call;
 };
 
@@ -63,6 +68,8 @@
     bool agent_logged(std::size_t i, const std::string& text) const;
     /// @brief The lines of an entry's log that contain a text.
     std::string entry_log(std::size_t i, const std::string& text) const;
+    /// @brief The lines of an agent's log that contain a text.
+    std::string agent_log(std::size_t i, const std::string& text) const;
     child_process& entry(std::size_t i);
     child_process& agent(std::size_t i);
     /// @brief Waits until all entries are ready for callers. @return whether
@@ -114,6 +121,8 @@
     std::string entry_ip(std::size_t i) const;
     std::string agent_ip(std::size_t i) const;
     std::string file(const std::string& name) const;
+    std::string log_lines(const std::string& name,
+                          const std::string& text) const;
     static std::string agent_name(std::size_t i);
     nlohmann::json agent_settings(std::size_t i, bool with_seed) const;
     void write_settings(const std::string& name,
--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -88,6 +88,19 @@
     announce();
 }
 
+void target_stand_in::set_announcement_period(duration period, duration offset)
+{
+    heartbeat_timer_.reset();
+    first_heartbeat_timer_ =
+        loop_.after(offset,
+                    [this, period]
+                    {
+                        announce();
+                        heartbeat_timer_ =
+                            loop_.every(period, [this] { announce(); });
+                    });
+}
+
 void target_stand_in::set_unguarded_capacity(std::size_t tasks)
 {
     capacity_ = tasks;
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -57,6 +57,8 @@
     /// @brief Sets whether calls with an outdated fencing token are refused.
     void set_checks_fences(bool checks);
     void set_draining();
+    /// @brief Announces itself with another period, first after an offset.
+    void set_announcement_period(duration period, duration offset);
     /// @brief Sets the failure domain that is announced, "z1" unless set.
     void set_failure_domain(std::string name);
     /// @brief Changes the capacity, in tasks, of a target that starts all that
@@ -127,6 +129,7 @@
     http_client client_;
     std::vector<http_call_handle> calls_;
     watch heartbeat_timer_;
+    watch first_heartbeat_timer_;
     target_mode mode_ = target_mode::healthy;
     bool checks_fences_ = true;
     bool draining_ = false;
