Move load reporting of agents into a class of its own

Change: node/load_reporter keeps what was reported over each link and decides when a changed load is sent. The timer stays in agent_node. A large change is measured against the capacity in the load, which is that of the profile.

--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -5,6 +5,7 @@
 #include <agatebank/core/target_interface.hpp>
 #include <agatebank/fleet/run_scheduler.hpp>
 #include <agatebank/node/entry_links.hpp>
+#include <agatebank/node/load_reporter.hpp>
 #include <agatebank/node/node_context.hpp>
 #include <agatebank/node/target_lease.hpp>
 #include <agatebank/wire/link_hub.hpp>
@@ -63,9 +64,6 @@
   private:
     struct entry_link
     {
-        uint64_t last_order_received = 0; ///< highest order id received
-        target_load reported_load;        ///< last load sent
-        time_point reported_at;
         std::vector<order_result> pending_results; ///< not yet sent
         /// since when the link is to be closed, once its orders have ended
         std::optional<time_point> closing_since;
@@ -81,8 +79,7 @@
     void on_evacuation_update(link_id link, const evacuation_update& update);
     void send_crash_reports(const std::vector<lost_run>& lost);
     void queue_order_result(order_source to, const order_result& result);
-    /// @brief Sends the pending order results, and the load where it has
-    /// changed and its period has passed.
+    /// @brief Sends the pending order results, and the load where it is due.
     void flush();
     /// @brief Flushes once after the current event, however often called.
     void schedule_flush();
@@ -117,6 +114,7 @@
     link_hub hub_;
     entry_links entry_links_;
     std::map<link_id, entry_link> entries_;
+    load_reporter load_reporter_;
     /// told to each entry whose link opens, which may have missed them
     crash_history recent_crashes_;
     /// runs of a target that drained before it ended are not lost by a crash
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -2,8 +2,6 @@
 #include <agatebank/node/agent_node.hpp>
 
 #include <algorithm>
-#include <cstdlib>
-#include <numeric>
 #include <utility>
 #include <variant>
 
@@ -20,12 +18,6 @@
 constexpr const char* step_lease = "lease";
 constexpr const char* step_process = "process";
 
-/// Shortest interval between two load reports to an entry after a large change.
-constexpr duration large_change_report_period = 25ms;
-/// The same after a small change.
-constexpr duration small_change_report_period = 100ms;
-/// A change of used plus queued CPU is large above this share of capacity.
-constexpr double large_change_share = 0.2;
 constexpr duration timer_period = 50ms;
 /// Long-poll time of a lease call while runs are active: a quarter of the
 /// default lease.
@@ -48,26 +40,6 @@
 /// entries and to finish open connections.
 constexpr duration min_stop_duration = 300ms;
 
-int64_t queued_cpu(const target_load& l)
-{
-    return std::accumulate(l.queued_cpu_millis.begin(),
-                           l.queued_cpu_millis.end(), int64_t{0});
-}
-
-// Whether a load differs enough to be reported after the shorter period.
-bool is_large_change(const target_load& load, const target_load& reported,
-                     const resources& capacity)
-{
-    const auto change =
-        std::abs(load.used.cpu_millis - reported.used.cpu_millis) +
-        std::abs(queued_cpu(load) - queued_cpu(reported));
-    return load.accepts_work != reported.accepts_work ||
-           load.capacity != reported.capacity ||
-           load.suspect != reported.suspect || load.cold != reported.cold ||
-           static_cast<double>(change) >
-               large_change_share * static_cast<double>(capacity.cpu_millis);
-}
-
 order_source to_source(link_id link)
 {
     return order_source(link.value());
@@ -114,6 +86,8 @@
                     [this](link_id l) { on_unneeded(l); },
                     [](const roster_update&) {
                     }})
+    , load_reporter_([this](link_id l, const target_update& u)
+                     { hub_.send(l, u); })
     , lease_(settings_.lease)
     , fencing_token_(static_cast<uint64_t>(g_get_real_time()) / 1000)
     , fencing_token_step_(first_fencing_token_step)
@@ -451,6 +425,7 @@
 void agent_node::on_opened(link_id link)
 {
     entries_[link] = {};
+    load_reporter_.add_link(link);
     hub_.set_class(link, link_class::entry);
     context_.observer.on_phase(phase_link);
     context_.log(to_line(log_level::info, "connected to an entry", step_link,
@@ -498,6 +473,7 @@
                              "selected",
                              step_link, hub_.find(link)->peer()));
         entries_.erase(link);
+        load_reporter_.remove_link(link);
         entry_links_.close(link);
     }
 }
@@ -513,11 +489,7 @@
     const auto now = context_.loop.now();
     if (const auto* batch = std::get_if<run_batch>(&m))
     {
-        for (const auto& it : batch->orders)
-        {
-            found->second.last_order_received =
-                std::max(found->second.last_order_received, it.id.value());
-        }
+        load_reporter_.on_orders(link, *batch);
         scheduler_.on_batch(to_source(link), *batch, now);
         schedule_flush();
     }
@@ -571,6 +543,7 @@
 {
     context_.log(to_record(log_level::warning, why));
     entries_.erase(link);
+    load_reporter_.remove_link(link);
     entry_links_.on_closed(link);
     scheduler_.on_source_lost(to_source(link), context_.loop.now());
     schedule_flush();
@@ -608,11 +581,8 @@
 
 void agent_node::send_hello(link_id link)
 {
-    auto& entry = entries_.at(link);
-    entry.reported_load = current_load();
-    entry.reported_load.last_order_received = entry.last_order_received;
     hub_.send(link, target_hello{context_.self, target_->profile,
-                                 entry.reported_load});
+                                 load_reporter_.greet(link, current_load())});
 }
 
 void agent_node::send_hello_to_all()
@@ -655,8 +625,7 @@
     }
 }
 
-// Order results and changes of accepts_work are sent at once. Other changes of
-// the load wait until the period for their size has passed.
+// Order results are sent at once, the load when load_reporter says so.
 void agent_node::schedule_flush()
 {
     if (!flush_pending_)
@@ -679,7 +648,7 @@
     }
     const auto now = context_.loop.now();
     const auto current = current_load();
-    bool has_unsent_load = false;
+    std::optional<duration> next_report;
     for (auto& [link, entry] : entries_)
     {
         auto load = current;
@@ -689,31 +658,14 @@
             hub_.send(link,
                       order_results{std::exchange(entry.pending_results, {})});
         }
-        load.last_order_received = entry.last_order_received;
-        if (load == entry.reported_load)
-        {
-            continue;
-        }
-        const bool large = is_large_change(load, entry.reported_load,
-                                           target_->profile.capacity);
-        const bool urgent =
-            load.accepts_work != entry.reported_load.accepts_work;
-        if (urgent ||
-            now - entry.reported_at >= (large ? large_change_report_period
-                                              : small_change_report_period))
-        {
-            hub_.send(link, target_update{load});
-            entry.reported_load = load;
-            entry.reported_at = now;
-        }
-        else
+        if (const auto wait = load_reporter_.report(link, load, now))
         {
-            has_unsent_load = true;
+            next_report = std::min(*wait, next_report.value_or(*wait));
         }
     }
-    if (has_unsent_load && !load_timer_)
+    if (next_report && !load_timer_)
     {
-        load_timer_ = context_.loop.after(large_change_report_period,
+        load_timer_ = context_.loop.after(*next_report,
                                           [this]
                                           {
                                               load_timer_.reset();
