--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -5,6 +5,7 @@
 #include <agatebank/core/target_interface.hpp>
 #include <agatebank/fleet/run_scheduler.hpp>
 #include <agatebank/node/entry_links.hpp>
+#include <agatebank/node/load_reporter.hpp>
 #include <agatebank/node/node_context.hpp>
 #include <agatebank/node/target_lease.hpp>
 #include <agatebank/wire/link_hub.hpp>
@@ -63,9 +64,6 @@
   private:
     struct entry_link
     {
-        uint64_t last_order_received = 0; ///< highest order id received
-        target_load reported_load;        ///< last load sent
-        time_point reported_at;
         std::vector<order_result> pending_results; ///< not yet sent
         /// since when the link is to be closed, once its orders have ended
         std::optional<time_point> closing_since;
@@ -79,10 +77,10 @@
     void on_message(link_id link, message&& m);
     void on_closed(link_id link, const failure& why);
     void on_evacuation_update(link_id link, const evacuation_update& update);
+    void on_report_request(link_id link, const report_request& request);
     void send_crash_reports(const std::vector<lost_run>& lost);
     void queue_order_result(order_source to, const order_result& result);
-    /// @brief Sends the pending order results, and the load where it has
-    /// changed and its period has passed.
+    /// @brief Sends the pending order results, and the load where it is due.
     void flush();
     /// @brief Flushes once after the current event, however often called.
     void schedule_flush();
@@ -117,6 +115,7 @@
     link_hub hub_;
     entry_links entry_links_;
     std::map<link_id, entry_link> entries_;
+    load_reporter load_reporter_;
     /// told to each entry whose link opens, which may have missed them
     crash_history recent_crashes_;
     /// runs of a target that drained before it ended are not lost by a crash
@@ -135,6 +134,7 @@
     bool flush_pending_ = false;
     watch lease_timer_;
     watch load_timer_;
+    time_point load_timer_end_;
     watch timer_;
     time_point last_timer_;
     std::function<void()> on_stopped_;
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -199,6 +199,10 @@
                 plan_.announcement_period)
                 .count();
     }
+    if (plan_.processor_share > 0)
+    {
+        settings["processor_share"] = plan_.processor_share;
+    }
     if (!plan_.relay_shares.empty())
     {
         settings["relay"] = true;
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -31,6 +31,7 @@
     /// period of the targets' announcements, spread over it, and setting of the
     /// entries that goes with it; 0: 150 ms, and no setting
     duration announcement_period{};
+    double processor_share = 0;   ///< cores, of entries that don't relay
 };
 
 /// @brief A submitted job and its response. Status 0: no response yet, or the
@@ -84,7 +85,8 @@
     /// @brief Value of a metric without labels on an agent's metrics page;
     /// negative without a response.
     double agent_metric(std::size_t i, const std::string& name);
-    /// @brief The same of an entry's metrics page.
+    /// @brief The same of an entry's metrics page. A metric with labels is
+    /// named with them, as on the page.
     double entry_metric(std::size_t i, const std::string& name);
 
     // callers
