Let entries request the period of load reports

Cause: each agent reports its load to each entry every 25 to 100 ms while it has work, so a small entry receives as many reports as a large one, and their number grows with the agents instead of the entry's own work.

Change: an entry requests a period by its processor share and the agents linked to it (fleet/report_period), with the new message report_request after the greeting and when the value changes by a quarter. The agent applies it for each entry; invalid values are limited to 25 to 400 ms. Changes of class are reported as before: acceptance at once, the others 25 ms after the last report. Where the period exceeds 25 ms, order results carry the load in the same write.

--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -31,12 +31,12 @@
 
 // Kinds of messages that entries and agents of this form exchange.
 constexpr const char* exchanged_kinds[] = {
-    "heartbeat",        "peer_hello",      "configuration_query",
-    "target_hello",     "target_update",   "configuration_document",
-    "run_batch",        "order_results",   "cancel_orders",
-    "roster_update",    "crash_reports",   "entry_load",
-    "relayed_job",      "relayed_outcome", "relay_cancel",
-    "evacuation_update"};
+    "heartbeat",         "peer_hello",      "configuration_query",
+    "target_hello",      "target_update",   "configuration_document",
+    "run_batch",         "order_results",   "cancel_orders",
+    "roster_update",     "crash_reports",   "entry_load",
+    "relayed_job",       "relayed_outcome", "relay_cancel",
+    "evacuation_update", "report_request"};
 
 struct class_row
 {
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -77,6 +77,7 @@
     void on_message(link_id link, message&& m);
     void on_closed(link_id link, const failure& why);
     void on_evacuation_update(link_id link, const evacuation_update& update);
+    void on_report_request(link_id link, const report_request& request);
     void send_crash_reports(const std::vector<lost_run>& lost);
     void queue_order_result(order_source to, const order_result& result);
     /// @brief Sends the pending order results, and the load where it is due.
@@ -133,6 +134,7 @@
     bool flush_pending_ = false;
     watch lease_timer_;
     watch load_timer_;
+    time_point load_timer_end_;
     watch timer_;
     time_point last_timer_;
     std::function<void()> on_stopped_;
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -7,6 +7,7 @@
 #include <agatebank/fleet/relay_decision.hpp>
 #include <agatebank/node/entry_links.hpp>
 #include <agatebank/node/node_context.hpp>
+#include <agatebank/node/report_requester.hpp>
 #include <agatebank/wire/link_hub.hpp>
 
 #include <functional>
@@ -105,6 +106,7 @@
     const link_hub& links() const noexcept;
     const entry_links& entries() const noexcept;
     const entry_load_exchange& loads() const noexcept;
+    const report_requester& reports() const noexcept;
     const job_relay& relay() const noexcept;
 
   private:
@@ -119,6 +121,7 @@
     void on_heartbeat(link_id link, const heartbeat& beat);
     void on_closed(link_id link, const failure& why);
     void on_target_hello(link_id link, const target_hello& hello);
+    void on_target_update(link_id link, const target_update& update);
     void add_peer(link_id link);
     void remove_peer(link_id link);
     void on_load(link_id link, const entry_load& load);
@@ -157,6 +160,7 @@
     std::set<link_id> peers_; ///< links to entries, dialed here or there
     std::map<link_id, failure_domain_name> peer_domains_; ///< those that dialed
     std::map<link_id, time_point> unneeded_peers_; ///< by when they became so
+    report_requester reports_;
     entry_load_exchange loads_;
     relay_decision relay_decision_;
     job_relay relay_;
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -506,6 +506,24 @@
     {
         on_evacuation_update(link, *evacuation);
     }
+    else if (const auto* request = std::get_if<report_request>(&m))
+    {
+        on_report_request(link, *request);
+    }
+}
+
+void agent_node::on_report_request(link_id link, const report_request& request)
+{
+    const duration requested(request.min_period_us);
+    const auto period = load_reporter_.set_period(link, requested);
+    if (period != requested)
+    {
+        context_.log(to_line(log_level::warning,
+                             "entry requested a load report period of " +
+                                 std::to_string(request.min_period_us) +
+                                 " us, limited to " + to_ms_text(period),
+                             step_link, hub_.find(link)->peer()));
+    }
 }
 
 void agent_node::on_evacuation_update(link_id link,
@@ -653,18 +671,21 @@
     {
         auto load = current;
         load.accepts_work = load.accepts_work && !entry.closing_since;
-        if (!entry.pending_results.empty())
+        const bool with_results = !entry.pending_results.empty();
+        if (with_results)
         {
             hub_.send(link,
                       order_results{std::exchange(entry.pending_results, {})});
         }
-        if (const auto wait = load_reporter_.report(link, load, now))
+        if (const auto wait =
+                load_reporter_.report(link, load, with_results, now))
         {
             next_report = std::min(*wait, next_report.value_or(*wait));
         }
     }
-    if (next_report && !load_timer_)
+    if (next_report && (!load_timer_ || now + *next_report < load_timer_end_))
     {
+        load_timer_end_ = now + *next_report;
         load_timer_ = context_.loop.after(*next_report,
                                           [this]
                                           {
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -117,6 +117,9 @@
                     {
                         pass_on(u);
                     }})
+    , reports_(settings_.processor_share,
+               {[this](link_id l, const report_request& m) { hub_.send(l, m); },
+                context_.log})
     , loads_({settings_.processor_share, context_.self.failure_domain,
               settings_.relay},
              [this](relay_peer_id p, const entry_load& l)
@@ -371,6 +374,11 @@
     return loads_;
 }
 
+const report_requester& entry_node::reports() const noexcept
+{
+    return reports_;
+}
+
 const job_relay& entry_node::relay() const noexcept
 {
     return relay_;
@@ -388,15 +396,7 @@
     }
     else if (const auto* update = std::get_if<target_update>(&m))
     {
-        const auto it = agents_.find(link);
-        if (it != agents_.end())
-        {
-            scheduler_.set_load(it->second, update->load, now);
-            if (update->load.accepts_work)
-            {
-                context_.observer.on_phase(phase_target);
-            }
-        }
+        on_target_update(link, *update);
     }
     else if (const auto* results = std::get_if<order_results>(&m))
     {
@@ -493,6 +493,7 @@
     }
     const auto agent = it->second;
     agents_.erase(it);
+    reports_.remove_link(link);
     const auto current = agent_links_.find(agent);
     if (current == agent_links_.end() || current->second != link)
     {
@@ -512,6 +513,7 @@
     {
         const auto old = known->second;
         agents_.erase(old);
+        reports_.remove_link(old);
         hub_.close(old);
         scheduler_.remove_target(agent, now);
     }
@@ -536,6 +538,8 @@
         context_.observer.on_phase(phase_target);
     }
     hub_.send(link, entry_links_.roster());
+    reports_.count_greeting();
+    reports_.add_link(link);
 }
 
 void entry_node::add_peer(link_id link)
--- a/packages/node/src/load_reporter.cpp
+++ b/packages/node/src/load_reporter.cpp
@@ -13,10 +13,6 @@
 
 using namespace std::chrono_literals;
 
-/// Shortest interval between two load reports to an entry after a large change.
-constexpr duration large_change_report_period = 25ms;
-/// The same after a small change.
-constexpr duration small_change_report_period = 100ms;
 /// A change of used plus queued CPU is large above this share of capacity.
 constexpr double large_change_share = 0.2;
 
@@ -26,18 +22,14 @@
                            l.queued_cpu_millis.end(), int64_t{0});
 }
 
-// Whether a load differs enough to be reported after the shorter period.
+// Whether the amount of work differs enough to be reported after one period.
 bool is_large_change(const target_load& load, const target_load& reported)
 {
     const auto change =
         std::abs(load.used.cpu_millis - reported.used.cpu_millis) +
         std::abs(queued_cpu(load) - queued_cpu(reported));
-    return load.accepts_work != reported.accepts_work ||
-           load.capacity != reported.capacity ||
-           load.suspect != reported.suspect || load.cold != reported.cold ||
-           static_cast<double>(change) >
-               large_change_share *
-                   static_cast<double>(load.capacity.cpu_millis);
+    return static_cast<double>(change) >
+           large_change_share * static_cast<double>(load.capacity.cpu_millis);
 }
 
 } // namespace
@@ -73,8 +65,13 @@
     return load;
 }
 
+duration load_reporter::set_period(link_id link, duration requested)
+{
+    return links_.at(link).period = clamp_report_period(requested);
+}
+
 std::optional<duration> load_reporter::report(link_id link, target_load load,
-                                              time_point now)
+                                              bool with_results, time_point now)
 {
     auto& state = links_.at(link);
     load.last_order_received = state.last_order_received;
@@ -82,13 +79,11 @@
     {
         return std::nullopt;
     }
-    const bool urgent = load.accepts_work != state.reported.accepts_work;
-    if (!urgent &&
-        now - state.reported_at < (is_large_change(load, state.reported)
-                                       ? large_change_report_period
-                                       : small_change_report_period))
+    const auto wait = time_to_report(state, load, with_results, now);
+    if (wait > duration(0))
     {
-        return large_change_report_period;
+        // A small change can become a large one without an event.
+        return std::clamp(wait, min_report_period, state.period);
     }
     send_(link, target_update{load});
     state.reported = load;
@@ -96,4 +91,25 @@
     return std::nullopt;
 }
 
+duration load_reporter::time_to_report(const link_state& state,
+                                       const target_load& load,
+                                       bool with_results, time_point now)
+{
+    if (load.accepts_work != state.reported.accepts_work ||
+        (with_results && state.period > min_report_period))
+    {
+        return duration(0);
+    }
+    auto period = small_change_report_period(state.period);
+    if (is_class_change(load, state.reported))
+    {
+        period = min_report_period;
+    }
+    else if (is_large_change(load, state.reported))
+    {
+        period = state.period;
+    }
+    return state.reported_at + period - now;
+}
+
 } // namespace agatebank
--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -544,16 +544,31 @@
     return {update.version, {update.domains.begin(), update.domains.end()}};
 }
 
+/// @brief How often an entry wants load reports from an agent. Sent after the
+/// agent's greeting, and when the period has changed by a quarter.
+struct report_request
+{
+    int64_t min_period_us = 0; ///< shortest time between two reports
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(min_period_us);
+    }
+};
+
 /// @brief Any message on a TCP connection. The order of the alternatives is
 /// part of the protocol.
-using message = std::variant<
-    heartbeat, agent_hello, target_report, slot_grant, start_reports,
-    gather_reply, entry_hello, demand_update, start_orders, acknowledgement,
-    cancel_starts, agent_configuration, gather_query, peer_hello,
-    forward_request, forward_reply, configuration_query, configuration_document,
-    event_query, event_reply, target_hello, target_update, run_batch,
-    order_results, cancel_orders, roster_update, crash_reports, entry_load,
-    relayed_job, relayed_outcome, relay_cancel, evacuation_update>;
+using message =
+    std::variant<heartbeat, agent_hello, target_report, slot_grant,
+                 start_reports, gather_reply, entry_hello, demand_update,
+                 start_orders, acknowledgement, cancel_starts,
+                 agent_configuration, gather_query, peer_hello, forward_request,
+                 forward_reply, configuration_query, configuration_document,
+                 event_query, event_reply, target_hello, target_update,
+                 run_batch, order_results, cancel_orders, roster_update,
+                 crash_reports, entry_load, relayed_job, relayed_outcome,
+                 relay_cancel, evacuation_update, report_request>;
 
 /// @brief Datagram that an entry sends periodically to the other entries. May
 /// be lost.
--- a/packages/wire/src/link_traffic.cpp
+++ b/packages/wire/src/link_traffic.cpp
@@ -18,7 +18,7 @@
     "target_update",   "run_batch",           "order_results",
     "cancel_orders",   "roster_update",       "crash_reports",
     "entry_load",      "relayed_job",         "relayed_outcome",
-    "relay_cancel",    "evacuation_update"};
+    "relay_cancel",    "evacuation_update",   "report_request"};
 
 template <class Traffic>
 void add(Traffic& sum, const Traffic& t)
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -185,6 +185,10 @@
     {
         settings["poll_spacing_us"] = plan_.poll_spacing_us;
     }
+    if (plan_.processor_share > 0)
+    {
+        settings["processor_share"] = plan_.processor_share;
+    }
     if (!plan_.relay_shares.empty())
     {
         settings["relay"] = true;
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -28,6 +28,7 @@
     /// failure domains of the targets: z1, z2 and so on, in turn
     std::size_t domains = 1;
     unsigned poll_spacing_us = 0; ///< of entries
+    double processor_share = 0;   ///< cores, of entries that don't relay
 };
 
 /// @brief A submitted job and its response. Status 0: no response yet, or the
@@ -77,7 +78,8 @@
     /// @brief Value of a metric without labels on an agent's metrics page;
     /// negative without a response.
     double agent_metric(std::size_t i, const std::string& name);
-    /// @brief The same of an entry's metrics page.
+    /// @brief The same of an entry's metrics page. A metric with labels is
+    /// named with them, as on the page.
     double entry_metric(std::size_t i, const std::string& name);
 
     // callers
--- a/tools/bench/node_scenario.cpp
+++ b/tools/bench/node_scenario.cpp
@@ -14,6 +14,10 @@
 
 using namespace std::chrono_literals;
 
+constexpr const char* load_reports =
+    "agatebank_link_kind_messages_received{kind=\"target_update\",peer="
+    "\"agent\"}";
+
 double agents_ms(node_cluster& c, unsigned n)
 {
     double out = 0;
@@ -31,6 +35,7 @@
     cluster_plan plan{1, load.agents, 60ms, true};
     plan.log_level = load.log_level;
     plan.poll_spacing_us = load.poll_spacing_us;
+    plan.processor_share = load.processor_share;
     if (load.relay)
     {
         plan.entries = 2;
@@ -50,6 +55,7 @@
     const auto second =
         load.relay ? read_usage(c.entry(1).pid()).processor_ms : 0;
     const auto agents = agents_ms(c, load.agents);
+    const auto reports = c.entry_metric(0, load_reports);
     const auto load_start = c.loop.now();
     const unsigned jobs = load.jobs_per_s * load.duration_s;
     for (unsigned i = 0; i < jobs; ++i)
@@ -73,7 +79,9 @@
          (read_usage(c.entry(0).pid()).processor_ms - entry) / served, "ms",
          "< 0.6 ms"},
         {"nodes: agent's processor time per start",
-         (agents_ms(c, load.agents) - agents) / starts, "ms", "< 0.25 ms"}};
+         (agents_ms(c, load.agents) - agents) / starts, "ms", "< 0.25 ms"},
+        {"nodes: load reports received by the entry",
+         c.entry_metric(0, load_reports) - reports, "", ""}};
     if (load.relay)
     {
         out.push_back({"nodes: jobs relayed",
--- a/tools/bench/node_scenario.hpp
+++ b/tools/bench/node_scenario.hpp
@@ -14,6 +14,7 @@
     unsigned duration_s = 10;
     std::string log_level = "info"; ///< of all processes
     unsigned poll_spacing_us = 0;   ///< of the entry
+    double processor_share = 0;     ///< cores, of the entry; 0: not limited
     /// a second entry serves the jobs, which the first one relays to it
     bool relay = false;
 };
