--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -138,6 +138,37 @@
         [&loads] { return static_cast<double>(loads.accepting_peers()); });
 }
 
+struct report_row
+{
+    const char* kind;
+    uint64_t load_report_counts::*field;
+};
+
+void add_report_gauges(metrics_registry& metrics,
+                       const report_requester& reports)
+{
+    metrics.add_gauge(
+        {"agatebank_load_report_period_seconds",
+         "Shortest time between two load reports that agents are asked for.",
+         {}},
+        [&reports]
+        { return std::chrono::duration<double>(reports.period()).count(); });
+    using counts = load_report_counts;
+    const report_row rows[] = {{"greeting", &counts::greetings},
+                               {"class", &counts::class_changes},
+                               {"amount", &counts::other_changes}};
+    for (const auto& row : rows)
+    {
+        metrics.add_gauge({"agatebank_load_reports_received",
+                           "Load reports of agents, by what changed.",
+                           {{"kind", row.kind}}},
+                          [&reports, field = row.field] {
+                              return static_cast<double>(reports.counts().*
+                                                         field);
+                          });
+    }
+}
+
 void add_evacuation_gauges(
     metrics_registry& metrics,
     const std::function<const evacuation_state&()>& state)
@@ -258,6 +289,7 @@
         { return static_cast<double>(count_evacuated(scheduler.targets())); });
     add_link_gauges(metrics, node.links(), node.entries());
     add_relay_gauges(metrics, node);
+    add_report_gauges(metrics, node.reports());
 }
 
 void add_node_metrics(metrics_registry& metrics, const agent_node& node)
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -74,6 +74,8 @@
         "agents and targets in the node scenario")(
         "poll-spacing-us", po::value(&load.poll_spacing_us),
         "shortest time between two waits of the entry for its sockets")(
+        "idle-entries", po::value(&load.idle_entries),
+        "entries without jobs in the node scenario, unless it relays")(
         "processor-share", po::value(&load.processor_share),
         "cores that the entry's settings state in the node scenario; nothing "
         "limits it to them")("log-level", po::value(&load.log_level),
--- a/tools/bench/node_scenario.cpp
+++ b/tools/bench/node_scenario.cpp
@@ -32,7 +32,7 @@
 
 std::vector<bench_row> measure_nodes(const node_load& load)
 {
-    cluster_plan plan{1, load.agents, 60ms, true};
+    cluster_plan plan{1 + load.idle_entries, load.agents, 60ms, true};
     plan.log_level = load.log_level;
     plan.poll_spacing_us = load.poll_spacing_us;
     plan.processor_share = load.processor_share;
@@ -52,8 +52,11 @@
         run_for(c.loop, 1s); // until the load of both entries is known
     }
     const auto entry = read_usage(c.entry(0).pid()).processor_ms;
+    const bool has_second = load.relay || load.idle_entries != 0;
     const auto second =
-        load.relay ? read_usage(c.entry(1).pid()).processor_ms : 0;
+        has_second ? read_usage(c.entry(1).pid()).processor_ms : 0;
+    const auto second_reports =
+        has_second ? c.entry_metric(1, load_reports) : 0;
     const auto agents = agents_ms(c, load.agents);
     const auto reports = c.entry_metric(0, load_reports);
     const auto load_start = c.loop.now();
@@ -92,6 +95,15 @@
              (read_usage(c.entry(1).pid()).processor_ms - second) / served,
              "ms", ""});
     }
+    else if (has_second)
+    {
+        out.push_back({"nodes: load reports received by an idle entry",
+                       c.entry_metric(1, load_reports) - second_reports, "",
+                       ""});
+        out.push_back({"nodes: processor time of an idle entry",
+                       read_usage(c.entry(1).pid()).processor_ms - second, "ms",
+                       ""});
+    }
     return out;
 }
 
--- a/tools/bench/node_scenario.hpp
+++ b/tools/bench/node_scenario.hpp
@@ -17,6 +17,8 @@
     double processor_share = 0;     ///< cores, of the entry; 0: not limited
     /// a second entry serves the jobs, which the first one relays to it
     bool relay = false;
+    /// entries without jobs of their own, which only receive load reports
+    unsigned idle_entries = 0;
 };
 
 /// @brief Measures the processor time of one entry and its agents under a
