Relay only where it costs the first entry less than serving

Cause: relay counted each job at an entry as 1.2 ms of processor time, whatever the entry really uses, and relayed jobs also where a relay costs the first entry as much as serving the job.

Change: fleet/job_processor_time measures the processor time per job over the last 5 s from the totals of the process, and fits the times of a served and of a relayed job to half seconds with different numbers of both. entry_load carries the time per job, relay_decision counts unreported jobs with it and chooses a relay only where relaying takes less than serving.

--- a/packages/core/include/agatebank/core/relay_messages.hpp
+++ b/packages/core/include/agatebank/core/relay_messages.hpp
@@ -29,13 +29,15 @@
     uint32_t share_millis = 0; ///< thousandths of a core
     uint32_t running_jobs = 0;
     bool accepts_relays = false; ///< has processor time and a target
+    uint32_t job_time_us = 0;    ///< processor time per job, of late
 
     bool operator==(const entry_load&) const = default;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(utilisation_permille, share_millis, running_jobs, accepts_relays);
+        ar(utilisation_permille, share_millis, running_jobs, accepts_relays,
+           job_time_us);
     }
 };
 
--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -10,6 +10,11 @@
 namespace
 {
 
+double to_seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
 template <class Counts>
 struct count_gauge
 {
@@ -133,6 +138,21 @@
                        "1 while new jobs are relayed if possible.",
                        {}},
                       [&loads] { return loads.own().over() ? 1.0 : 0.0; });
+    metrics.add_gauge(
+        {"agatebank_job_processor_seconds",
+         "Own processor time per job, served or relayed, in the last 5 s.",
+         {}},
+        [&loads] { return to_seconds(loads.job_time().mean()); });
+    metrics.add_gauge({"agatebank_served_job_processor_seconds",
+                       "Own processor time of a job that this entry serves.",
+                       {}},
+                      [&loads]
+                      { return to_seconds(loads.job_time().serving()); });
+    metrics.add_gauge({"agatebank_relayed_job_processor_seconds",
+                       "Own processor time of a job that this entry relays.",
+                       {}},
+                      [&loads]
+                      { return to_seconds(loads.job_time().relaying()); });
     metrics.add_gauge(
         {"agatebank_relay_peers", "Linked entries that accept jobs.", {}},
         [&loads] { return static_cast<double>(loads.accepting_peers()); });
@@ -151,21 +171,19 @@
         {"agatebank_load_report_period_seconds",
          "Shortest time between two load reports that agents are asked for.",
          {}},
-        [&reports]
-        { return std::chrono::duration<double>(reports.period()).count(); });
+        [&reports] { return to_seconds(reports.period()); });
     using counts = load_report_counts;
     const report_row rows[] = {{"greeting", &counts::greetings},
                                {"class", &counts::class_changes},
                                {"amount", &counts::other_changes}};
     for (const auto& row : rows)
     {
-        metrics.add_gauge({"agatebank_load_reports_received",
-                           "Load reports of agents, by what changed.",
-                           {{"kind", row.kind}}},
-                          [&reports, field = row.field] {
-                              return static_cast<double>(reports.counts().*
-                                                         field);
-                          });
+        metrics.add_gauge(
+            {"agatebank_load_reports_received",
+             "Load reports of agents, by what changed.",
+             {{"kind", row.kind}}},
+            [&reports, field = row.field]
+            { return static_cast<double>(reports.counts().*field); });
     }
 }
 
--- a/packages/fleet/include/agatebank/fleet/entry_load_exchange.hpp
+++ b/packages/fleet/include/agatebank/fleet/entry_load_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include <agatebank/core/ids.hpp>
 #include <agatebank/core/relay_messages.hpp>
+#include <agatebank/fleet/job_processor_time.hpp>
 #include <agatebank/fleet/processor_load.hpp>
 #include <agatebank/fleet/relay_decision.hpp>
 
@@ -44,14 +45,15 @@
     /// @brief A job was relayed to a peer.
     void count_relay(relay_peer_id peer);
     /// @brief Adds a sample, and sends the load if it is due.
-    /// @param processor_time used by this process since its start
+    /// @param work of this process since its start
     /// @param can_serve whether this entry accepts relays if it has processor
     /// time to spare
-    void tick(time_point now, duration processor_time, std::size_t running_jobs,
+    void tick(time_point now, const entry_work& work, std::size_t running_jobs,
               bool can_serve);
 
     // lookup
     const processor_load& own() const noexcept;
+    const job_processor_time& job_time() const noexcept;
     /// @brief The linked entries with a known load.
     std::vector<relay_peer> peers(time_point now) const;
     /// @brief The number of linked entries that accept relays.
@@ -72,6 +74,7 @@
     entry_load_options options_;
     sender send_;
     processor_load own_;
+    job_processor_time job_time_;
     std::map<relay_peer_id, peer_state> peers_;
     time_point last_sent_;
 };
--- a/packages/fleet/include/agatebank/fleet/relay_decision.hpp
+++ b/packages/fleet/include/agatebank/fleet/relay_decision.hpp
@@ -24,13 +24,16 @@
     double share = 0;             ///< cores
     uint32_t unreported_jobs = 0; ///< relayed to it since its last report
     duration load_age{};          ///< of its last report
+    duration job_time{};          ///< its processor time per job
 };
 
 /// @brief What decides whether a new job is relayed.
 struct relay_input
 {
-    bool over = false;    ///< this entry exceeds its processor time
-    bool relayed = false; ///< another entry has relayed the job to this one
+    bool over = false;        ///< this entry exceeds its processor time
+    bool relayed = false;     ///< another entry has relayed the job to this one
+    duration serving_time{};  ///< own processor time of a job served here
+    duration relaying_time{}; ///< own processor time of a job relayed
 };
 
 /// @brief Chooses the entry that a new job is relayed to.
@@ -38,7 +41,8 @@
 /// Load pattern: a wave on an entry of 0.12 cores beside entries of 0.5 cores,
 /// and several such entries at once. An entry that exceeds its processor time
 /// relays to one with spare processor time, in its own failure domain if there
-/// is one. It takes the better one of two random candidates: several entries
+/// is one, where this takes less of its own processor time than serving the
+/// job. It takes the better one of two random candidates: several entries
 /// that all took the best would send it all their jobs until its next report.
 /// A candidate has processor time for the jobs that were relayed to it since
 /// its last report.
--- a/packages/fleet/src/entry_load_exchange.cpp
+++ b/packages/fleet/src/entry_load_exchange.cpp
@@ -15,12 +15,16 @@
 constexpr duration send_period = 200ms;
 /// A smaller change does not alter a choice between entries.
 constexpr int sent_change_permille = 50;
+/// The same for the time per job.
+constexpr double sent_job_time_ratio = 1.25;
 /// Jobs relayed longer ago are part of the load even if it is unchanged.
 constexpr duration unreported_age = 500ms;
 
 bool differs(const entry_load& a, const entry_load& b)
 {
+    const auto [shorter, longer] = std::minmax(a.job_time_us, b.job_time_us);
     return a.accepts_relays != b.accepts_relays ||
+           longer >= sent_job_time_ratio * shorter ||
            std::abs(static_cast<int>(a.utilisation_permille) -
                     static_cast<int>(b.utilisation_permille)) >=
                sent_change_permille;
@@ -89,10 +93,11 @@
     }
 }
 
-void entry_load_exchange::tick(time_point now, duration processor_time,
+void entry_load_exchange::tick(time_point now, const entry_work& work,
                                std::size_t running_jobs, bool can_serve)
 {
-    own_.add_sample(now, processor_time);
+    own_.add_sample(now, work.processor_time);
+    job_time_.add_sample(now, work);
     for (auto& [id, peer] : peers_)
     {
         if (now - peer.counted_since >= unreported_age)
@@ -108,7 +113,8 @@
     }
     const entry_load load{
         to_thousandths(*own_.utilisation()), to_thousandths(own_.share()),
-        static_cast<uint32_t>(running_jobs), can_serve && own_.spare()};
+        static_cast<uint32_t>(running_jobs), can_serve && own_.spare(),
+        static_cast<uint32_t>(job_time_.mean().count())};
     for (auto& [id, peer] : peers_)
     {
         if (!peer.retired && (!peer.sent || differs(*peer.sent, load)))
@@ -125,6 +131,11 @@
     return own_;
 }
 
+const job_processor_time& entry_load_exchange::job_time() const noexcept
+{
+    return job_time_;
+}
+
 std::vector<relay_peer> entry_load_exchange::peers(time_point now) const
 {
     std::vector<relay_peer> out;
@@ -142,6 +153,7 @@
         p.share = peer.load->share_millis / 1000.0;
         p.unreported_jobs = peer.unreported_jobs;
         p.load_age = now - peer.received;
+        p.job_time = duration(peer.load->job_time_us);
         out.push_back(p);
     }
     return out;
--- a/packages/fleet/src/relay_decision.cpp
+++ b/packages/fleet/src/relay_decision.cpp
@@ -8,23 +8,23 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
 /// Utilisation up to which relayed jobs may fill an entry. It is above the
 /// utilisation at which an entry stops to accept relays (0.6), and below that
 /// at which it relays itself (0.8).
 constexpr double fill_utilisation = 0.7;
-/// Processor time of a job at an entry, in core-seconds: 1.0 to 1.2 ms measured
-/// for a job of 4 tasks.
-constexpr double job_processor_time_s = 0.0012;
 /// Time that relayed jobs may use the spare processor time of an entry before
 /// it reports its load again.
-constexpr double report_period_s = 0.25;
+constexpr duration report_period = 250ms;
 
 // Returns the spare cores of an entry, less what the jobs need that its report
 // does not include.
 double spare_cores(const relay_peer& p)
 {
     return p.share * (fill_utilisation - p.utilisation) -
-           p.unreported_jobs * job_processor_time_s / report_period_s;
+           p.unreported_jobs * (static_cast<double>(p.job_time.count()) /
+                                static_cast<double>(report_period.count()));
 }
 
 } // namespace
@@ -38,7 +38,8 @@
 relay_decision::choose(const relay_input& input,
                        const std::vector<relay_peer>& peers) const
 {
-    if (!input.over || input.relayed)
+    if (!input.over || input.relayed ||
+        input.relaying_time >= input.serving_time)
     {
         return std::nullopt;
     }
--- a/packages/fleet/tests/unit-processor_load.cpp
+++ b/packages/fleet/tests/unit-processor_load.cpp
@@ -102,7 +102,7 @@
         {
             now += 40ms;
             used += duration(std::lround(40'000 * cores));
-            x.tick(now, used, 3, true);
+            x.tick(now, {used, 0, 0}, 3, true);
         }
     };
     run(50, 0.1);
@@ -131,7 +131,7 @@
     x.add_peer(relay_peer_id(1));
     for (int i = 1; i < 100; ++i)
     {
-        x.tick(start + i * 40ms, i * 20ms, 3, true);
+        x.tick(start + i * 40ms, {i * 20ms, 0, 0}, 3, true);
     }
     x.retire_peer(relay_peer_id(1));
     CHECK(x.own().over());
--- a/packages/fleet/tests/unit-relay_decision.cpp
+++ b/packages/fleet/tests/unit-relay_decision.cpp
@@ -15,7 +15,7 @@
                 double share, uint32_t unreported = 0)
 {
     return {relay_peer_id(id), same_domain, accepts, utilisation, share,
-            unreported,        100ms};
+            unreported,        100ms,       1200us};
 }
 
 } // namespace
@@ -32,34 +32,50 @@
         std::vector<relay_peer> peers;
         uint64_t chosen; ///< 0: served here
     };
+    auto cheap = peer(1, true, true, 0.5, 0.12, 20);
+    cheap.job_time = 200us;
     const row rows[] = {
         {"within its processor time",
-         {false, false},
+         {false, false, 1200us, 1000us},
+         {peer(1, true, true, 0.1, 0.5)},
+         0},
+        {"over",
+         {true, false, 1200us, 1000us},
+         {peer(1, true, true, 0.1, 0.5)},
+         1},
+        {"relayed before",
+         {true, true, 1200us, 1000us},
          {peer(1, true, true, 0.1, 0.5)},
          0},
-        {"over", {true, false}, {peer(1, true, true, 0.1, 0.5)}, 1},
-        {"relayed before", {true, true}, {peer(1, true, true, 0.1, 0.5)}, 0},
         {"no linked entry", {true, false}, {}, 0},
         {"the large one is loaded too",
-         {true, false},
+         {true, false, 1200us, 1000us},
          {peer(1, true, false, 0.65, 0.5)},
          0},
         {"own failure domain first",
-         {true, false},
+         {true, false, 1200us, 1000us},
          {peer(1, false, true, 0.0, 0.5), peer(2, true, true, 0.4, 0.2)},
          2},
         {"another failure domain, as the own one has no processor time",
-         {true, false},
+         {true, false, 1200us, 1000us},
          {peer(1, false, true, 0.3, 0.5), peer(2, true, false, 0.9, 0.5)},
          1},
         {"of two, the one with more spare cores",
-         {true, false},
+         {true, false, 1200us, 1000us},
          {peer(1, true, true, 0.1, 0.12), peer(2, true, true, 0.4, 0.5)},
          2},
         {"the jobs since the last report fill it",
-         {true, false},
+         {true, false, 1200us, 1000us},
          {peer(1, true, true, 0.5, 0.12, 20)},
          0},
+        {"the same with jobs that take less processor time",
+         {true, false, 1200us, 1000us},
+         {cheap},
+         1},
+        {"a relay takes as much processor time as the job",
+         {true, false, 800us, 800us},
+         {peer(1, true, true, 0.1, 0.5)},
+         0},
     };
     std::mt19937_64 random(20261204);
     const relay_decision decision([&random] { return random(); });
@@ -86,7 +102,7 @@
     constexpr int jobs = 4000;
     for (int i = 0; i < jobs; ++i)
     {
-        ++chosen[*decision.choose({true, false}, peers)];
+        ++chosen[*decision.choose({true, false, 1200us, 1000us}, peers)];
     }
     // Two random candidates of four include the best one in half of the draws.
     CHECK(chosen[relay_peer_id(1)] < jobs * 6 / 10);
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -170,7 +170,7 @@
     std::unordered_map<uint64_t, job_key> job_by_request_;
     watch timer_;
     time_point last_timer_;
-    uint64_t last_key_ = 0;
+    uint64_t last_key_ = 0; ///< also the number of jobs served here
     bool stopping_ = false;
     time_point stop_began_;
     std::function<void()> on_stopped_;
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -181,8 +181,9 @@
     close_unneeded_peers(now);
     scheduler_.tick(now);
     relay_.tick(now);
-    loads_.tick(now, hooks_.processor_time(), scheduler_.running_jobs(),
-                ready());
+    loads_.tick(now,
+                {hooks_.processor_time(), last_key_, relay_.counts().relayed},
+                scheduler_.running_jobs(), ready());
     if (stopping_)
     {
         finish_stop();
--- a/packages/node/src/entry_node_relay.cpp
+++ b/packages/node/src/entry_node_relay.cpp
@@ -52,7 +52,9 @@
     }
     const auto now = context_.loop.now();
     const auto peers = loads_.peers(now);
-    const auto chosen = relay_decision_.choose({true, false}, peers);
+    const auto& job_time = loads_.job_time();
+    const auto chosen = relay_decision_.choose(
+        {true, false, job_time.serving(), job_time.relaying()}, peers);
     if (!chosen)
     {
         return false;
@@ -75,7 +77,10 @@
             " at " + to_percent_text(peer->utilisation) + " of " +
             to_cores_text(peer->share) + " " + to_ms_text(peer->load_age) +
             " ago, since then sent " + std::to_string(peer->unreported_jobs) +
-            " jobs, time to deadline " + to_ms_text(arrival.deadline),
+            " jobs, processor time here " +
+            std::to_string(job_time.relaying().count()) + " us, " +
+            std::to_string(job_time.serving().count()) +
+            " us if served, time to deadline " + to_ms_text(arrival.deadline),
         "relay", link->peer());
     record.submission = arrival.id;
     context_.log(record);
