--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -204,9 +204,15 @@
         settings["relay"] = true;
         settings["processor_share"] = plan_.relay_shares.at(i);
     }
+    silent_links_.erase(i);
     entries_[i] = run("entry", "entry-" + std::to_string(i), settings);
 }
 
+void node_cluster::silence_links(std::size_t i)
+{
+    silent_links_.try_emplace(i, entry_ip(i), link_port_);
+}
+
 void node_cluster::start_agent(std::size_t i)
 {
     agents_[i] =
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "silent_listener.hpp"
 #include "store_stand_in.hpp"
 #include "target_stand_in.hpp"
 #include <agatebank/harness/child_process.hpp>
 #include <agatebank/harness/port_block.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -60,6 +62,9 @@
     // processes
     void start_entry(std::size_t i);
     void start_agent(std::size_t i);
+    /// @brief Until an entry is started, dials to it get no answer, as from a
+    /// VM that is not up. The entry must not run.
+    void silence_links(std::size_t i);
     /// @brief Writes an agent's settings file.
     /// @param text written instead of the settings, unless empty
     void write_agent_settings(std::size_t i, bool with_seed,
@@ -144,6 +149,7 @@
     std::vector<std::unique_ptr<child_process>> entries_;
     std::vector<std::unique_ptr<child_process>> agents_;
     http_client client_;
+    std::map<std::size_t, silent_listener> silent_links_; ///< by entry
     std::vector<std::unique_ptr<caller_job>> jobs_;
 };
 
--- a/tests/platform/unit-recovery.cpp
+++ b/tests/platform/unit-recovery.cpp
@@ -109,13 +109,16 @@
     struct row
     {
         const char* what;
-        store_mode mode; ///< after the loss
-        duration until;  ///< since the processes were started
+        store_mode mode;         ///< after the loss
+        duration until;          ///< since the processes were started
+        duration entries_late{}; ///< by which entries start after the agents
     };
     const auto r = GENERATE(
         row{"the table service answers", store_mode::serving, 0ms},
         row{"it refuses calls for 300 ms", store_mode::refusing, 300ms},
-        row{"it loses the calls of 300 ms", store_mode::silent, 300ms});
+        row{"it loses the calls of 300 ms", store_mode::silent, 300ms},
+        row{"the VMs of entries are up 300 ms after those of agents",
+            store_mode::serving, 0ms, 300ms});
     INFO(r.what);
     node_cluster c(recovery_plan());
     REQUIRE(c.wait_ready());
@@ -141,18 +144,24 @@
         c.agent(i).signal(SIGKILL);
     }
     set_store_mode(c, r.mode);
-    run_for(c.loop, outage);
+    run_for(c.loop, 50ms); // the processes have ended
+    for (std::size_t i = 0; i < entries && r.entries_late.count() != 0; ++i)
+    {
+        c.silence_links(i);
+    }
+    run_for(c.loop, loss + outage - c.loop.now());
     const auto started = c.loop.now();
     const auto restore =
         c.loop.after(r.until, [&c] { set_store_mode(c, store_mode::serving); });
-    for (std::size_t i = 0; i < entries; ++i)
-    {
-        c.start_entry(i);
-    }
     for (std::size_t i = 0; i < agents; ++i)
     {
         c.start_agent(i);
     }
+    run_for(c.loop, r.entries_late);
+    for (std::size_t i = 0; i < entries; ++i)
+    {
+        c.start_entry(i);
+    }
     run_for(c.loop, started + 2 * window + 1s - c.loop.now());
     const auto before = share_on_time(c, jobs, begin, 2 * window);
     WARN(r.what << ", share of jobs on time: before the loss " << before
