Explain what an entry would do with a job

Cause: an operator who asks where a job goes has only the log lines of jobs that were submitted. explain_placement covers one task, and no code called it.

Change: job_scheduler::explain submits the job to a copy of what decides (the targets, learned values, demand, probation, evacuation) and observes the decisions there, so the decision code itself decides and nothing is changed. Running jobs are not copied, except that those that wait for a probation target are counted. The result has the verdict, its reason, the expected end, the objective, the last useful end, and for at most 20 tasks the target, its rank, the locality decision and at most 5 targets passed over. Targets know when their last load report arrived, for its age.

The new tests fail as they should when jobs that wait for a probation target are not counted (3 checks), when explain counts the job in the route's demand (2) and when tasks don't see each other's placement (6).

--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -12,6 +12,7 @@
 #include <agatebank/fleet/evacuated_targets.hpp>
 #include <agatebank/fleet/forecast_correction.hpp>
 #include <agatebank/fleet/job_admission.hpp>
+#include <agatebank/fleet/job_explanation.hpp>
 #include <agatebank/fleet/job_forecast.hpp>
 #include <agatebank/fleet/load_shedding.hpp>
 #include <agatebank/fleet/order_return.hpp>
@@ -158,6 +159,12 @@
     const evacuated_targets& evacuated() const noexcept;
     /// @brief Finds a running job by the caller's id.
     std::optional<job_key> find(const std::string& id) const;
+    /// @brief Explains what @ref admit would do with a job now. Changes nothing
+    /// and writes no log line: the decision is made on a copy of the targets
+    /// and of what the entry has learned.
+    /// @complexity that of admit, plus a copy of the targets and, for each
+    /// described task, that of explain_placement
+    job_explanation explain(job_submission submission, time_point now) const;
 
   private:
     using task_record = scheduled_task;
@@ -177,6 +184,24 @@
         placement_choice choice;
     };
 
+    /// @brief Observes the decisions on a new job, to explain them.
+    struct decision_observer
+    {
+        /// called with the choice for a task and the request that it answers
+        std::function<void(const placement_request&, const task_record&,
+                           const std::optional<placement_choice>&)>
+            placement;
+        std::function<void(const job_record&, const admission_input&)>
+            admission;
+    };
+
+    /// @brief Copies what decides on a new job, and no running job.
+    job_scheduler(const job_scheduler& other, job_scheduler_hooks hooks);
+    static job_verdict to_verdict(const job_scheduler& trial,
+                                  const job_plan& plan,
+                                  const service_name& service,
+                                  const job_explanation& explained,
+                                  const std::optional<job_outcome>& outcome);
     placement_request to_request(const job_record& job, uint32_t step,
                                  time_point now) const;
     std::optional<placement_choice>
@@ -281,6 +306,7 @@
 
     job_scheduler_options options_;
     job_scheduler_hooks hooks_;
+    decision_observer observer_;
     job_forecast forecast_;
     forecast_correction forecast_error_;
     demand_tracker demand_;
--- a/packages/fleet/include/agatebank/fleet/placement_explanation.hpp
+++ b/packages/fleet/include/agatebank/fleet/placement_explanation.hpp
@@ -3,6 +3,7 @@
 #include <agatebank/fleet/placement.hpp>
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
     std::string rank;   ///< components of its rank in words
     /// component that decided against it; empty for the chosen target
     std::string decided_by;
+    /// since its last load report; nothing if there is none yet
+    std::optional<duration> load_age;
 };
 
 /// @brief Why a task is sent to a target.
@@ -32,7 +35,7 @@
 /// @brief Reports which target choose_target chooses for a request, and why.
 /// Changes nothing.
 /// @param most number of targets that were passed over to report
-/// @complexity n log n in the targets
+/// @complexity n log m for n targets, of which m are reported
 placement_explanation explain_placement(const target_map& targets,
                                         const placement_request& request,
                                         const speed_lookup& speed,
--- a/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
+++ b/packages/fleet/include/agatebank/fleet/target_load_tracker.hpp
@@ -6,6 +6,7 @@
 #include <agatebank/core/units.hpp>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace agatebank
@@ -27,9 +28,11 @@
     // modifiers
     /// @brief Stores a load report, and discards the orders that it includes.
     /// The reported capacity replaces that of the profile, unless it is zero.
+    /// @param now time of its arrival, if known
     /// @return whether acceptance of work, suspicion, coldness, or the presence
     /// of a slowdown or of hung runs changed
-    bool set_load(const target_load& load);
+    bool set_load(const target_load& load,
+                  std::optional<time_point> now = std::nullopt);
     /// @param expected_run expected run time at this target
     void add_order(order_id id, const resources& task_resources,
                    std::size_t band, duration expected_run = {});
@@ -45,6 +48,9 @@
     // lookup
     const target_profile& profile() const noexcept;
     const target_load& load() const noexcept;
+    /// @brief Returns when the last load report arrived, if there is one and
+    /// its time is known.
+    std::optional<time_point> reported_at() const noexcept;
     bool has_label(const std::string& label) const;
     bool is_evacuated() const noexcept;
     /// @brief Returns the expected time that a task of a priority band waits in
@@ -77,6 +83,7 @@
 
     target_profile profile_;
     target_load load_;
+    std::optional<time_point> reported_at_;
     bool reported_acceptance_ = false; ///< accepts_work of the last report
     bool evacuated_ = false;
     std::map<order_id, pending_order> unreported_orders_;
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -74,7 +74,7 @@
         forecast_.set_learned_speed(agent, load.speed);
     }
     containment_.set_accepting(agent, load.accepts_work, now);
-    if (it->second.set_load(load))
+    if (it->second.set_load(load, now))
     {
         log_record r;
         r.text = std::string("target ") +
@@ -281,6 +281,10 @@
         request.reserved = nullptr;
         choice = choose_target_for(request, now);
     }
+    if (observer_.placement)
+    {
+        observer_.placement(request, task, choice);
+    }
     return choice;
 }
 
@@ -612,6 +616,10 @@
         counts_.refused_on_probation +=
             decide_admission(admission).admitted ? 0 : 1;
     }
+    if (observer_.admission)
+    {
+        observer_.admission(job, admission);
+    }
     const auto decision = decide_admission(admission);
     if (action_on_arrival(job, admission, decision.admitted, now) ==
         arrival_action::hold)
--- a/packages/fleet/src/placement_explanation.cpp
+++ b/packages/fleet/src/placement_explanation.cpp
@@ -30,6 +30,20 @@
            to_percent(r.utilisation);
 }
 
+std::string to_phrase(const locality_decision& decision)
+{
+    switch (decision.action)
+    {
+    case locality_action::run_near:
+        return "runs near its data";
+    case locality_action::wait_near:
+        return "waits near its data for up to " + to_ms_text(decision.granted);
+    case locality_action::run_elsewhere:
+        break;
+    }
+    return "runs away from its data";
+}
+
 // Names the first component in which a target ranks behind the chosen one.
 std::string deciding_component(const ranked_target& chosen,
                                const ranked_target& other)
@@ -88,39 +102,47 @@
     }
     if (choice->locality)
     {
-        out.locality = to_text(*choice->locality);
+        out.locality = to_phrase(choice->locality->decision) + "; " +
+                       to_text(*choice->locality);
     }
     const auto chosen =
         *std::find_if(ranked.begin(), ranked.end(),
                       [&choice](const ranked_target& t)
                       { return t.choice.agent == choice->agent; });
-    const auto explain = [&targets](const ranked_target& t)
+    const auto explain = [&targets, now](const ranked_target& t)
     {
-        return explained_target{t.choice.agent,
-                                targets.at(t.choice.agent).profile().target,
-                                to_text(t),
-                                {}};
+        const auto& target = targets.at(t.choice.agent);
+        explained_target it{
+            t.choice.agent, target.profile().target, to_text(t), {}, {}};
+        if (const auto at = target.reported_at())
+        {
+            it.load_age = now - *at;
+        }
+        return it;
     };
     out.chosen = explain(chosen);
-    std::sort(ranked.begin(), ranked.end(),
-              [&chosen](const ranked_target& a, const ranked_target& b)
-              {
-                  const auto key = [&chosen](const ranked_target& t)
-                  {
-                      return std::tuple(t.outside_rack != chosen.outside_rack,
-                                        t.rank, t.choice.agent);
-                  };
-                  return key(a) < key(b);
-              });
-    for (const auto& it : ranked)
+    // One more than is reported, as the chosen target is among the best.
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(
+                                          std::min(most + 1, ranked.size()));
+    std::partial_sort(ranked.begin(), end, ranked.end(),
+                      [&chosen](const ranked_target& a, const ranked_target& b)
+                      {
+                          const bool a_apart =
+                              a.outside_rack != chosen.outside_rack;
+                          const bool b_apart =
+                              b.outside_rack != chosen.outside_rack;
+                          return std::tie(a_apart, a.rank, a.choice.agent) <
+                                 std::tie(b_apart, b.rank, b.choice.agent);
+                      });
+    for (auto it = ranked.begin(); it != end; ++it)
     {
-        if (it.choice.agent == chosen.choice.agent ||
+        if (it->choice.agent == chosen.choice.agent ||
             out.passed_over.size() == most)
         {
             continue;
         }
-        out.passed_over.push_back(explain(it));
-        out.passed_over.back().decided_by = deciding_component(chosen, it);
+        out.passed_over.push_back(explain(*it));
+        out.passed_over.back().decided_by = deciding_component(chosen, *it);
     }
     return out;
 }
--- a/packages/fleet/src/target_load_tracker.cpp
+++ b/packages/fleet/src/target_load_tracker.cpp
@@ -12,8 +12,10 @@
 {
 }
 
-bool target_load_tracker::set_load(const target_load& load)
+bool target_load_tracker::set_load(const target_load& load,
+                                   std::optional<time_point> now)
 {
+    reported_at_ = now;
     const bool changed = load.accepts_work != reported_acceptance_ ||
                          load.suspect != load_.suspect ||
                          load.cold != load_.cold ||
@@ -76,6 +78,11 @@
     return load_;
 }
 
+std::optional<time_point> target_load_tracker::reported_at() const noexcept
+{
+    return reported_at_;
+}
+
 bool target_load_tracker::has_label(const std::string& label) const
 {
     const auto& labels = profile_.labels;
