Serve POST /v1/explain on the metrics address of an entry

Cause: nothing outside an entry's process could ask for an explanation.

Two counts of its own are in the metrics.

--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -260,6 +260,18 @@
     add_relay_gauges(metrics, node);
 }
 
+void add_explainer_metrics(metrics_registry& metrics,
+                           const platform::job_explainer& explainer)
+{
+    using counts = platform::job_explainer_counts;
+    const count_gauge<counts> rows[] = {
+        {"agatebank_explanations", "Jobs explained without a submission.",
+         &counts::explained},
+        {"agatebank_explanations_refused",
+         "Requests for an explanation that were refused.", &counts::refused}};
+    add_count_gauges(metrics, explainer.counts(), rows);
+}
+
 void add_node_metrics(metrics_registry& metrics, const agent_node& node)
 {
     using counts = run_scheduler_counts;
--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <iostream>
 #include <platform/configuration_feed.hpp>
+#include <platform/job_explainer.hpp>
 #include <platform/job_ingress.hpp>
 #include <platform/route_decoder.hpp>
 #include <platform/target_announcements.hpp>
@@ -165,8 +166,18 @@
     ingress.add_caller_routes(callers);
     http_server readiness(rt.loop, to_server_options(settings.readiness));
     ingress.add_readiness_route(readiness);
+    platform::job_explainer explainer(
+        {[&node]() -> const route_table& { return node.routes(); },
+         [&node, &rt](job_submission job)
+         { return node.scheduler().explain(std::move(job), rt.loop.now()); },
+         [&node, relay = settings.relay]
+         {
+             return relay && node.loads().own().over();
+         }});
     http_server metrics(rt.loop, to_server_options(settings.metrics));
+    explainer.add_route(metrics);
     add_node_metrics(rt.metrics, node);
+    add_explainer_metrics(rt.metrics, explainer);
     add_metrics_routes(metrics, rt.metrics,
                        make_readiness_hook([&node] { return node.ready(); }));
     platform::configuration_feed feed(
--- a/packages/fleet/tests/unit-job_explanation.cpp
+++ b/packages/fleet/tests/unit-job_explanation.cpp
@@ -87,7 +87,7 @@
     }
 
     job_submission job(uint32_t tasks, const char* rack = "",
-                       std::string id = {}) const
+                       const std::string& id = {}) const
     {
         job_submission out;
         out.id = id.empty() ? "job" + std::to_string(last_key + 1) : id;
--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -328,18 +328,26 @@
 
 // callers
 
+std::string node_cluster::job_body(unsigned tasks, const std::string& payload)
+{
+    return json{
+        {"spec", payload},
+        {"bestEffort", true},
+        {"steps",
+         {{{"count", tasks}, {"cpu", 1000}, {"memMb", 8}, {"estimateMs", 60}}}}}
+        .dump();
+}
+
+std::string node_cluster::metrics_url(std::size_t entry) const
+{
+    return "http://" + at(entry_ip(entry), metrics_port_);
+}
+
 std::size_t node_cluster::submit(std::size_t entry, const std::string& id,
                                  unsigned tasks, duration deadline,
                                  const std::string& prefix,
                                  const std::string& payload)
 {
-    const json body{{"spec", payload},
-                    {"bestEffort", true},
-                    {"steps",
-                     {{{"count", tasks},
-                       {"cpu", 1000},
-                       {"memMb", 8},
-                       {"estimateMs", 60}}}}};
     http_call call;
     call.method = "POST";
     call.url = "http://" + at(entry_ip(entry), callers_port_) + prefix + id;
@@ -349,7 +357,7 @@
          std::to_string(
              std::chrono::duration_cast<std::chrono::milliseconds>(deadline)
                  .count())}};
-    call.body = body.dump();
+    call.body = job_body(tasks, payload);
     call.timeout = deadline + 2s;
     call.may_resend = plan_.keep_connections;
     jobs_.push_back(std::make_unique<caller_job>());
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -79,6 +79,8 @@
     double agent_metric(std::size_t i, const std::string& name);
     /// @brief The same of an entry's metrics page.
     double entry_metric(std::size_t i, const std::string& name);
+    /// @brief URL of an entry's metrics address.
+    std::string metrics_url(std::size_t entry) const;
 
     // callers
     /// @brief Submits a job of equal tasks. @return the number of the job
@@ -87,6 +89,9 @@
                        duration deadline = std::chrono::seconds(3),
                        const std::string& prefix = "/q/",
                        const std::string& payload = "x");
+    /// @brief The body of such a job.
+    static std::string job_body(unsigned tasks,
+                                const std::string& payload = "x");
     /// @brief Closes the connection of a job's caller.
     void disconnect(std::size_t job);
     const caller_job& job(std::size_t n) const;
