--- a/packages/cli/include/agatebank/cli/cli_command.hpp
+++ b/packages/cli/include/agatebank/cli/cli_command.hpp
@@ -59,6 +59,7 @@
 std::vector<cli_command> rules_commands();
 std::vector<cli_command> target_commands();
 std::vector<cli_command> job_commands();
+std::vector<cli_command> explain_commands();
 std::vector<cli_command> status_commands();
 std::vector<cli_command> offline_commands();
 
--- a/packages/cli/src/run_cli.cpp
+++ b/packages/cli/src/run_cli.cpp
@@ -23,8 +23,9 @@
 std::vector<cli_command> all_commands()
 {
     std::vector<cli_command> out;
-    for (auto* list : {inventory_commands, rules_commands, target_commands,
-                       job_commands, status_commands, offline_commands})
+    for (auto* list :
+         {inventory_commands, rules_commands, target_commands, job_commands,
+          explain_commands, status_commands, offline_commands})
     {
         auto commands = list();
         std::move(commands.begin(), commands.end(), std::back_inserter(out));
@@ -37,7 +38,8 @@
     po::options_description out("Global options");
     auto add = out.add_options();
     add("entry", po::value<string_list>()->composing(),
-        "URL of an entry; may be repeated, the next is tried when one fails "
+        "URL or host:port of an entry; may be repeated, the next is tried when "
+        "one fails "
         "(AGATEBANK_ENTRY, separated by spaces)");
     add("token-file", po::value<std::string>(),
         "file with the bearer token (AGATEBANK_TOKEN)");
@@ -177,6 +179,10 @@
     for (auto& url : out)
     {
         url.erase(url.find_last_not_of('/') + 1);
+        if (!url.empty() && url.find("://") == std::string::npos)
+        {
+            url.insert(0, "http://");
+        }
     }
     return out;
 }
