Test the command agatebank explain against a running entry

Cause: the tests of the command used a stand-in without routes, so a wrong host or path would not have shown.

Change: a process test runs the command against an entry, for a route and for a path without one.

--- a/tests/platform/unit-explain.cpp
+++ b/tests/platform/unit-explain.cpp
@@ -1,4 +1,5 @@
 #include "node_cluster.hpp"
+#include <agatebank/cli/cli_command.hpp>
 #include <agatebank/harness/run_until.hpp>
 
 #include <catch2/catch.hpp>
@@ -205,3 +206,46 @@
     CHECK(c.entry_metric(0, "agatebank_explanations_refused") ==
           std::size(rows));
 }
+
+// Guards against a command that asks for another host or path than it was
+// given, which only an entry with routes tells apart.
+TEST_CASE("explain: the command prints what the entry answers")
+{
+    cluster_plan plan;
+    plan.entries = 1;
+    plan.agents = 2;
+    node_cluster c(plan);
+    REQUIRE(c.wait_ready());
+    // Beyond the time for which an entry that has just started holds jobs.
+    run_for(c.loop, 2s);
+    struct row
+    {
+        const char* path;
+        cli_exit_code code;
+        const char* text;
+    };
+    const row rows[] = {{"/q/c000000000000001", cli_exit_code::success,
+                         "admitted: each task that can start has a target"},
+                        {"/none/x", cli_exit_code::refused,
+                         "no route for desk.example/none/x"}};
+    for (const auto& it : rows)
+    {
+        INFO(it.path);
+        std::istringstream in(node_cluster::job_body(3));
+        std::ostringstream out;
+        std::ostringstream err;
+        cli_environment environment{in, out, err,
+                                    [](const char*) { return std::string(); },
+                                    []
+                                    {
+                                        return std::string("change-1");
+                                    }};
+        const auto code =
+            run_cli({"explain", "--entry", c.metrics_url(0), "--path", it.path,
+                     "--host", "desk.example", "--job", "-"},
+                    environment);
+        INFO(out.str() << err.str());
+        CHECK(code == it.code);
+        CHECK((out.str() + err.str()).find(it.text) != std::string::npos);
+    }
+}
