--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -33,7 +33,7 @@
     /// period of the targets' announcements, spread over it, and setting of the
     /// entries that goes with it; 0: 150 ms, and no setting
     duration announcement_period{};
-    double processor_share = 0;   ///< cores, of entries that don't relay
+    double processor_share = 0; ///< cores, of entries that don't relay
 };
 
 /// @brief A submitted job and its response. Status 0: no response yet, or the
@@ -93,6 +93,8 @@
     /// @brief The same of an entry's metrics page. A metric with labels is
     /// named with them, as on the page.
     double entry_metric(std::size_t i, const std::string& name);
+    /// @brief URL of an entry's metrics address.
+    std::string metrics_url(std::size_t entry) const;
 
     // callers
     /// @brief Submits a job of equal tasks. @return the number of the job
@@ -101,6 +103,9 @@
                        duration deadline = std::chrono::seconds(3),
                        const std::string& prefix = "/q/",
                        const std::string& payload = "x");
+    /// @brief The body of such a job.
+    static std::string job_body(unsigned tasks,
+                                const std::string& payload = "x");
     /// @brief Closes the connection of a job's caller.
     void disconnect(std::size_t job);
     const caller_job& job(std::size_t n) const;
