Fix two lint findings in tests of fleet

unit-evacuated_targets copied its sets of names, unit-crash_replay let a vector of known size grow. scripts/lint.sh is clean for both files.

--- a/packages/fleet/tests/unit-crash_replay.cpp
+++ b/packages/fleet/tests/unit-crash_replay.cpp
@@ -252,6 +252,7 @@
         h.report_loss = [this, a](const std::vector<lost_run>& lost)
         {
             std::vector<crash_report> reports;
+            reports.reserve(lost.size());
             for (const auto& it : lost)
             {
                 reports.push_back(
--- a/packages/fleet/tests/unit-evacuated_targets.cpp
+++ b/packages/fleet/tests/unit-evacuated_targets.cpp
@@ -11,7 +11,7 @@
 
 constexpr time_point start{1h};
 
-evacuation_state state(uint64_t version, std::set<std::string> names)
+evacuation_state state(uint64_t version, const std::set<std::string>& names)
 {
     std::set<failure_domain_name> domains;
     for (const auto& it : names)
@@ -86,9 +86,9 @@
         return last_key;
     }
 
-    void evacuate(uint64_t version, std::set<std::string> names)
+    void evacuate(uint64_t version, const std::set<std::string>& names)
     {
-        scheduler.set_evacuation(state(version, std::move(names)), "test");
+        scheduler.set_evacuation(state(version, names), "test");
         scheduler.tick(now);
     }
 
