Start tasks behind others, beyond the capacity, once their wait is given up

Cause: agents start the order with the least time left first. A task that waited near its data comes back with less time left than without the wait, so beyond the service's capacity it overtakes work that has not waited. A second cause: a task that an agent had returned early could still wait, and its order is then ranked among all others.

Change: while the utilisation is above 1, the next order of a task whose wait was given up starts behind all others (keep, and a wait limit that is not reached). Its expected wait counts all bands. Returned tasks don't wait.

--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -171,6 +171,13 @@
         uint32_t index = 0;
     };
 
+    /// How an order waits in the queue of its agent.
+    struct wait_limit
+    {
+        bool behind_others = false; ///< starts after all other orders
+        duration longest{};         ///< 0: no limit
+    };
+
     struct placed_task
     {
         uint32_t index = 0;
@@ -266,10 +273,10 @@
     /// show its usual speed. Runs of a cold target are always ignored.
     void learn_run_time(const job_record& job, uint32_t step,
                         agent_incarnation agent, const order_result& end);
-    /// @brief Counts where an order runs relative to its data.
-    /// @return the longest wait at the target; 0: no limit
-    duration note_locality(scheduled_task& task,
-                           const placement_choice& choice);
+    /// @brief Counts where an order runs relative to its data, and decides how
+    /// it waits at its target.
+    wait_limit note_locality(scheduled_task& task,
+                             const placement_choice& choice);
     /// @brief Logs a wait near the data whose end is not reported.
     void drop_wait(const job_record& job, uint32_t index, scheduled_task& task,
                    const char* why);
--- a/packages/fleet/include/agatebank/fleet/locality_wait.hpp
+++ b/packages/fleet/include/agatebank/fleet/locality_wait.hpp
@@ -87,4 +87,13 @@
 /// is the latest start near the data at which the gain is not negative.
 locality_decision decide_locality(const locality_input& input);
 
+/// @brief Returns whether the order of a task whose wait was given up starts
+/// behind all other orders of its target.
+///
+/// Load pattern: a burst beyond the service's capacity, with many jobs for one
+/// rack. Such a task has less time left than without the wait, and agents start
+/// the order with the least time left first, so the wait would delay work that
+/// has not waited. Up to a utilisation of 1 there is capacity for both.
+bool starts_behind_others(const locality_input& input);
+
 } // namespace agatebank
--- a/packages/fleet/include/agatebank/fleet/placement.hpp
+++ b/packages/fleet/include/agatebank/fleet/placement.hpp
@@ -40,6 +40,9 @@
     const locality_rule* locality = nullptr;
     duration time_to_last_useful{}; ///< time until the answer is useless
     bool may_wait_near_data = true; ///< see locality_input::may_wait
+    /// the order may start behind all others of its target, so that the
+    /// expected wait counts all bands
+    bool behind_other_work = false;
 };
 
 /// @brief The target chosen for a task.
--- a/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
+++ b/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
@@ -75,6 +75,8 @@
     std::optional<order_return> returned;
     bool has_waited = false; ///< near its data; it waits there only once
     std::optional<locality_choice> wait; ///< near its data, not over yet
+    /// its wait ended without a run, see starts_behind_others
+    bool wait_given_up = false;
     std::set<agent_incarnation> excluded;
 };
 
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -208,7 +208,10 @@
             continue;
         }
         request.excluded = &task.excluded;
-        request.may_wait_near_data = !task.has_waited;
+        request.behind_other_work = task.wait_given_up;
+        // The next order of a returned task is ranked among all others, so
+        // that it would delay them if it waited.
+        request.may_wait_near_data = !task.has_waited && !task.returned;
         auto choice = choose_target_around_crashes(request, task, now);
         if (task.returned)
         {
@@ -383,7 +386,8 @@
         batches[it.choice.agent].orders.push_back(
             {task.order, step, it.index, task.attempt, expected.count(),
              reference.value_or(duration(0)).count(), task.isolated,
-             task.returned || task.wait, task.returned ? 0 : max_wait.count()});
+             task.returned || max_wait.behind_others,
+             max_wait.longest.count()});
     }
     const auto& plan = job.submission.plan;
     for (auto& [agent, batch] : batches)
--- a/packages/fleet/src/job_scheduler_ends.cpp
+++ b/packages/fleet/src/job_scheduler_ends.cpp
@@ -231,6 +231,7 @@
     if (const auto wait = std::exchange(task.wait, std::nullopt))
     {
         settle_wait(job, ref.index, *wait, end);
+        task.wait_given_up = !started;
     }
     if (end.outcome == run_outcome::done)
     {
--- a/packages/fleet/src/job_scheduler_locality.cpp
+++ b/packages/fleet/src/job_scheduler_locality.cpp
@@ -9,12 +9,22 @@
 namespace agatebank
 {
 
-duration job_scheduler::note_locality(scheduled_task& task,
-                                      const placement_choice& choice)
+namespace
+{
+
+/// Longest wait of an order that no agent gives up for its wait alone. It is
+/// dropped once it can't end usefully, which is seconds after its receipt.
+constexpr duration no_wait_limit = std::chrono::hours(1);
+
+} // namespace
+
+job_scheduler::wait_limit
+job_scheduler::note_locality(scheduled_task& task,
+                             const placement_choice& choice)
 {
     if (!choice.locality)
     {
-        return duration(0);
+        return {};
     }
     const auto& [input, decision] = *choice.locality;
     const bool waits = decision.action == locality_action::wait_near &&
@@ -29,7 +39,11 @@
     {
         ++counts_.locality_elsewhere;
     }
-    return decision.granted;
+    if (task.wait_given_up && starts_behind_others(input))
+    {
+        return {true, no_wait_limit};
+    }
+    return {waits, task.returned ? duration(0) : decision.granted};
 }
 
 void job_scheduler::settle_wait(const job_record& job, uint32_t index,
--- a/packages/fleet/src/locality_wait.cpp
+++ b/packages/fleet/src/locality_wait.cpp
@@ -109,4 +109,9 @@
     return {action, std::max(low, grant_precision), gain};
 }
 
+bool starts_behind_others(const locality_input& input)
+{
+    return input.utilisation > 1;
+}
+
 } // namespace agatebank
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -109,9 +109,10 @@
     const double current_speed = usual_speed / std::max(1.0, t.load().slowdown);
     const auto run = scale(request.expected.typical, 1 / usual_speed);
     // Orders that wait near their data are reported in the last band.
-    const auto band = rack_matters(request) && is_near_data(t, *request.step)
-                          ? priority_bands - 1
-                          : request.band;
+    const bool counts_all_bands =
+        request.behind_other_work ||
+        (rack_matters(request) && is_near_data(t, *request.step));
+    const auto band = counts_all_bands ? priority_bands - 1 : request.band;
     const auto wait = t.expected_wait(request.step->task_resources, band);
     const auto slowest_run = scale(work, 1 / current_speed);
     const auto finish = wait + slowest_run;
--- a/packages/fleet/tests/unit-waiting_orders.cpp
+++ b/packages/fleet/tests/unit-waiting_orders.cpp
@@ -241,6 +241,37 @@
     CHECK(f.scheduler.counts().locality_lost_ms == 30);
 }
 
+// Guards against tasks that overtake work which has not waited, as their wait
+// has left them less time to their objective.
+TEST_CASE("waiting_orders: beyond the capacity a task whose wait was given up "
+          "starts behind others")
+{
+    for (const bool full : {false, true})
+    {
+        INFO("service beyond its capacity: " << full);
+        entry_fixture f;
+        REQUIRE(f.sent.size() == 1);
+        if (full)
+        {
+            target_load l;
+            l.accepts_work = true;
+            l.used.cpu_millis = 16000;
+            l.queued_cpu_millis[0] = 4000;
+            l.mean_run_us = 60'000;
+            f.scheduler.set_load(agent_incarnation(2), l, f.now);
+        }
+        f.scheduler.on_end(agent_incarnation(1),
+                           {f.sent[0].second.id, run_outcome::not_run, 0, 1000},
+                           f.now);
+        REQUIRE(f.sent.size() == 2);
+        const auto& order = f.sent[1].second;
+        CHECK(order.keep == full);
+        // An order that is kept longer than its job is no second wait.
+        CHECK((order.max_wait_us > duration(2s).count()) == full);
+        CHECK(f.scheduler.counts().locality_waits == 1);
+    }
+}
+
 TEST_CASE("waiting_orders: a wait ends with its link or its job")
 {
     entry_fixture lost;
