--- a/packages/core/include/agatebank/core/crash_history.hpp
+++ b/packages/core/include/agatebank/core/crash_history.hpp
@@ -30,9 +30,10 @@
 /// targets away: 3.3 such jobs a second with two crashes of 3.2 s each are 21
 /// targets. Hence the route is put on probation; see job_scheduler for what
 /// that means. The reason is a target that crashed while a task of the route
-/// was alone there, a task that had started last at two crashes, a job whose
-/// tasks had started last at three, or a series of crashes at most of which a
-/// task of the route had started last.
+/// was alone there, a task that had started last at two crashes while no task of
+/// another route was at both, a job whose tasks had started last at three, or a
+/// series of crashes at most of which a task of the route had started last. A
+/// crash at which tasks of several routes had started last accuses none of them.
 ///
 /// Losses at which a task of another route on probation was present accuse no
 /// further route.
@@ -74,10 +75,10 @@
         std::map<target_loss_id, crash_report> losses;
         time_point latest;
     };
-    struct recent_loss
+    struct loss_record
     {
-        route_name route; ///< of the task that had started last
-        time_point at;
+        std::set<route_name> routes;      ///< of the tasks that were there
+        std::set<route_name> last_routes; ///< of those that had started last
     };
     struct probation_record
     {
@@ -98,12 +99,20 @@
     /// @brief Whether a task of another route on probation was at a loss.
     bool is_explained(const target_loss_id& loss, const route_name& route,
                       time_point now) const;
+    /// @brief Whether only tasks of a route had started last at a loss.
+    bool has_started_last(const target_loss_id& loss,
+                          const route_name& route) const;
+    /// @brief Whether a task of another route was at two of the losses at which
+    /// a task had started last, so that either may be the cause. This is so
+    /// where tasks of a crashed target were placed together again.
+    bool is_accompanied(const task_position& task, time_point now) const;
     /// @brief Whether the latest losses have a route's tasks as their cause.
     bool causes_series(const route_name& route, time_point now);
 
     std::map<task_position, task_record> tasks_;
-    std::map<target_loss_id, std::set<route_name>> routes_at_loss_;
-    std::map<target_loss_id, recent_loss> recent_losses_;
+    std::map<target_loss_id, loss_record> losses_;
+    /// losses with a task that had started last, by when they were reported
+    std::map<target_loss_id, time_point> recent_losses_;
     std::map<route_name, probation_record> probations_;
 };
 
--- a/packages/core/include/agatebank/core/crash_report.hpp
+++ b/packages/core/include/agatebank/core/crash_report.hpp
@@ -57,7 +57,8 @@
     target_loss_id loss;
     bool isolated = false;     ///< no other task was running there
     bool confirmed = false;    ///< the task had started, and the target crashed
-    bool started_last = false; ///< of the tasks that were there
+    /// of the tasks that were there, or at about the same time as the last one
+    bool started_last = false;
 
     template <class Archive>
     void serialize(Archive& ar)
--- a/packages/core/src/crash_history.cpp
+++ b/packages/core/src/crash_history.cpp
@@ -50,7 +50,12 @@
         {
             task.route = it.route;
             task.latest = now;
-            routes_at_loss_[it.loss].insert(it.route);
+            auto& loss = losses_[it.loss];
+            loss.routes.insert(it.route);
+            if (it.started_last)
+            {
+                loss.last_routes.insert(it.route);
+            }
             added.push_back(it);
             if (it.isolated)
             {
@@ -58,7 +63,7 @@
             }
             else if (it.started_last)
             {
-                recent_losses_.try_emplace(it.loss, recent_loss{it.route, now});
+                recent_losses_.try_emplace(it.loss, now);
             }
         }
     }
@@ -70,7 +75,8 @@
         }
         const bool last_repeatedly =
             it.started_last &&
-            (last_started_losses(it.task, now) >= suspect_losses ||
+            ((last_started_losses(it.task, now) >= suspect_losses &&
+              !is_accompanied(it.task, now)) ||
              last_started_losses(it.task.job, now) >= suspect_job_losses ||
              causes_series(it.route, now));
         if (last_repeatedly)
@@ -93,12 +99,45 @@
 bool crash_history::is_explained(const target_loss_id& loss,
                                  const route_name& route, time_point now) const
 {
-    const auto& routes = routes_at_loss_.at(loss);
+    const auto& routes = losses_.at(loss).routes;
     return std::any_of(routes.begin(), routes.end(),
                        [&](const route_name& other)
                        { return other != route && on_probation(other, now); });
 }
 
+bool crash_history::has_started_last(const target_loss_id& loss,
+                                     const route_name& route) const
+{
+    const auto& routes = losses_.at(loss).last_routes;
+    return routes.size() == 1 && routes.contains(route);
+}
+
+bool crash_history::is_accompanied(const task_position& task,
+                                   time_point now) const
+{
+    const auto& record = tasks_.at(task);
+    std::vector<target_loss_id> losses;
+    for (const auto& [id, report] : record.losses)
+    {
+        if (has_started_last(id, record.route) &&
+            !is_explained(id, record.route, now))
+        {
+            losses.push_back(id);
+        }
+    }
+    return std::any_of(
+        tasks_.begin(), tasks_.end(),
+        [&](const auto& other)
+        {
+            const auto& [position, others] = other;
+            const auto shared = std::count_if(
+                losses.begin(), losses.end(), [&others](const auto& id)
+                { return others.losses.contains(id); });
+            return others.route != record.route &&
+                   shared >= static_cast<std::ptrdiff_t>(suspect_losses);
+        });
+}
+
 std::size_t crash_history::last_started_losses(const task_position& task,
                                                time_point now) const
 {
@@ -108,6 +147,7 @@
                       [&](const auto& loss)
                       {
                           return loss.second.started_last &&
+                                 has_started_last(loss.first, record.route) &&
                                  !is_explained(loss.first, record.route, now);
                       }));
 }
@@ -122,6 +162,7 @@
         for (const auto& [id, report] : it->second.losses)
         {
             if (report.started_last && report.confirmed &&
+                has_started_last(id, report.route) &&
                 !is_explained(id, report.route, now))
             {
                 losses.insert(id);
@@ -134,15 +175,15 @@
 bool crash_history::causes_series(const route_name& route, time_point now)
 {
     std::erase_if(recent_losses_, [now](const auto& it)
-                  { return now - it.second.at > series_period; });
+                  { return now - it.second > series_period; });
     std::size_t losses = 0;
     time_point first = now;
-    for (const auto& [id, loss] : recent_losses_)
+    for (const auto& [id, at] : recent_losses_)
     {
-        if (loss.route == route)
+        if (has_started_last(id, route))
         {
             ++losses;
-            first = std::min(first, loss.at);
+            first = std::min(first, at);
         }
     }
     return losses >= min_series_losses && now - first >= min_series_duration &&
@@ -169,7 +210,9 @@
             used.insert(loss);
         }
     }
-    std::erase_if(routes_at_loss_, [&used](const auto& it)
+    std::erase_if(losses_, [&used](const auto& it)
+                  { return used.count(it.first) == 0; });
+    std::erase_if(recent_losses_, [&used](const auto& it)
                   { return used.count(it.first) == 0; });
     std::erase_if(probations_,
                   [now](const auto& it) { return it.second.until <= now; });
--- a/packages/fleet/include/agatebank/fleet/crash_containment.hpp
+++ b/packages/fleet/include/agatebank/fleet/crash_containment.hpp
@@ -64,6 +64,18 @@
     void add_isolated_order(agent_incarnation agent, order_id order);
     void remove_order(agent_incarnation agent, order_id order);
 
+    /// @brief Counts a run that ended well while its task was alone.
+    void on_isolated_end(const route_name& route);
+    /// @brief Remembers where a task goes whose target was lost.
+    void add_replacement(agent_incarnation lost, agent_incarnation chosen,
+                         time_point now);
+    /// @brief Returns the targets to which tasks of a lost target were sent
+    /// again. Another task that was there should go elsewhere: if the target
+    /// of one of them crashes too, the others are not hit a second time, and
+    /// the cause is known.
+    std::set<agent_incarnation> replacements(agent_incarnation lost,
+                                             time_point now) const;
+
     // reports
     /// @brief Remembers which tasks ran at targets that crashed.
     /// @return the reports that were not known
@@ -121,6 +133,13 @@
         /// nothing until the crashes can be estimated
         std::optional<probation_size> size;
         time_point logged;
+        std::size_t harmless_runs = 0; ///< of tasks that ran alone
+    };
+
+    struct replacement_record
+    {
+        time_point at; ///< of the first one
+        std::set<agent_incarnation> targets;
     };
 
     const std::set<agent_incarnation>&
@@ -137,6 +156,7 @@
     time_point next_resize_;
     std::map<service_name, std::set<agent_incarnation>> probation_targets_;
     std::map<agent_incarnation, order_id> isolated_orders_;
+    std::map<agent_incarnation, replacement_record> replacements_; ///< by lost
 };
 
 } // namespace agatebank
--- a/packages/fleet/include/agatebank/fleet/crash_estimator.hpp
+++ b/packages/fleet/include/agatebank/fleet/crash_estimator.hpp
@@ -46,9 +46,10 @@
     // lookup
     /// @brief Returns what is known of a route, except for the targets.
     /// @param entries number of entries among which jobs are spread
-    /// @param probation_since when the route's probation began
+    /// @param isolated_only counts only crashes of tasks that ran alone, which
+    /// are certain to be the route's own
     probation_input estimate(const route_name& route, std::size_t entries,
-                             time_point probation_since, time_point now) const;
+                             bool isolated_only, time_point now) const;
 
   private:
     /// A count that decays with time.
--- a/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
+++ b/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
@@ -68,6 +68,8 @@
     agent_incarnation agent;
     uint32_t attempt = 0;
     uint32_t failures = 0;
+    /// agent whose target was lost while the task was there, the last one
+    std::optional<agent_incarnation> lost_at;
     uint32_t stalls = 0;
     time_point lost_until;
     bool isolated = false; ///< runs alone, on a probation target
--- a/packages/fleet/src/crash_containment.cpp
+++ b/packages/fleet/src/crash_containment.cpp
@@ -20,7 +20,14 @@
 constexpr std::size_t crashes_to_fail = 2;
 /// Time after which the crashes of a route on probation can be estimated.
 constexpr std::chrono::seconds min_evidence_time{1};
+/// Runs of tasks that were alone and harmless before crashes among other tasks
+/// are ignored. While all probation targets are away no crash can be seen, so
+/// time alone is no evidence that a route is harmless.
+constexpr std::size_t min_harmless_runs = 20;
 constexpr std::chrono::milliseconds resize_period{250};
+/// Time in which the tasks of a lost target are placed again: the grace of an
+/// agent whose link was lost, and a little more.
+constexpr std::chrono::seconds replacement_period{2};
 /// Shortest interval between two log lines about the size of one probation.
 constexpr std::chrono::seconds size_log_period{1};
 
@@ -129,6 +136,37 @@
     }
 }
 
+void crash_containment::on_isolated_end(const route_name& route)
+{
+    const auto it = probations_.find(route);
+    if (it != probations_.end())
+    {
+        ++it->second.harmless_runs;
+    }
+}
+
+void crash_containment::add_replacement(agent_incarnation lost,
+                                        agent_incarnation chosen,
+                                        time_point now)
+{
+    auto& record = replacements_.try_emplace(lost).first->second;
+    if (now - record.at > replacement_period)
+    {
+        record = {now, {}};
+    }
+    record.targets.insert(chosen);
+}
+
+std::set<agent_incarnation>
+crash_containment::replacements(agent_incarnation lost, time_point now) const
+{
+    const auto it = replacements_.find(lost);
+    return it != replacements_.end() &&
+                   now - it->second.at <= replacement_period
+               ? it->second.targets
+               : std::set<agent_incarnation>();
+}
+
 // reports
 
 std::vector<crash_report>
@@ -165,7 +203,7 @@
         if (history_.on_probation(it.route, now) &&
             probations_
                 .try_emplace(it.route,
-                             probation_record{it.service, now, {}, {}})
+                             probation_record{it.service, now, {}, {}, 0})
                 .second)
         {
             probation_targets_.clear();
@@ -178,6 +216,8 @@
 void crash_containment::expire(time_point now)
 {
     history_.expire(now);
+    std::erase_if(replacements_, [now](const auto& it)
+                  { return now - it.second.at > replacement_period; });
 }
 
 // decisions
@@ -208,7 +248,11 @@
                                    const target_map& targets,
                                    std::size_t entries, time_point now)
 {
-    auto in = estimator_.estimate(route, entries, record.since, now);
+    auto in = estimator_.estimate(
+        route, entries,
+        now - record.since >= min_evidence_time &&
+            record.harmless_runs >= min_harmless_runs,
+        now);
     const auto& probation = probation_targets(record.service, targets);
     for (const auto& [agent, t] : targets)
     {
--- a/packages/fleet/src/crash_estimator.cpp
+++ b/packages/fleet/src/crash_estimator.cpp
@@ -14,8 +14,6 @@
 
 /// Crashes of this time are counted; several times as long as a target is away.
 constexpr duration crash_window = 10s;
-/// Time on probation after which crashes among other tasks are not counted.
-constexpr duration certain_after = 1s;
 /// A rate is taken over no less than this.
 constexpr duration min_crash_window = 1s;
 /// Time constant of the counts of jobs.
@@ -112,7 +110,7 @@
 
 probation_input crash_estimator::estimate(const route_name& route,
                                           std::size_t entries,
-                                          time_point probation_since,
+                                          bool isolated_only,
                                           time_point now) const
 {
     probation_input out;
@@ -127,10 +125,7 @@
     time_point first = now;
     for (const auto& it : r.causes)
     {
-        // Once tasks of the route run alone, only their crashes are certain to
-        // be its own.
-        const bool counts =
-            now - probation_since < certain_after || it.isolated;
+        const bool counts = !isolated_only || it.isolated;
         if (now - it.at <= crash_window && counts)
         {
             tasks_by_job[it.task.job].insert(it.task);
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -96,6 +96,7 @@
                 drop_wait(job, static_cast<uint32_t>(&task - &step.tasks[0]),
                           task, "the link to its agent was lost");
                 task.state = task_state::lost;
+                task.lost_at = agent;
                 task.lost_until = now + options_.lost_agent_grace;
                 task.excluded.insert(agent);
                 job.may_have_run = true;
@@ -236,6 +237,10 @@
             containment_.add_isolated_order(choice->agent, task.order);
             ++counts_.isolated_orders;
         }
+        else if (task.lost_at)
+        {
+            containment_.add_replacement(*task.lost_at, choice->agent, now);
+        }
         ++record.placed[choice->agent];
         orders_[task.order] = {key, step, i};
         task.state = task_state::ordered;
@@ -252,6 +257,18 @@
     const auto limits = containment_.limits_of(task, request, targets_, now);
     request.allowed = limits.allowed ? &*limits.allowed : nullptr;
     request.reserved = limits.reserved;
+    if (task.lost_at && !task.isolated)
+    {
+        auto avoided = containment_.replacements(*task.lost_at, now);
+        avoided.insert(task.excluded.begin(), task.excluded.end());
+        request.excluded = &avoided;
+        const auto apart = choose_target_for(request, now);
+        request.excluded = &task.excluded;
+        if (apart)
+        {
+            return apart;
+        }
+    }
     request.excluded = &task.excluded;
     auto choice = choose_target_for(request, now);
     if (!choice && !task.excluded.empty())
--- a/packages/fleet/src/job_scheduler_ends.cpp
+++ b/packages/fleet/src/job_scheduler_ends.cpp
@@ -236,6 +236,10 @@
     if (end.outcome == run_outcome::done)
     {
         learn_run_time(job, ref.step, agent, end);
+        if (task.isolated)
+        {
+            containment_.on_isolated_end(job.submission.matched_route.name);
+        }
         if (job.first_task_pending)
         {
             unblock_after_first_task(ref.job, job);
@@ -276,6 +280,7 @@
     if (end.outcome == run_outcome::target_lost)
     {
         task.state = task_state::waiting;
+        task.lost_at = agent;
         if (handle_target_loss(ref.job, job, ref, now))
         {
             return;
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -15,6 +15,9 @@
 
 /// Interval after which an unanswered stop request is repeated.
 constexpr duration stop_retry_interval = 200ms;
+/// Starts that are this close together may begin in another order at the
+/// target, as they are sent over several connections.
+constexpr duration start_resolution = 10ms;
 /// Limit on the tasks whose last run number is kept, to bound memory. A number
 /// that is reused after the limit was exceeded is answered as superseded, and
 /// the next higher one is tried.
@@ -155,7 +158,7 @@
                         route_name(r.route),
                         r.order.isolated,
                         crashed && r.known_to_run,
-                        r.started == latest_start});
+                        latest_start - r.started <= start_resolution});
     }
     hooks_.report_loss(lost);
     for (const auto& it : unlisted)
