--- a/packages/core/include/agatebank/core/crash_history.hpp
+++ b/packages/core/include/agatebank/core/crash_history.hpp
@@ -30,10 +30,11 @@
 /// targets away: 3.3 such jobs a second with two crashes of 3.2 s each are 21
 /// targets. Hence the route is put on probation; see job_scheduler for what
 /// that means. The reason is a target that crashed while a task of the route
-/// was alone there, a task that had started last at two crashes while no task of
-/// another route was at both, a job whose tasks had started last at three, or a
-/// series of crashes at most of which a task of the route had started last. A
-/// crash at which tasks of several routes had started last accuses none of them.
+/// was alone there, a task that had started last at two crashes while no task
+/// of another route was at both, a job whose tasks had started last at three,
+/// or a series of crashes at most of which a task of the route had started
+/// last. A crash at which tasks of several routes had started last accuses none
+/// of them.
 ///
 /// Losses at which a task of another route on probation was present accuse no
 /// further route.
--- a/packages/core/include/agatebank/core/crash_report.hpp
+++ b/packages/core/include/agatebank/core/crash_report.hpp
@@ -55,8 +55,8 @@
     route_name route;     ///< of the job
     service_name service; ///< of the target
     target_loss_id loss;
-    bool isolated = false;     ///< no other task was running there
-    bool confirmed = false;    ///< the task had started, and the target crashed
+    bool isolated = false;  ///< no other task was running there
+    bool confirmed = false; ///< the task had started, and the target crashed
     /// of the tasks that were there, or at about the same time as the last one
     bool started_last = false;
 
--- a/packages/core/src/crash_history.cpp
+++ b/packages/core/src/crash_history.cpp
@@ -130,9 +130,10 @@
         [&](const auto& other)
         {
             const auto& [position, others] = other;
-            const auto shared = std::count_if(
-                losses.begin(), losses.end(), [&others](const auto& id)
-                { return others.losses.contains(id); });
+            const auto shared =
+                std::count_if(losses.begin(), losses.end(),
+                              [&others](const auto& id)
+                              { return others.losses.contains(id); });
             return others.route != record.route &&
                    shared >= static_cast<std::ptrdiff_t>(suspect_losses);
         });
--- a/packages/fleet/src/crash_containment.cpp
+++ b/packages/fleet/src/crash_containment.cpp
@@ -248,11 +248,10 @@
                                    const target_map& targets,
                                    std::size_t entries, time_point now)
 {
-    auto in = estimator_.estimate(
-        route, entries,
-        now - record.since >= min_evidence_time &&
-            record.harmless_runs >= min_harmless_runs,
-        now);
+    auto in = estimator_.estimate(route, entries,
+                                  now - record.since >= min_evidence_time &&
+                                      record.harmless_runs >= min_harmless_runs,
+                                  now);
     const auto& probation = probation_targets(record.service, targets);
     for (const auto& [agent, t] : targets)
     {
