--- a/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
+++ b/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
@@ -68,6 +68,8 @@
     agent_incarnation agent;
     uint32_t attempt = 0;
     uint32_t failures = 0;
+    /// agent whose target was lost while the task was there, the last one
+    std::optional<agent_incarnation> lost_at;
     uint32_t stalls = 0;
     time_point lost_until;
     bool isolated = false; ///< runs alone, on a probation target
@@ -75,6 +77,8 @@
     std::optional<order_return> returned;
     bool has_waited = false; ///< near its data; it waits there only once
     std::optional<locality_choice> wait; ///< near its data, not over yet
+    /// its wait ended without a run, see starts_behind_others
+    bool wait_given_up = false;
     std::set<agent_incarnation> excluded;
 };
 
