Test that agents keep to the report period that an entry requested

Cause: the unit tests of the agent's reports and of the entry's requests don't show that a request reaches the agent.

Change: the relay test, whose first entry requests 400 ms and gets no orders of its own done, counts the reports of changed amounts that this entry receives. The bound is two agents times the periods that have passed and two.

--- a/tests/platform/unit-relay.cpp
+++ b/tests/platform/unit-relay.cpp
@@ -55,12 +55,17 @@
 } // namespace
 
 // Guards against relays that no process ever makes, or whose outcome doesn't
-// reach the caller.
+// reach the caller, and against agents that report each change of their load to
+// a small entry, which requests 400 ms.
 TEST_CASE("relay: an entry over its processor share relays jobs, and their "
           "callers are answered")
 {
     node_cluster c(relay_plan(60ms));
     REQUIRE(wait_until_relaying(c));
+    constexpr auto reports =
+        R"(agatebank_load_reports_received{kind="amount"})";
+    const auto reports_before = c.entry_metric(first, reports);
+    const auto begin = c.loop.now();
     constexpr int jobs = 5;
     for (int i = 0; i < jobs; ++i)
     {
@@ -69,6 +74,9 @@
         CHECK(c.job(j).status == 200);
         CHECK(c.job(j).body == R"({"state":"succeeded"})");
     }
+    const double periods = (c.loop.now() - begin) / 400ms + 2;
+    REQUIRE(reports_before >= 0);
+    CHECK(c.entry_metric(first, reports) - reports_before <= 2 * periods);
     CHECK(c.entry_metric(first, "agatebank_relays_answered") == jobs);
     CHECK(c.entry_metric(second, "agatebank_jobs_succeeded") == jobs);
     check_ledger(c);
