Tell an entry's own delay from that of the targets

Cause: the error of past forecasts is taken from the whole time of a job. At an entry whose process is throttled this includes the time in which results wait to be read, so jobs count as late, the corrected ends are too late, and jobs are refused as late although they would be on time without the entry's delay.

Change: own_delay_estimator keeps the median of the part of an order's time that its agent doesn't account for, and of the measured loop delay, over the last second. Where the former exceeds 25 ms, the time that placement allows for, it is taken out of the targets' error and lateness. The expected end contains it as a component of its own; whether a job is late is judged without it, whether its answer is useless with it. job_scheduler::on_loop_lag takes the measured loop delay; no process calls it yet.

--- a/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/job_scheduler.hpp
@@ -15,6 +15,7 @@
 #include <agatebank/fleet/job_forecast.hpp>
 #include <agatebank/fleet/load_shedding.hpp>
 #include <agatebank/fleet/order_return.hpp>
+#include <agatebank/fleet/own_delay_estimator.hpp>
 #include <agatebank/fleet/placement.hpp>
 #include <agatebank/fleet/scheduled_job.hpp>
 #include <agatebank/fleet/target_load_tracker.hpp>
@@ -144,6 +145,9 @@
     on_crashes(const std::vector<crash_report>& reports, time_point now);
     void on_end(agent_incarnation agent, const order_result& end,
                 time_point now);
+    /// @brief Reports a measured delay of this process's event loop. Job ends
+    /// are expected later by it.
+    void on_loop_lag(duration lag, time_point now);
     /// @brief Places waiting tasks and ends jobs that reached their deadline.
     void tick(time_point now);
 
@@ -262,6 +266,10 @@
     bool can_finish_elsewhere(const job_record& job, const order_ref& ref,
                               time_point now) const;
     void remove_placement(job_record& job, uint32_t step, task_record& task);
+    /// @brief Measures the part of an order's time that its agent doesn't
+    /// account for, and adds it to the delay of the job's steps.
+    void observe_own_delay(job_record& job, const order_ref& ref,
+                           const order_result& end, time_point now);
     bool complete_task(job_key key, job_record& job, const order_ref& ref,
                        time_point now);
     std::string targets_of(const job_record& job) const;
@@ -290,6 +298,7 @@
     job_scheduler_hooks hooks_;
     job_forecast forecast_;
     forecast_correction forecast_error_;
+    own_delay_estimator own_delay_;
     demand_tracker demand_;
     target_map targets_;
     crash_containment containment_;
--- a/packages/fleet/include/agatebank/fleet/load_shedding.hpp
+++ b/packages/fleet/include/agatebank/fleet/load_shedding.hpp
@@ -30,6 +30,7 @@
     std::size_t band = 0;
     double utilisation = 0; ///< of the service's targets, with queued work
     forecast_error error;   ///< of its service
+    duration own_delay{};   ///< that the entry adds, not in expected_finish
     route_demand demand;    ///< of its route, without this job
 };
 
@@ -54,16 +55,18 @@
 /// every job is served that can still be useful, the queue grows until all are
 /// late. A job that is late earns a fifth and needs the same work.
 ///
-/// A job that is expected to be on time is always served, so that short tasks
-/// pass while long ones wait. While the targets are full and many jobs of the
-/// service are late, a job that would be late is refused, unless its route has
-/// got less than its minimum share. The minimum is lower for less urgent bands,
-/// and counts at most the route's usual rate, so that a route that floods the
-/// service bears the refusals itself.
+/// A job that is expected to be on time, without the entry's own delay, is
+/// always served, so that short tasks pass while long ones wait. Refusing a job
+/// that only the entry delays would free no target that others wait for. While
+/// the targets are full and many jobs of the service are late, a job that would
+/// be late is refused, unless its route has got less than its minimum share.
+/// The minimum is lower for less urgent bands, and counts at most the route's
+/// usual rate, so that a route that floods the service bears the refusals
+/// itself.
 shedding_verdict decide_shedding(const shedding_input& input);
 
 /// @brief Returns the expected time to the end of a job, corrected for the
-/// error of the latest forecasts.
+/// error of the latest forecasts, with the entry's own delay.
 duration corrected_finish(const shedding_input& input);
 
 /// @brief Tracks the demand of the routes of an entry.
--- a/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
+++ b/packages/fleet/include/agatebank/fleet/scheduled_job.hpp
@@ -65,6 +65,7 @@
 {
     task_state state = task_state::blocked;
     order_id order;
+    time_point ordered_at;
     agent_incarnation agent;
     uint32_t attempt = 0;
     uint32_t failures = 0;
@@ -85,6 +86,8 @@
 {
     std::vector<scheduled_task> tasks;
     uint32_t unfinished_tasks = 0;
+    /// of the orders that ended last, of this step and of those before it
+    duration own_delay{};
     std::map<agent_incarnation, uint32_t> placed;
 };
 
@@ -98,6 +101,7 @@
     time_point useful_until;
     time_point deadline;
     duration expected_finish{}; ///< from arrival, as admitted
+    duration own_delay{};       ///< the entry's, of its step that ended last
     uint32_t unfinished_steps = 0;
     bool may_have_run = false;
     bool first_task_pending = false; ///< the others wait for its end
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -224,6 +224,7 @@
         }
         auto& target = targets_.at(choice->agent);
         task.order = order_id(++last_order_);
+        task.ordered_at = now;
         task.agent = choice->agent;
         target.add_order(task.order, request.step->task_resources, request.band,
                          choice->run_time);
--- a/packages/fleet/src/job_scheduler_ends.cpp
+++ b/packages/fleet/src/job_scheduler_ends.cpp
@@ -236,6 +236,7 @@
     if (end.outcome == run_outcome::done)
     {
         learn_run_time(job, ref.step, agent, end);
+        observe_own_delay(job, ref, end, now);
         if (job.first_task_pending)
         {
             unblock_after_first_task(ref.job, job);
--- a/packages/fleet/src/load_shedding.cpp
+++ b/packages/fleet/src/load_shedding.cpp
@@ -41,7 +41,8 @@
     // Work that waits delays long and short jobs by like times; a short job's
     // error is bounded by the ratio as well, since its tasks pass long ones.
     return std::min(scale(input.expected_finish, input.error.ratio),
-                    input.expected_finish + input.error.delay);
+                    input.expected_finish + input.error.delay) +
+           input.own_delay;
 }
 
 double service_utilisation(const target_map& targets,
@@ -71,8 +72,7 @@
 
 shedding_verdict decide_shedding(const shedding_input& input)
 {
-    const auto finish = corrected_finish(input);
-    if (finish <= input.objective)
+    if (corrected_finish(input) - input.own_delay <= input.objective)
     {
         return shedding_verdict::serve;
     }
@@ -88,8 +88,9 @@
     {
         return shedding_verdict::serve;
     }
-    return finish > input.latest_useful ? shedding_verdict::useless
-                                        : shedding_verdict::shed;
+    return corrected_finish(input) > input.latest_useful
+               ? shedding_verdict::useless
+               : shedding_verdict::shed;
 }
 
 demand_tracker::route_state demand_tracker::decayed(route_state r,
--- a/packages/fleet/tests/overload_replay.hpp
+++ b/packages/fleet/tests/overload_replay.hpp
@@ -42,6 +42,8 @@
     std::function<double(int target)> hang_share;
     /// whether a target accepts work at a time since the start
     std::function<bool(int target, duration since_start)> is_up;
+    /// time for which an entry processes no event from a time since the start
+    std::function<duration(int entry, duration since_start)> entry_pause;
     uint64_t seed = 20261204;
 };
 
@@ -78,7 +80,8 @@
     uint64_t moved = 0;
     uint64_t shed = 0;
     int max_returns_of_task = 0;
-    std::vector<std::string> decisions; ///< orders and answers, with times
+    std::vector<std::string> decisions;  ///< orders and answers, with times
+    std::map<int, int> refused_by_entry; ///< if entry_pause is set
     uint64_t hung_runs = 0;
     uint64_t runs = 0;
     std::vector<uint64_t> runs_by_target;
--- a/packages/fleet/tests/unit-load_shedding.cpp
+++ b/packages/fleet/tests/unit-load_shedding.cpp
@@ -108,6 +108,7 @@
         forecast_error error;
         route_demand demand;
         shedding_verdict verdict;
+        duration own_delay{};
     };
     using verdict = shedding_verdict;
     const row rows[] = {
@@ -122,7 +123,11 @@
         {"late, below its minimum", 150ms, 1.2, overload, starved,
          verdict::serve},
         {"late, of a route that floods", 150ms, 1.2, overload, half_of_flood,
-         verdict::shed}};
+         verdict::shed},
+        {"late only by the entry's own delay", 90ms, 1.2, overload, served,
+         verdict::serve, 500ms},
+        {"useless by the entry's own delay, late without it", 150ms, 1.2,
+         overload, served, verdict::useless, 160ms}};
     for (const auto& it : rows)
     {
         INFO(it.name);
@@ -133,6 +138,7 @@
         input.utilisation = it.utilisation;
         input.error = it.error;
         input.demand = it.demand;
+        input.own_delay = it.own_delay;
         CHECK(decide_shedding(input) == it.verdict);
     }
 }
--- a/packages/fleet/tests/unit-overload_replay.cpp
+++ b/packages/fleet/tests/unit-overload_replay.cpp
@@ -47,6 +47,7 @@
     time_point arrived;
     duration objective{};
     bool has_run = false;
+    int entry = 0;
 };
 
 class replay_simulation
@@ -151,6 +152,21 @@
         return !options_.is_up || options_.is_up(a, now_ - start);
     }
 
+    // Passes an event to an entry as soon as its process runs.
+    void at_entry(int e, duration delay, std::function<void()> fn)
+    {
+        at(delay,
+           [this, e, fn = std::move(fn)]
+           {
+               if (options_.entry_pause)
+               {
+                   at(options_.entry_pause(e, now_ - start), fn);
+                   return;
+               }
+               fn();
+           });
+    }
+
     // jobs
 
     void schedule_arrivals(const replay_kind& kind)
@@ -200,7 +216,14 @@
         s.plan.steps = {step};
         s.deadline = std::max<duration>(caller_patience, 4 * job.objective);
         const auto e = random() % std::size_t(options_.entries);
-        entries_[e]->admit(key, std::move(s), now_);
+        if (!options_.entry_pause)
+        {
+            entries_[e]->admit(key, std::move(s), now_);
+            return;
+        }
+        jobs_[key].entry = int(e);
+        at_entry(int(e), 0ms,
+                 [this, e, key, s] { entries_[e]->admit(key, s, now_); });
     }
 
     void finish(job_key key, const job_outcome& outcome)
@@ -225,6 +248,7 @@
         {
             const bool not_run = outcome.result == job_result::not_run;
             ++(not_run ? k.refused : k.given_up);
+            result_.refused_by_entry[job.entry] += not_run ? 1 : 0;
             result_.false_not_run += not_run && job.has_run ? 1 : 0;
         }
         served_[job.kind->name].emplace_back(job.work, served);
@@ -284,8 +308,16 @@
 
     void tick_again(int e)
     {
-        entries_[e]->tick(now_);
-        at(entry_tick_period, [this, e] { tick_again(e); });
+        const auto pause = options_.entry_pause
+                               ? options_.entry_pause(e, now_ - start)
+                               : duration(0);
+        at(pause,
+           [this, e, pause]
+           {
+               entries_[e]->on_loop_lag(pause, now_);
+               entries_[e]->tick(now_);
+               at(entry_tick_period, [this, e] { tick_again(e); });
+           });
     }
 
     void report_load(int e, int a)
@@ -293,8 +325,9 @@
         auto load = agents_[a]->load(now_);
         load.accepts_work = is_up(a);
         load.last_order_received = last_received_[{e, a}];
-        at(2ms, [this, e, a, load]
-           { entries_[e]->set_load(agent_incarnation(a), load, now_); });
+        at_entry(e, 2ms,
+                 [this, e, a, load]
+                 { entries_[e]->set_load(agent_incarnation(a), load, now_); });
         at(options_.report_period, [this, e, a] { report_load(e, a); });
     }
 
@@ -321,8 +354,9 @@
         };
         h.report = [this, a](order_source s, const order_result& end)
         {
-            at(2ms, [this, a, e = s.value(), end]
-               { entries_[e]->on_end(agent_incarnation(a), end, now_); });
+            at_entry(int(s.value()), 2ms,
+                     [this, a, e = s.value(), end]
+                     { entries_[e]->on_end(agent_incarnation(a), end, now_); });
         };
         h.report_loss = [](const std::vector<lost_run>&) {
         };
