--- a/packages/fleet/src/job_scheduler_ends.cpp
+++ b/packages/fleet/src/job_scheduler_ends.cpp
@@ -240,6 +240,7 @@
         {
             containment_.on_isolated_end(job.submission.matched_route.name);
         }
+        observe_own_delay(job, ref, end, now);
         if (job.first_task_pending)
         {
             unblock_after_first_task(ref.job, job);
