Split the configuration off entry_node.cpp

The functions that put configurations and evacuations in force move to a file of their own, without a change of behaviour.

--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -13,7 +13,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr const char* step_configuration = "configuration";
 constexpr const char* step_link = "link";
 constexpr const char* step_process = "process";
 
@@ -208,41 +207,7 @@
     context_.timers.schedule(50ms, std::exchange(on_stopped_, nullptr));
 }
 
-// configuration
-
-void entry_node::update_configuration(const std::string& text,
-                                      const char* source)
-{
-    auto read = hooks_.parse_routes(text);
-    if (!read)
-    {
-        context_.log(to_record(log_level::error, read.error()));
-        return;
-    }
-    if (read->version() <= routes_.version())
-    {
-        return;
-    }
-    routes_ = std::move(*read);
-    configuration_text_ = text;
-    context_.observer.on_phase(phase_configuration);
-    context_.log(to_line(
-        log_level::info,
-        "configuration version " + std::to_string(routes_.version().value()) +
-            " is in force, " + std::to_string(routes_.routes().size()) +
-            " routes, received from " + source,
-        step_configuration));
-    report_readiness();
-    if (configuration_handler_)
-    {
-        configuration_handler_();
-    }
-}
-
-void entry_node::on_configuration(std::function<void()> handler)
-{
-    configuration_handler_ = std::move(handler);
-}
+// jobs
 
 duration
 entry_node::configuration_hold_time(std::optional<duration> deadline) const
@@ -252,31 +217,6 @@
         discovery_window(settings_.announcement_period), deadline);
 }
 
-void entry_node::update_evacuation(const evacuation_state& state,
-                                   const std::string& source)
-{
-    if (!scheduler_.set_evacuation(state, source))
-    {
-        return;
-    }
-    for (const auto& [link, agent] : agents_)
-    {
-        send_evacuation(link);
-    }
-    for (const auto link : peers_)
-    {
-        send_evacuation(link);
-    }
-    scheduler_.tick(context_.loop.now());
-}
-
-const route_table& entry_node::routes() const noexcept
-{
-    return routes_;
-}
-
-// jobs
-
 void entry_node::submit(uint64_t number, job_submission arrival, answer done)
 {
     if (relay_.attach(arrival.id, number, done) ||
