One epoll set for links; timers and deferred calls in one source each

Cause: GLib prepares, polls and checks every source at each wake-up. An entry with 52 agents had a source per link, one more per link that waits to write, one per timer, and allocated one per deferred call and per rearmed timer queue. In a profile of an entry at 200 jobs/s, sock_poll, fdget, tcp_poll and g_main_context_check lead the list.

Change: loop/socket_poller waits for the sockets of links with epoll behind one source. Events carry an id that is never reused, so that an event of a batch whose socket an earlier callback closed is dropped, also when a new socket has got its descriptor. loop/timer_schedule holds the timers of event_loop, and loop/deferred_calls the deferred calls: links with data to send are flushed at the end of the iteration in which the data was queued, not in an iteration of their own. Periodic timers run before sockets and other timers after them, the usual order of their sources before. A process whose epoll set can't be created doesn't start (step loop.epoll_create, errno); a link whose socket can't be watched closes with loop.epoll_add or loop.epoll_modify.

A link that was dialled had a second time-out besides its silence time-out: the socket inherited the connector's whole seconds, and GLib's source then reported "Socket I/O timed out" (seen after 1,001 ms with a small GLib program). Only the silence time-out remains. For nodes it is shorter (800 ms), so nothing changes there.

Tests: loop_tests (new), wire_tests and platform_process_tests pass. Nine changes of the code were tried on a scratch copy; each fails a test: ids equal to descriptors, removal without a look at the owner of a descriptor, a batch of one event, always waiting for writability, one-shot timers before sockets, none in nested loops, timers by expiry, one round of deferred calls, sources that don't recurse.

--- a/packages/daemon/include/agatebank/daemon/process_runtime.hpp
+++ b/packages/daemon/include/agatebank/daemon/process_runtime.hpp
@@ -44,7 +44,8 @@
     /// @brief Reads the shared key and opens the log.
     /// @return errc::settings_unreadable when the key file cannot be read,
     /// errc::settings_invalid for an unknown log level,
-    /// errc::log_unwritable when the log file cannot be opened
+    /// errc::log_unwritable when the log file cannot be opened, an errno when
+    /// the event loop has no epoll set
     static result<std::unique_ptr<process_runtime>>
     open(const runtime_settings& settings);
 
--- a/packages/daemon/src/process_runtime.cpp
+++ b/packages/daemon/src/process_runtime.cpp
@@ -77,6 +77,10 @@
     }
     std::unique_ptr<process_runtime> out(
         new process_runtime(settings, std::move(key)));
+    if (const auto& ready = out->loop.status(); !ready)
+    {
+        return tl::unexpected(ready.error());
+    }
     json_log_options options{settings.log_file, *level, settings.name,
                              settings.failure_domain};
     options.defer = [&loop = out->loop](std::function<void()> fn)
--- a/packages/loop/include/agatebank/loop/event_loop.hpp
+++ b/packages/loop/include/agatebank/loop/event_loop.hpp
@@ -1,22 +1,24 @@
 #pragma once
 
+#include <agatebank/core/result.hpp>
 #include <agatebank/core/units.hpp>
+#include <agatebank/loop/deferred_calls.hpp>
 #include <agatebank/loop/object_ptr.hpp>
-
-#include <glib.h>
+#include <agatebank/loop/socket_poller.hpp>
+#include <agatebank/loop/timer_schedule.hpp>
+#include <agatebank/loop/watch.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
 
 namespace agatebank
 {
 
-/// @brief Owns an active timer or signal handler; destroying it removes it.
-using watch = source_ptr;
-
 /// @brief The event loop of the process, of which there is only one. It runs
-/// GLib's default main context on a single thread.
+/// GLib's default main context on a single thread. Its periodic timers, other
+/// timers, deferred calls and sockets have one GLib source each, because GLib
+/// visits all sources in each iteration. An iteration calls periodic timers,
+/// sockets, other timers and deferred calls, in this order.
 class event_loop
 {
   public:
@@ -26,7 +28,6 @@
     event_loop();
     event_loop(const event_loop&) = delete;
     event_loop& operator=(const event_loop&) = delete;
-    ~event_loop();
 
     // running
     /// @brief Runs until @ref quit is called.
@@ -39,17 +40,38 @@
     time_point now() const;
 
     // callbacks
-    /// @brief Calls @p fn once after @p delay.
+    /// @brief Calls @p fn once after @p delay, with a resolution of 1 ms. What
+    /// sockets have received by then is read before, so that a process that was
+    /// paused doesn't time out calls that have been answered.
     [[nodiscard]] watch after(duration delay, callback fn);
     /// @brief Calls @p fn every @p period until the watch is destroyed.
     [[nodiscard]] watch every(duration period, callback fn);
     /// @brief Calls @p fn for each delivery of a Unix signal.
     [[nodiscard]] watch on_signal(int signal_number, callback fn);
-    /// @brief Calls @p fn once, in the next iteration of the loop.
+    /// @brief Calls @p fn once, at the end of the current iteration of the loop
+    /// or in the next one, after those that were deferred before it.
     void defer(callback fn);
 
+    // sockets
+    /// @brief The sockets that the loop waits for with one epoll set.
+    socket_poller& sockets() noexcept;
+    /// @return the failure of a step without which the loop cannot wait for
+    /// sockets; checked when the process starts
+    const result<void>& status() const noexcept;
+
   private:
-    GMainLoop* loop_;
+    int timeout_ms(const timer_schedule& timers) const;
+
+    /// Destroyed last, because what pending callbacks own may remove sockets.
+    socket_poller sockets_;
+    std::shared_ptr<timer_schedule> periodic_;
+    std::shared_ptr<timer_schedule> one_shots_;
+    source_ptr periodic_source_;
+    source_ptr one_shot_source_;
+    deferred_calls deferred_;
+    bool running_ = false;
+    /// Depth of GLib's callbacks that @ref run dispatches itself; 0: none.
+    int run_depth_ = 0;
 };
 
 } // namespace agatebank
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -1,4 +1,3 @@
-#include <agatebank/loop/socket_source.hpp>
 #include <agatebank/wire/tcp_link.hpp>
 
 #include <algorithm>
@@ -108,8 +107,8 @@
     time_point remote_clock_read_at;
     bool has_remote_clock = false;
     duration min_round_trip{};
-    source_ptr read_source;
-    source_ptr write_source;
+    socket_watch_id socket_watch;
+    bool awaits_writable = false;
     watch timer;
 
     state(const link_context& c, object_ptr<GSocketConnection> conn,
@@ -132,7 +131,19 @@
         g_socket_set_option(socket(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
         last_received = context.loop.now();
         send_buffer = local_nonce;
-        read_source = watch_socket(socket(), G_IO_IN, on_readable, this);
+        if (const auto watched = watch_socket(); !watched)
+        {
+            // The owner doesn't know the link yet.
+            context.loop.defer(
+                [weak = weak_from_this(), why = watched.error()]
+                {
+                    if (const auto self = weak.lock())
+                    {
+                        self->close(why);
+                    }
+                });
+            return;
+        }
         if (context.options.own_timer)
         {
             timer = context.loop.every(context.options.heartbeat_period / 2,
@@ -141,11 +152,36 @@
         schedule_flush();
     }
 
+    // Each callback keeps the link alive, because a handler may destroy it.
+    result<void> watch_socket()
+    {
+        const auto id = context.loop.sockets().add(g_socket_get_fd(socket()),
+                                                   {[this]
+                                                    {
+                                                        const auto keep =
+                                                            shared_from_this();
+                                                        read_available();
+                                                    },
+                                                    [this]
+                                                    {
+                                                        const auto keep =
+                                                            shared_from_this();
+                                                        flush();
+                                                    }});
+        if (!id)
+        {
+            auto why = id.error();
+            why.peer = peer;
+            return tl::unexpected(std::move(why));
+        }
+        socket_watch = *id;
+        return {};
+    }
+
     void end()
     {
         open = false;
-        read_source.reset();
-        write_source.reset();
+        context.loop.sockets().remove(socket_watch);
         timer.reset();
         if (connection)
         {
@@ -214,7 +250,7 @@
 
     void schedule_flush()
     {
-        if (flush_pending || write_source)
+        if (flush_pending || awaits_writable)
         {
             return;
         }
@@ -264,39 +300,29 @@
         {
             send_buffer.clear();
             send_offset = 0;
-            write_source.reset();
-            return;
         }
-        wait_writable();
+        wait_writable(!send_buffer.empty());
     }
 
-    void wait_writable()
+    void wait_writable(bool wait)
     {
-        if (write_source)
+        if (wait == awaits_writable)
         {
             return;
         }
-        write_source = watch_socket(socket(), G_IO_OUT, on_writable, this);
-    }
-
-    static gboolean on_writable(GSocket*, GIOCondition, gpointer data)
-    {
-        auto* self = static_cast<state*>(data);
-        const auto keep = self->shared_from_this();
-        self->flush();
-        return G_SOURCE_CONTINUE;
+        awaits_writable = wait;
+        const auto done =
+            context.loop.sockets().wait_writable(socket_watch, wait);
+        if (!done)
+        {
+            auto why = done.error();
+            why.peer = peer;
+            close(why);
+        }
     }
 
     // receiving
 
-    static gboolean on_readable(GSocket*, GIOCondition, gpointer data)
-    {
-        auto* self = static_cast<state*>(data);
-        const auto keep = self->shared_from_this();
-        self->read_available();
-        return G_SOURCE_CONTINUE;
-    }
-
     void read_available()
     {
         std::array<char, read_chunk_bytes> buf;
