Watch callers that wait for an answer through the epoll set

Cause: each request that is served had a GLib source on its caller's socket, to notice that the caller has gone. These sockets were polled at each wake-up.

Change: they are in the loop's epoll set. libsoup may close such a socket before the watch ends; the kernel has then dropped the registration itself.

Tests: http_tests (555 assertions) and platform_process_tests pass.

--- a/packages/http/src/http_server.cpp
+++ b/packages/http/src/http_server.cpp
@@ -1,5 +1,5 @@
 #include <agatebank/http/http_server.hpp>
-#include <agatebank/loop/socket_source.hpp>
+#include <agatebank/loop/socket_poller.hpp>
 
 #include <algorithm>
 #include <cerrno>
@@ -210,7 +210,8 @@
     bool answered = false;
     uint64_t request_id = 0;
     std::function<void(uint64_t)> abandoned;
-    source_ptr peer_watch; ///< libsoup does not read while paused
+    socket_poller& sockets;
+    socket_watch_id peer_watch; ///< libsoup does not read while paused
     gulong finished_handler = 0;
     gulong disconnected_handler = 0;
 
@@ -218,7 +219,7 @@
     {
         auto* self = static_cast<exchange*>(data);
         self->closed = true;
-        self->peer_watch.reset();
+        self->end_peer_watch();
         self->notify_abandoned();
     }
 
@@ -241,33 +242,43 @@
             return;
         }
         abandoned = std::move(fn);
-        peer_watch = watch_socket(socket, G_IO_IN, on_peer_readable, this);
+        const int fd = g_socket_get_fd(socket);
+        const auto id = sockets.add(fd, {[this, fd] { check_peer(fd); }, {}});
+        if (!id)
+        {
+            // The end of the job is unaffected: its answer is not delivered.
+            g_warning("%s", id.error().to_string().c_str());
+            return;
+        }
+        peer_watch = *id;
     }
 
-    static gboolean on_peer_readable(GSocket* socket, GIOCondition,
-                                     gpointer data)
+    void end_peer_watch()
+    {
+        sockets.remove(std::exchange(peer_watch, {}));
+    }
+
+    void check_peer(int fd)
     {
-        auto* self = static_cast<exchange*>(data);
         char byte = 0;
-        const auto n =
-            ::recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const auto n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         const bool open =
             n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
         if (open && n < 0)
         {
-            return G_SOURCE_CONTINUE;
+            return;
         }
         // Unread data of a pipelined request hides the end of the connection,
         // so the watch ends without a notification.
-        const source_ptr keep = std::move(self->peer_watch);
+        end_peer_watch();
         if (!open)
         {
-            self->notify_abandoned();
+            notify_abandoned();
         }
-        return G_SOURCE_REMOVE;
     }
 
-    explicit exchange(SoupServerMessage* m) : message(share_object(m))
+    exchange(SoupServerMessage* m, socket_poller& s)
+        : message(share_object(m)), sockets(s)
     {
         finished_handler =
             g_signal_connect(m, "finished", G_CALLBACK(on_closed), this);
@@ -277,6 +288,7 @@
 
     ~exchange()
     {
+        end_peer_watch();
         g_signal_handler_disconnect(message.get(), finished_handler);
         g_signal_handler_disconnect(message.get(), disconnected_handler);
     }
@@ -409,7 +421,7 @@
         return;
     }
     soup_server_message_pause(message);
-    auto ex = std::make_shared<exchange>(message);
+    auto ex = std::make_shared<exchange>(message, self->loop_.sockets());
     auto request = read_request(message, path, query);
     request.request_id = ex->request_id = ++self->last_request_id_;
     ex->watch_peer(self->abandoned_);
@@ -459,7 +471,7 @@
             return;
         }
         ex->answered = true;
-        ex->peer_watch.reset();
+        ex->end_peer_watch();
         write_response(ex->message.get(), r);
         soup_server_message_unpause(ex->message.get());
     };
