--- a/packages/fleet/src/job_scheduler_explanation.cpp
+++ b/packages/fleet/src/job_scheduler_explanation.cpp
@@ -82,6 +82,7 @@
     , hooks_(std::move(hooks))
     , forecast_(other.forecast_)
     , forecast_error_(other.forecast_error_)
+    , own_delay_(other.own_delay_)
     , demand_(other.demand_)
     , targets_(other.targets_)
     , containment_(other.containment_)
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -170,7 +170,9 @@
 {
     const auto now = context_.loop.now();
     const auto pause = now - std::exchange(last_timer_, now);
-    context_.observer.on_loop_lag(std::max(duration(0), pause - timer_period));
+    const auto lag = std::max(duration(0), pause - timer_period);
+    context_.observer.on_loop_lag(lag);
+    scheduler_.on_loop_lag(lag, now);
     if (pause > max_pause)
     {
         context_.log(to_line(
