--- a/packages/core/src/crash_history.cpp
+++ b/packages/core/src/crash_history.cpp
@@ -129,7 +129,7 @@
         tasks_.begin(), tasks_.end(),
         [&](const auto& other)
         {
-            const auto& [position, others] = other;
+            const auto& others = other.second;
             const auto shared =
                 std::count_if(losses.begin(), losses.end(),
                               [&others](const auto& id)
