Show how late a request or an order was when it was handled

Logs couldn't tell whether an entry read a request after its caller had left, nor how long an order was under way. Now: a request tells whether its client had closed the connection when it was read (http_request::client_left), which an entry logs and counts (agatebank_jobs_read_late); each message carries a reading of its sender's clock, from which the receiver estimates how long it was under way beyond the fastest recent message of the link (delay_estimator); agents log orders under way for 200 ms or more, and agatebank_link_delay_seconds shows the longest delay of a last message. The reading is that of the beginning of the sender's turn of the event loop: what its sockets had received by then has been handled when the message leaves.

No decision changes.

--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -95,6 +95,11 @@
     metrics.add_gauge(
         {"agatebank_link_bytes_sent", "Bytes sent to processes.", {}}, [&links]
         { return static_cast<double>(links.total_traffic().bytes_sent); });
+    metrics.add_gauge(
+        {"agatebank_link_delay_seconds",
+         "Delay of the last message of a link, the longest of all links.",
+         {}},
+        [&links] { return to_seconds(links.longest_delay()); });
     metrics.add_gauge(
         {"agatebank_known_entries", "Other entries in the roster.", {}},
         [&entries] { return static_cast<double>(entries.known_entries()); });
--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -171,6 +171,11 @@
          "Requests that waited for the first configuration.",
          {}},
         [&ingress] { return static_cast<double>(ingress.requests_held()); });
+    rt.metrics.add_gauge(
+        {"agatebank_jobs_read_late",
+         "Jobs that were read after their caller had closed the connection.",
+         {}},
+        [&ingress] { return static_cast<double>(ingress.jobs_read_late()); });
     http_server callers(rt.loop, to_server_options(settings.callers));
     ingress.add_caller_routes(callers);
     http_server readiness(rt.loop, to_server_options(settings.readiness));
--- a/packages/http/include/agatebank/http/http_message.hpp
+++ b/packages/http/include/agatebank/http/http_message.hpp
@@ -31,6 +31,9 @@
     std::string body;
     std::string peer;        ///< address of the client
     uint64_t request_id = 0; ///< identifies it at its server, from 1
+    /// The client had closed its connection when the request was read. Set only
+    /// by a server with a callback for abandoned requests.
+    bool client_left = false;
 
     /// @brief A header's value, empty when absent. @param name lower case
     const std::string& header(const std::string& name) const;
--- a/packages/http/src/http_server.cpp
+++ b/packages/http/src/http_server.cpp
@@ -146,6 +146,25 @@
     return rq;
 }
 
+enum class peer_state
+{
+    waiting, ///< for the response
+    closed,
+    unknown ///< unread data of a pipelined request hides the end
+};
+
+peer_state look_at_peer(int fd)
+{
+    char byte = 0;
+    const auto n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0)
+    {
+        return peer_state::unknown;
+    }
+    return n < 0 && (errno == EAGAIN || errno == EINTR) ? peer_state::waiting
+                                                        : peer_state::closed;
+}
+
 std::optional<http_response> refuse_body(SoupServerMessage* message)
 {
     const auto refuse = [](unsigned status, errc e, std::string detail)
@@ -234,12 +253,13 @@
 
     // Calls @p fn when the client closes its connection before the response.
     // libsoup does not detect that while the message is paused.
-    void watch_peer(std::function<void(uint64_t)> fn)
+    // @return whether the client has closed it already
+    bool watch_peer(std::function<void(uint64_t)> fn)
     {
         GSocket* socket = soup_server_message_get_socket(message.get());
         if (!fn || socket == nullptr)
         {
-            return;
+            return false;
         }
         abandoned = std::move(fn);
         const int fd = g_socket_get_fd(socket);
@@ -248,9 +268,12 @@
         {
             // The end of the job is unaffected: its answer is not delivered.
             g_warning("%s", id.error().to_string().c_str());
-            return;
         }
-        peer_watch = *id;
+        else
+        {
+            peer_watch = *id;
+        }
+        return look_at_peer(fd) == peer_state::closed;
     }
 
     void end_peer_watch()
@@ -260,18 +283,13 @@
 
     void check_peer(int fd)
     {
-        char byte = 0;
-        const auto n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool open =
-            n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
-        if (open && n < 0)
+        const auto state = look_at_peer(fd);
+        if (state == peer_state::waiting)
         {
             return;
         }
-        // Unread data of a pipelined request hides the end of the connection,
-        // so the watch ends without a notification.
         end_peer_watch();
-        if (!open)
+        if (state == peer_state::closed)
         {
             notify_abandoned();
         }
@@ -424,7 +442,7 @@
     auto ex = std::make_shared<exchange>(message, self->loop_.sockets());
     auto request = read_request(message, path, query);
     request.request_id = ex->request_id = ++self->last_request_id_;
-    ex->watch_peer(self->abandoned_);
+    request.client_left = ex->watch_peer(self->abandoned_);
     self->dispatch(ex, std::move(request));
 }
 
--- a/packages/http/tests/unit-http_server.cpp
+++ b/packages/http/tests/unit-http_server.cpp
@@ -311,3 +311,52 @@
     f.run();
     CHECK(contains(c->received(), "late"));
 }
+
+// Guards against work for a client that left while its request waited to be
+// read: the end of its connection is noticed only after the handler was called.
+TEST_CASE(
+    "http_server: a request tells whether its client had left when it was "
+    "read")
+{
+    enum class client
+    {
+        waits,
+        closes,
+        resets
+    };
+    struct row
+    {
+        const char* name;
+        client action;
+        bool left;
+    };
+    const row rows[] = {{"the client waits", client::waits, false},
+                        {"the client closed", client::closes, true},
+                        {"the client reset", client::resets, true}};
+    for (const auto& row : rows)
+    {
+        SECTION(row.name)
+        {
+            server_fixture f;
+            std::vector<bool> left;
+            f.server->route("POST", "/job",
+                            [&left](const http_request& rq, const auto& respond)
+                            {
+                                left.push_back(rq.client_left);
+                                respond(json_response(200, {}));
+                            });
+            f.server->on_abandoned([](uint64_t) {});
+            const auto c = raw_connect(f.port, nullptr);
+            c->send(post("/job", 3));
+            if (row.action != client::waits)
+            {
+                c->close(row.action == client::resets);
+            }
+            f.run(std::chrono::milliseconds(200));
+            // A request may also be lost with the connection that was reset.
+            CHECK((left == std::vector<bool>{row.left} ||
+                   (row.action == client::resets && left.empty())));
+            CHECK(f.server->in_flight() == 0);
+        }
+    }
+}
--- a/packages/loop/include/agatebank/loop/event_loop.hpp
+++ b/packages/loop/include/agatebank/loop/event_loop.hpp
@@ -38,6 +38,10 @@
     /// @brief Current time of a monotonic clock that includes the time during
     /// which the VM is suspended.
     time_point now() const;
+    /// @brief When the current iteration of @ref run began. What sockets had
+    /// received by then has been handled at the end of the iteration, so that
+    /// deferred calls act on all of it. Outside of run, the current time.
+    time_point iteration_began() const;
 
     // callbacks
     /// @brief Calls @p fn once after @p delay, with a resolution of 1 ms. What
@@ -70,6 +74,7 @@
     source_ptr one_shot_source_;
     deferred_calls deferred_;
     bool running_ = false;
+    time_point iteration_began_;
     /// Depth of GLib's callbacks that @ref run dispatches itself; 0: none.
     int run_depth_ = 0;
 };
--- a/packages/loop/src/event_loop.cpp
+++ b/packages/loop/src/event_loop.cpp
@@ -67,6 +67,7 @@
     const int outer_depth = std::exchange(run_depth_, g_main_depth() + 1);
     while (running_)
     {
+        iteration_began_ = now();
         g_main_context_iteration(nullptr, TRUE);
         one_shots_->run_due(now());
         // Saves the iteration that the source of deferred calls would take.
@@ -90,6 +91,11 @@
         std::chrono::seconds(t.tv_sec) + std::chrono::nanoseconds(t.tv_nsec)));
 }
 
+time_point event_loop::iteration_began() const
+{
+    return run_depth_ == 0 ? now() : iteration_began_;
+}
+
 watch event_loop::after(duration delay, callback fn)
 {
     const auto at = now() + to_whole_milliseconds(delay);
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -77,6 +77,8 @@
     void on_message(link_id link, message&& m);
     void on_closed(link_id link, const failure& why);
     void on_evacuation_update(link_id link, const evacuation_update& update);
+    /// @brief Logs orders that were under way for long.
+    void note_delay(link_id link, const run_batch& batch) const;
     void on_report_request(link_id link, const report_request& request);
     void send_crash_reports(const std::vector<lost_run>& lost);
     void queue_order_result(order_source to, const order_result& result);
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -40,6 +40,9 @@
 /// entries and to finish open connections.
 constexpr duration min_stop_duration = 300ms;
 
+/// Orders with a longer delay are logged.
+constexpr duration noted_order_delay = 200ms;
+
 order_source to_source(link_id link)
 {
     return order_source(link.value());
@@ -495,6 +498,7 @@
     if (const auto* batch = std::get_if<run_batch>(&m))
     {
         context_.observer.on_phase(phase_order);
+        note_delay(link, *batch);
         load_reporter_.on_orders(link, *batch);
         scheduler_.on_batch(to_source(link), *batch, now);
         schedule_flush();
@@ -518,6 +522,21 @@
     }
 }
 
+void agent_node::note_delay(link_id link, const run_batch& batch) const
+{
+    const auto delay = hub_.find(link)->delay();
+    if (delay < noted_order_delay)
+    {
+        return;
+    }
+    auto record = to_line(log_level::info,
+                          std::to_string(batch.orders.size()) +
+                              " orders were under way for " + to_ms_text(delay),
+                          step_link, hub_.find(link)->peer());
+    record.submission = batch.job;
+    context_.log(record);
+}
+
 void agent_node::on_report_request(link_id link, const report_request& request)
 {
     const duration requested(request.min_period_us);
--- a/packages/wire/include/agatebank/wire/link_hub.hpp
+++ b/packages/wire/include/agatebank/wire/link_hub.hpp
@@ -53,6 +53,8 @@
     /// @brief The link, or null if it has closed.
     const tcp_link* find(link_id id) const;
     std::size_t size() const noexcept;
+    /// @brief Longest delay of a last message among the open links.
+    duration longest_delay() const;
     /// @brief Sum over all links, including those that have closed.
     link_traffic total_traffic() const;
     /// @brief Sum over all links of a class, including those that have closed.
--- a/packages/wire/include/agatebank/wire/tcp_link.hpp
+++ b/packages/wire/include/agatebank/wire/tcp_link.hpp
@@ -57,9 +57,10 @@
 };
 
 /// @brief Exchanges messages over one TCP connection. Each side first sends a
-/// random nonce. Each frame then consists of a length of 4 bytes, a tag and a
-/// message; tags also cover the nonces of both sides and the frame's position
-/// in the stream, so that a frame cannot be replayed. The link sends a
+/// random nonce. Each frame then consists of a length of 4 bytes, a tag, a
+/// reading of the sender's clock of 8 bytes and a message; tags also cover the
+/// nonces of both sides and the frame's position in the stream, so that a frame
+/// cannot be replayed. The link sends a
 /// heartbeat in each heartbeat period, and closes when nothing has been
 /// received for longer than the silence timeout.
 class tcp_link
@@ -84,6 +85,10 @@
     /// @brief Address and port of the peer.
     const std::string& peer() const noexcept;
     const link_traffic& traffic() const noexcept;
+    /// @brief How long the last message was under way beyond the fastest recent
+    /// one: on the network, and until each process had time for it. It counts
+    /// from the beginning of the sender's iteration of its event loop.
+    duration delay() const noexcept;
     /// @brief Smallest round trip measured; zero before the first measurement.
     duration round_trip() const noexcept;
     /// @brief Estimate of the peer's process clock at @p now. It is behind the
--- a/packages/wire/src/link_hub.cpp
+++ b/packages/wire/src/link_hub.cpp
@@ -1,5 +1,6 @@
 #include <agatebank/wire/link_hub.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -75,6 +76,16 @@
     return links_.size();
 }
 
+duration link_hub::longest_delay() const
+{
+    duration out{};
+    for (const auto& [id, it] : links_)
+    {
+        out = std::max(out, it.link->delay());
+    }
+    return out;
+}
+
 link_traffic link_hub::total_traffic() const
 {
     link_traffic sum;
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/wire/delay_estimator.hpp>
 #include <agatebank/wire/tcp_link.hpp>
 
 #include <algorithm>
@@ -19,6 +20,7 @@
 constexpr const char* step_silence = "link.silence";
 constexpr std::size_t nonce_bytes = 16;
 constexpr std::size_t length_bytes = 4;
+constexpr std::size_t clock_bytes = 8;
 constexpr std::size_t read_chunk_bytes = 64U << 10U;
 
 std::string random_nonce()
@@ -31,22 +33,27 @@
     return out;
 }
 
-std::string encode_uint32(std::size_t n)
+std::string encode_number(uint64_t n, std::size_t bytes)
 {
-    std::string out(length_bytes, '\0');
-    for (std::size_t i = 0; i < length_bytes; ++i)
+    std::string out(bytes, '\0');
+    for (std::size_t i = 0; i < bytes; ++i)
     {
         out[i] = static_cast<char>((n >> (8 * i)) & 0xffU);
     }
     return out;
 }
 
-std::size_t decode_uint32(std::string_view bytes)
+std::string encode_uint32(std::size_t n)
+{
+    return encode_number(n, length_bytes);
+}
+
+uint64_t decode_number(std::string_view bytes)
 {
-    std::size_t n = 0;
-    for (std::size_t i = 0; i < length_bytes; ++i)
+    uint64_t n = 0;
+    for (std::size_t i = 0; i < bytes.size(); ++i)
     {
-        n |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[i]))
+        n |= static_cast<uint64_t>(static_cast<unsigned char>(bytes[i]))
              << (8 * i);
     }
     return n;
@@ -107,6 +114,7 @@
     time_point remote_clock_read_at;
     bool has_remote_clock = false;
     duration min_round_trip{};
+    delay_estimator delays;
     socket_watch_id socket_watch;
     bool awaits_writable = false;
     watch timer;
@@ -221,7 +229,10 @@
         }
         // The tag covers the remote nonce, so payloads are held back until the
         // nonce has been received.
-        auto payload = encode(context.clock.tick(), m);
+        const auto read_until = context.loop.iteration_began();
+        auto payload = encode_number(static_cast<uint64_t>(to_us(read_until)),
+                                     clock_bytes) +
+                       encode(context.clock.tick(), m);
         ++traffic.messages_sent;
         auto& kind = traffic.kinds[m.index()];
         ++kind.messages_sent;
@@ -376,7 +387,7 @@
         }
         while (open && receive_buffer.size() - at >= length_bytes)
         {
-            const auto n = decode_uint32(
+            const auto n = decode_number(
                 std::string_view(receive_buffer).substr(at, length_bytes));
             if (n > context.options.max_frame_bytes ||
                 n < context.auth.tag_bytes())
@@ -409,7 +420,16 @@
             close(errc::message_unauthentic, step_read);
             return;
         }
-        auto m = decode_message(payload);
+        if (payload.size() < clock_bytes)
+        {
+            close(errc::message_malformed, step_read,
+                  "frame without a clock reading");
+            return;
+        }
+        delays.observe(
+            static_cast<int64_t>(decode_number(payload.substr(0, clock_bytes))),
+            context.loop.now());
+        auto m = decode_message(payload.substr(clock_bytes));
         if (!m)
         {
             close(errc::message_malformed, step_read, m.error().detail);
@@ -527,6 +547,11 @@
     return state_->traffic;
 }
 
+duration tcp_link::delay() const noexcept
+{
+    return state_->delays.last();
+}
+
 duration tcp_link::round_trip() const noexcept
 {
     return state_->min_round_trip;
--- a/tests/fuzz/unit-received_bytes.cpp
+++ b/tests/fuzz/unit-received_bytes.cpp
@@ -18,6 +18,8 @@
 constexpr int rounds = 400;
 constexpr std::size_t max_frame = 64U << 10U;
 constexpr std::size_t nonce_bytes = 16;
+/// Reading of the sender's clock in front of each message.
+const std::string clock_reading(8, '\1');
 const auto run_limit = std::chrono::seconds(10);
 
 uint64_t fixed_clock()
@@ -109,7 +111,7 @@
 
 TEST_CASE("fuzz: an invalid stream closes its link once with the right error")
 {
-    const auto good = encode({1, 0}, message(heartbeat{}));
+    const auto good = clock_reading + encode({1, 0}, message(heartbeat{}));
     const std::string nonce(nonce_bytes, 'n');
     struct row
     {
@@ -129,12 +131,16 @@
         {"ends in a frame", "", nonce + frame("abc", max_frame),
          errc::peer_closed, 0},
         {"empty frame", "", nonce + frame("", 0), errc::message_malformed, 0},
+        {"frame that ends in the clock reading", "",
+         nonce + frame(clock_reading.substr(1), clock_reading.size() - 1),
+         errc::message_malformed, 0},
         {"empty frame under a key", "key", nonce + frame("", 0),
          errc::message_too_large, 0},
         {"no tag under a key", "key", nonce + frame(good, good.size()),
          errc::message_unauthentic, 0},
         {"valid frame, then an invalid one", "",
-         nonce + frame(good, good.size()) + frame("rubbish", 7),
+         nonce + frame(good, good.size()) +
+             frame(clock_reading + "rubbish", 15),
          errc::message_malformed, 1}};
     for (const auto& row : rows)
     {
@@ -157,7 +163,8 @@
     std::string stream(nonce_bytes, 'n');
     for (const auto& file : read_corpus("wire"))
     {
-        stream += frame(file, file.size());
+        const auto payload = clock_reading + file;
+        stream += frame(payload, payload.size());
     }
     link_fixture f("");
     allocation_meter::reset();
