--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -371,21 +371,45 @@
     return "http://" + at(entry_ip(entry), metrics_port_);
 }
 
+endpoint node_cluster::callers(std::size_t entry) const
+{
+    return {entry_ip(entry), callers_port_};
+}
+
+endpoint node_cluster::links(std::size_t entry) const
+{
+    return {entry_ip(entry), link_port_};
+}
+
 std::size_t node_cluster::submit(std::size_t entry, const std::string& id,
                                  unsigned tasks, duration deadline,
                                  const std::string& prefix,
                                  const std::string& payload)
+{
+    return send_job(callers(entry), prefix + id, job_body(tasks, payload),
+                    deadline);
+}
+
+std::size_t node_cluster::submit_to(const endpoint& callers,
+                                    const std::string& id, duration deadline)
+{
+    return send_job(callers, "/q/" + id, job_body(1), deadline);
+}
+
+std::size_t node_cluster::send_job(const endpoint& callers,
+                                   const std::string& path,
+                                   const std::string& body, duration deadline)
 {
     http_call call;
     call.method = "POST";
-    call.url = "http://" + at(entry_ip(entry), callers_port_) + prefix + id;
+    call.url = "http://" + callers.to_string() + path;
     call.headers = {
         {"Host", "desk.example"},
         {"Deadline-Ms",
          std::to_string(
              std::chrono::duration_cast<std::chrono::milliseconds>(deadline)
                  .count())}};
-    call.body = job_body(tasks, payload);
+    call.body = body;
     call.timeout = deadline + 2s;
     call.may_resend = plan_.keep_connections;
     jobs_.push_back(std::make_unique<caller_job>());
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -5,6 +5,7 @@
 #include "target_stand_in.hpp"
 #include <agatebank/harness/child_process.hpp>
 #include <agatebank/harness/port_block.hpp>
+#include <agatebank/wire/tcp_connector.hpp>
 
 #include <cstdint>
 #include <map>
@@ -103,6 +104,13 @@
                        duration deadline = std::chrono::seconds(3),
                        const std::string& prefix = "/q/",
                        const std::string& payload = "x");
+    /// @brief Submits a job of one task to a callers' address.
+    std::size_t submit_to(const endpoint& callers, const std::string& id,
+                          duration deadline = std::chrono::seconds(3));
+    /// @brief Where an entry serves callers.
+    endpoint callers(std::size_t entry) const;
+    /// @brief Where an entry accepts links.
+    endpoint links(std::size_t entry) const;
     /// @brief The body of such a job.
     static std::string job_body(unsigned tasks,
                                 const std::string& payload = "x");
@@ -129,6 +137,8 @@
                   const std::vector<std::string>& more_prefixes = {});
 
   private:
+    std::size_t send_job(const endpoint& callers, const std::string& path,
+                         const std::string& body, duration deadline);
     double metric(const std::string& ip, const std::string& name);
     std::string entry_ip(std::size_t i) const;
     std::string agent_ip(std::size_t i) const;
--- /dev/null
+++ b/tests/platform/unit-late_input.cpp
@@ -0,0 +1,218 @@
+#include "node_cluster.hpp"
+#include <agatebank/harness/run_until.hpp>
+#include <agatebank/harness/tcp_relay.hpp>
+#include <agatebank/node/node_context.hpp>
+#include <agatebank/wire/link_hub.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <optional>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+// Input that reaches a process long after it was sent.
+
+namespace
+{
+
+/// Callers submit a job again this long after they closed their connection.
+constexpr duration caller_retry_delay = 1300ms;
+
+std::size_t running(const node_cluster& c)
+{
+    std::size_t n = 0;
+    for (const auto& it : c.targets)
+    {
+        n += it->running();
+    }
+    return n;
+}
+
+// An entry in the test process: accepts the links of agents and sends orders.
+class order_source_stand_in
+{
+  public:
+    explicit order_source_stand_in(event_loop& loop)
+        : loop_(loop)
+        , hub_({loop, clock_, auth_, node_link_options(),
+                []
+                {
+                    return config_version();
+                }},
+               {[this](link_id l, message&& m) { on_message(l, m); },
+                {},
+                [this](link_id, const failure&)
+                {
+                    agent_.reset();
+                }})
+        , listener_([this](object_ptr<GSocketConnection> c)
+                    { hub_.add(std::move(c)); })
+    {
+        port_ = listener_.listen({"127.0.0.1", 0}).value();
+    }
+
+    endpoint address() const
+    {
+        return {"127.0.0.1", port_};
+    }
+
+    bool has_accepting_agent() const
+    {
+        return agent_.has_value() && accepts_work_;
+    }
+
+    // An order to run a task for 60 ms. Does nothing without a link.
+    void send_order(order_id id)
+    {
+        run_batch batch;
+        batch.job = "000000000000000a";
+        batch.route = "r/q/";
+        batch.payload = "x";
+        batch.task_resources = {1000, 8, 0};
+        batch.objective_us = batch.useful_until_us = batch.deadline_us =
+            duration(3s).count();
+        run_order order;
+        order.id = id;
+        order.expected_us = duration(60ms).count();
+        batch.orders = {order};
+        send(batch);
+    }
+
+    void send_cancel(order_id id)
+    {
+        send(cancel_orders{{id}});
+    }
+
+  private:
+    void send(const message& m)
+    {
+        if (agent_)
+        {
+            hub_.send(*agent_, m);
+        }
+    }
+
+    void on_message(link_id link, const message& m)
+    {
+        if (const auto* hello = std::get_if<target_hello>(&m))
+        {
+            agent_ = link;
+            accepts_work_ = hello->load.accepts_work;
+        }
+        else if (const auto* update = std::get_if<target_update>(&m))
+        {
+            accepts_work_ = update->load.accepts_work;
+        }
+    }
+
+    event_loop& loop_;
+    hybrid_clock clock_{[]
+                        {
+                            return uint64_t{1};
+                        }};
+    authenticator auth_{""};
+    link_hub hub_;
+    tcp_listener listener_;
+    uint16_t port_ = 0;
+    std::optional<link_id> agent_;
+    bool accepts_work_ = false;
+};
+
+} // namespace
+
+// Guards against an entry that starts a job whose caller left while the request
+// waited for it, and has submitted the job again at another entry.
+TEST_CASE("late input: a request that is read after its caller left starts no "
+          "second run of a task")
+{
+    node_cluster c({2, 2, 1s});
+    REQUIRE(c.wait_ready());
+    tcp_relay network({"127.0.3.1", 0}, c.callers(0));
+    network.hold(true);
+    const auto first =
+        c.submit_to({"127.0.3.1", network.port()}, "000000000000000a");
+    run_for(c.loop, 100ms);
+    c.disconnect(first);
+    run_for(c.loop, caller_retry_delay);
+    const auto again = c.submit(1, "000000000000000a", 1);
+    REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 1; }));
+    // A target refuses a second run of a task, so the first entry has to choose
+    // the other one.
+    c.targets[c.targets[0]->running() != 0 ? 0 : 1]->set_draining();
+    run_for(c.loop, 100ms);
+    // The request and the end of its connection arrive together.
+    c.entry(0).signal(SIGSTOP);
+    network.hold(false);
+    run_for(c.loop, 50ms);
+    c.entry(0).signal(SIGCONT);
+    REQUIRE(c.wait_ended(again));
+    CHECK(c.job(again).status == 200);
+    CHECK(c.ledger.overlaps == 0);
+    for (const auto& [task, starts] : c.ledger.starts)
+    {
+        INFO(task);
+        CHECK(starts == 1);
+    }
+    CHECK(c.entry_metric(0, "agatebank_jobs_read_late") == 1);
+}
+
+// Guards against an agent that starts an order which was under way for longer
+// than a caller waits before it submits its job elsewhere. Bytes arrive all the
+// time, so the link is not silent.
+TEST_CASE("late input: an order on a link that delays all bytes starts no run "
+          "after its caller may have submitted the job elsewhere")
+{
+    node_cluster c({0, 1, 400ms});
+    order_source_stand_in entry(c.loop);
+    tcp_relay network(c.links(0), entry.address());
+    REQUIRE(run_until(c.loop, 10s,
+                      [&entry] { return entry.has_accepting_agent(); }));
+    // The queue of the network grows slowly.
+    for (const auto delay : {350ms, 700ms, 1050ms, 1400ms})
+    {
+        network.delay_to_client(delay);
+        run_for(c.loop, 700ms);
+    }
+    entry.send_order(order_id(1));
+    run_for(c.loop, 50ms);
+    entry.send_cancel(order_id(1));
+    const auto left = c.loop.now();
+    // What has started by then is stopped by then, too.
+    run_until(c.loop, caller_retry_delay, [] { return false; });
+    const auto started = c.targets[0]->starts();
+    const auto running_then = running(c);
+    run_for(c.loop, 1s);
+    INFO("caller left " << (c.loop.now() - left).count() / 1000 << " ms ago");
+    CHECK(running_then == 0);
+    CHECK(c.targets[0]->starts() == started);
+}
+
+// Guards against runs that outlive their caller's patience since the agent that
+// has to stop them is paused shortly after their entry. The lease of the target
+// was extended when the entry had been silent for some time already.
+TEST_CASE("late input: runs of a paused entry end in time if their agent is "
+          "paused, too")
+{
+    for (const auto pause_of_agent : {500ms, 600ms, 700ms})
+    {
+        INFO("agent paused after " << pause_of_agent.count() << " ms");
+        node_cluster c({2, 2, 3s});
+        REQUIRE(c.wait_ready());
+        const auto first = c.submit(0, "000000000000000a", 20, 9s);
+        REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 20; }));
+        REQUIRE(c.targets[0]->running() > 0);
+        c.entry(0).signal(SIGSTOP);
+        c.disconnect(first);
+        const auto left = c.loop.now();
+        run_for(c.loop, pause_of_agent);
+        c.agent(0).signal(SIGSTOP);
+        run_for(c.loop, left + caller_retry_delay - c.loop.now());
+        CHECK(running(c) == 0);
+        c.agent(0).signal(SIGCONT);
+        c.entry(0).signal(SIGCONT);
+        run_for(c.loop, 500ms);
+        CHECK(running(c) == 0);
+    }
+}
--- a/tools/harness/include/agatebank/harness/tcp_relay.hpp
+++ b/tools/harness/include/agatebank/harness/tcp_relay.hpp
@@ -2,6 +2,7 @@
 
 #include <agatebank/loop/event_loop.hpp>
 #include <agatebank/loop/object_ptr.hpp>
+#include <agatebank/wire/tcp_connector.hpp>
 
 #include <gio/gio.h>
 
@@ -24,6 +25,10 @@
     /// @param upstream_port port on 127.0.0.1 to forward to
     /// @throw std::runtime_error if listening on the port fails
     tcp_relay(uint16_t port, uint16_t upstream_port);
+    /// @param local where to listen
+    /// @param upstream where to forward to
+    /// @throw std::runtime_error if listening fails
+    tcp_relay(const endpoint& local, endpoint upstream);
     ~tcp_relay();
     tcp_relay(const tcp_relay&) = delete;
     tcp_relay& operator=(const tcp_relay&) = delete;
@@ -37,6 +42,9 @@
     /// @brief While held, received bytes are buffered; they are forwarded when
     /// the hold ends.
     void hold(bool held);
+    /// @brief From now on, bytes from the upstream reach the client this much
+    /// later, in order and without gaps, like on a link with a long queue.
+    void delay_to_client(duration delay);
     /// @brief While blocked, new connections are accepted but not forwarded.
     void block(bool blocked);
 
@@ -52,10 +60,11 @@
                                 gpointer self);
 
     object_ptr<GSocketService> service_;
-    uint16_t upstream_port_;
+    endpoint upstream_;
     uint16_t port_ = 0;
     bool blocked_ = false;
     bool held_ = false;
+    duration delay_to_client_{};
     uint64_t next_id_ = 0;
     std::map<uint64_t, std::shared_ptr<relayed_connection>> connections_;
 };
--- a/tools/harness/src/tcp_relay.cpp
+++ b/tools/harness/src/tcp_relay.cpp
@@ -1,5 +1,6 @@
 #include <agatebank/harness/tcp_relay.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -23,12 +24,15 @@
     object_ptr<GSocketConnection> upstream_side;
     object_ptr<GCancellable> cancellable{g_cancellable_new()};
     bool held = false;
+    duration delay_to_client{};
+    gint64 last_delivery_us = 0; ///< to the client, of delayed bytes
 
     struct transfer
     {
         std::shared_ptr<relayed_connection> owner;
         GInputStream* from = nullptr;
         GOutputStream* to = nullptr;
+        bool to_client = false;
         bytes_ptr chunk;
     };
 
@@ -49,12 +53,13 @@
     // Connects asynchronously: a stopped upstream process may never answer, and
     // the loop must not block on it.
     static void connect(const std::shared_ptr<relayed_connection>& p,
-                        uint16_t port)
+                        const endpoint& upstream)
     {
         const object_ptr<GSocketClient> client(g_socket_client_new());
         g_socket_client_set_enable_proxy(client.get(), FALSE);
         g_socket_client_connect_to_host_async(
-            client.get(), loopback, port, p->cancellable.get(), on_connected,
+            client.get(), upstream.address.c_str(), upstream.port,
+            p->cancellable.get(), on_connected,
             new std::shared_ptr<relayed_connection>(p));
     }
 
@@ -79,14 +84,16 @@
 
     static void start(const std::shared_ptr<relayed_connection>& p)
     {
-        run(p, p->client_side.get(), p->upstream_side.get());
-        run(p, p->upstream_side.get(), p->client_side.get());
+        run(p, p->client_side.get(), p->upstream_side.get(), false);
+        run(p, p->upstream_side.get(), p->client_side.get(), true);
     }
 
     static void run(const std::shared_ptr<relayed_connection>& p,
-                    GSocketConnection* from, GSocketConnection* to)
+                    GSocketConnection* from, GSocketConnection* to,
+                    bool to_client)
     {
         auto current = std::make_unique<transfer>();
+        current->to_client = to_client;
         current->owner = p;
         current->from = g_io_stream_get_input_stream(G_IO_STREAM(from));
         current->to = g_io_stream_get_output_stream(G_IO_STREAM(to));
@@ -121,9 +128,42 @@
             buffered.push_back(std::move(current));
             return;
         }
+        if (current->to_client && current->owner->delay_to_client.count() != 0)
+        {
+            deliver_later(std::move(current));
+            return;
+        }
         write(std::move(current));
     }
 
+    // Schedules the delivery of a chunk and reads on.
+    static void deliver_later(std::unique_ptr<transfer> current)
+    {
+        const auto now = g_get_monotonic_time();
+        auto& last = current->owner->last_delivery_us;
+        last = std::max(last, now + current->owner->delay_to_client.count());
+        auto delivery = std::make_unique<transfer>();
+        delivery->owner = current->owner;
+        delivery->to = current->to;
+        delivery->chunk = std::move(current->chunk);
+        const auto wait_ms = static_cast<guint>((last - now + 999) / 1000);
+        g_timeout_add(wait_ms, deliver, delivery.release());
+        read(std::move(current));
+    }
+
+    static gboolean deliver(gpointer data)
+    {
+        const std::unique_ptr<transfer> current(static_cast<transfer*>(data));
+        if (!current->owner->stopped())
+        {
+            gsize n = 0;
+            const void* bytes = g_bytes_get_data(current->chunk.get(), &n);
+            g_output_stream_write_all(current->to, bytes, n, nullptr, nullptr,
+                                      nullptr);
+        }
+        return G_SOURCE_REMOVE;
+    }
+
     static void write(std::unique_ptr<transfer> current)
     {
         auto* raw = current.release();
@@ -178,18 +218,23 @@
 };
 
 tcp_relay::tcp_relay(uint16_t port, uint16_t upstream_port)
-    : service_(g_socket_service_new()), upstream_port_(upstream_port)
+    : tcp_relay({loopback, port}, {loopback, upstream_port})
+{
+}
+
+tcp_relay::tcp_relay(const endpoint& local, endpoint upstream)
+    : service_(g_socket_service_new()), upstream_(std::move(upstream))
 {
     const object_ptr<GSocketAddress> requested_address(
-        g_inet_socket_address_new_from_string(loopback, port));
+        g_inet_socket_address_new_from_string(local.address.c_str(),
+                                              local.port));
     GSocketAddress* bound = nullptr;
     if (g_socket_listener_add_address(
             G_SOCKET_LISTENER(service_.get()), requested_address.get(),
             G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr, &bound,
             nullptr) == FALSE)
     {
-        throw std::runtime_error("relay cannot listen on port " +
-                                 std::to_string(port));
+        throw std::runtime_error("relay cannot listen at " + local.to_string());
     }
     const object_ptr<GSocketAddress> owner(bound);
     port_ = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
@@ -217,7 +262,8 @@
         return TRUE;
     }
     p->hold(self->held_);
-    relayed_connection::connect(p, self->upstream_port_);
+    p->delay_to_client = self->delay_to_client_;
+    relayed_connection::connect(p, self->upstream_);
     return TRUE;
 }
 
@@ -247,6 +293,15 @@
     }
 }
 
+void tcp_relay::delay_to_client(duration delay)
+{
+    delay_to_client_ = delay;
+    for (const auto& it : connections_)
+    {
+        it.second->delay_to_client = delay;
+    }
+}
+
 void tcp_relay::block(bool blocked)
 {
     blocked_ = blocked;
