A link is silent by when its messages were sent, not by when they arrive

An agent started an order 1.4 s after it had been sent, while the caller had left and might have submitted the job elsewhere. Cause: silence was measured from the arrival of bytes. On a path with a long queue bytes arrive all the time, and the order, its cancellation and the heartbeats are all late, so neither end closes the link, and the times on which the order of events rests (800 ms of silence, 1,100 ms of grace, 1,300 ms until a caller submits again) begin late.

A link now counts as heard up to the time at which the newest message was sent, by the delay that its clock reading shows. It closes when that is longer ago than the silence timeout, and a message that was under way for longer isn't delivered. The reading is that of the beginning of the sender's turn of the event loop, so an entry that is slow to notice that callers have left is silent for as long. Frames of 64 KiB and more count while they arrive.

--- a/packages/wire/include/agatebank/wire/tcp_link.hpp
+++ b/packages/wire/include/agatebank/wire/tcp_link.hpp
@@ -61,8 +61,9 @@
 /// reading of the sender's clock of 8 bytes and a message; tags also cover the
 /// nonces of both sides and the frame's position in the stream, so that a frame
 /// cannot be replayed. The link sends a
-/// heartbeat in each heartbeat period, and closes when nothing has been
-/// received for longer than the silence timeout.
+/// heartbeat in each heartbeat period. It closes when nothing has been received
+/// that was sent within the silence timeout: what arrives late is as useless as
+/// what doesn't arrive, since the peer has acted on the silence by then.
 class tcp_link
 {
   public:
@@ -89,6 +90,8 @@
     /// one: on the network, and until each process had time for it. It counts
     /// from the beginning of the sender's iteration of its event loop.
     duration delay() const noexcept;
+    /// @brief When the peer sent what was received last, by the own clock.
+    time_point last_heard() const noexcept;
     /// @brief Smallest round trip measured; zero before the first measurement.
     duration round_trip() const noexcept;
     /// @brief Estimate of the peer's process clock at @p now. It is behind the
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/core/duration_math.hpp>
 #include <agatebank/wire/delay_estimator.hpp>
 #include <agatebank/wire/tcp_link.hpp>
 
@@ -109,7 +110,8 @@
     bool flush_pending = false;
     time_point last_heartbeat;
     time_point last_message_sent;
-    time_point last_received;
+    /// When the peer sent what was received last, by the own clock.
+    time_point last_heard;
     int64_t remote_clock_us = 0;
     time_point remote_clock_read_at;
     bool has_remote_clock = false;
@@ -137,7 +139,7 @@
         peer = peer_address(connection.get());
         g_socket_set_blocking(socket(), FALSE);
         g_socket_set_option(socket(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-        last_received = context.loop.now();
+        last_heard = context.loop.now();
         send_buffer = local_nonce;
         if (const auto watched = watch_socket(); !watched)
         {
@@ -357,16 +359,20 @@
         }
         traffic.bytes_received += static_cast<uint64_t>(n);
         const auto now = context.loop.now();
-        if (now - last_received > context.options.silence_timeout)
+        if (now - last_heard > context.options.silence_timeout)
         {
             // This process was suspended for longer than the silence timeout,
             // so the peer has closed the link.
             close(errc::peer_silent, step_silence);
             return;
         }
-        last_received = now;
         receive_buffer.append(buf.data(), static_cast<std::size_t>(n));
         process_frames();
+        if (receive_buffer.size() >= read_chunk_bytes)
+        {
+            // A frame this long may take longer than the silence timeout.
+            last_heard = now;
+        }
     }
 
     void process_frames()
@@ -380,6 +386,7 @@
             }
             remote_nonce = receive_buffer.substr(0, nonce_bytes);
             at = nonce_bytes;
+            last_heard = context.loop.now();
             for (const auto& payload : std::exchange(untagged_payloads, {}))
             {
                 append_frame(payload);
@@ -426,9 +433,17 @@
                   "frame without a clock reading");
             return;
         }
-        delays.observe(
+        const auto now = context.loop.now();
+        const auto delay = delays.observe(
             static_cast<int64_t>(decode_number(payload.substr(0, clock_bytes))),
-            context.loop.now());
+            now);
+        if (delay > context.options.silence_timeout)
+        {
+            close(errc::peer_silent, step_silence,
+                  "a message was under way for " + to_ms_text(delay));
+            return;
+        }
+        last_heard = std::max(last_heard, now - delay);
         auto m = decode_message(payload.substr(clock_bytes));
         if (!m)
         {
@@ -497,9 +512,11 @@
             return;
         }
         const auto now = context.loop.now();
-        if (now - last_received > context.options.silence_timeout)
+        if (now - last_heard > context.options.silence_timeout)
         {
-            close(errc::peer_silent, step_silence);
+            close(errc::peer_silent, step_silence,
+                  "nothing received that was sent in the last " +
+                      to_ms_text(now - last_heard));
             return;
         }
         if (is_heartbeat_due(context.options, now, last_heartbeat,
@@ -552,6 +569,11 @@
     return state_->delays.last();
 }
 
+time_point tcp_link::last_heard() const noexcept
+{
+    return state_->last_heard;
+}
+
 duration tcp_link::round_trip() const noexcept
 {
     return state_->min_round_trip;
