The lease of a target ends in time for the callers of a silent entry

Runs of a paused entry went on until 1.5 s after their caller had left, if their agent was paused, too, 500 to 800 ms later: nobody was there to stop them, and the agent had extended the lease of all runs by a full second just before, though the entry had been silent for some time already. Callers submit the job again after 1.3 s.

An agent now extends the lease, and lets starts be valid, for at most as long as the runs of the entry that has been silent for longest may last: 1,300 ms from its last message, less the time to kill, allowing for a slow target clock. An entry that sends heartbeats every 200 ms shortens the lease by some 100 ms. An entry whose link has closed counts until its runs have ended.

--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -67,6 +67,8 @@
         std::vector<order_result> pending_results; ///< not yet sent
         /// since when the link is to be closed, once its orders have ended
         std::optional<time_point> closing_since;
+        /// when the entry sent its last message, by the own clock
+        time_point last_heard;
     };
 
     // links
@@ -76,6 +78,10 @@
     void close_unneeded(time_point now);
     void on_message(link_id link, message&& m);
     void on_closed(link_id link, const failure& why);
+    void note_heard(link_id link);
+    /// @brief When the entry that has been silent for longest sent its last
+    /// message, of those with orders here; empty without orders.
+    std::optional<time_point> oldest_heard();
     void on_evacuation_update(link_id link, const evacuation_update& update);
     /// @brief Logs orders that were under way for long.
     void note_delay(link_id link, const run_batch& batch) const;
@@ -117,6 +123,8 @@
     link_hub hub_;
     entry_links entry_links_;
     std::map<link_id, entry_link> entries_;
+    /// of closed links whose runs haven't ended yet, when the entry was heard
+    std::map<order_source, time_point> closed_links_;
     load_reporter load_reporter_;
     /// told to each entry whose link opens, which may have missed them
     crash_history recent_crashes_;
--- a/packages/node/include/agatebank/node/target_lease.hpp
+++ b/packages/node/include/agatebank/node/target_lease.hpp
@@ -47,6 +47,13 @@
     /// @brief Whether calls may extend the lease. Otherwise they only request
     /// the target's lists.
     bool may_extend(time_point now) const;
+    /// @brief Time from @p now for which a call may let runs go on.
+    /// @param oldest_heard when the entry that has been silent for longest sent
+    /// its last message, of those with runs here; the runs have ended a bounded
+    /// time after it, even if this process is paused from now on
+    /// @return not positive if no run may go on
+    duration extension(std::optional<time_point> oldest_heard,
+                       time_point now) const;
     /// @brief Whether the target has answered recently enough to accept work.
     bool is_connected(time_point now) const;
     /// @brief Whether the lease has expired and the target has killed all runs
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -78,7 +78,10 @@
             }},
            {[this](link_id l, message&& m) { on_message(l, std::move(m)); },
             [this](link_id l, const heartbeat&)
-            { entry_links_.on_received(l); },
+            {
+                note_heard(l);
+                entry_links_.on_received(l);
+            },
             [this](link_id l, const failure& f)
             {
                 on_closed(l, f);
@@ -278,16 +281,18 @@
     lease_request request;
     request.last_end_seen = last_end_seen_;
     const auto clock = lease_.clock(now);
-    if (clock && lease_.may_extend(now))
+    const bool may_extend = lease_.may_extend(now);
+    if (may_extend && target_connected_)
     {
-        request.lease_until = add(*clock, lease_.max_duration());
-        if (target_connected_)
-        {
-            const auto next = scheduler_.time_to_next_end(now);
-            request.wait = next ? list_wait : idle_list_wait;
-            request.expected_end =
-                std::min(request.wait, next.value_or(request.wait));
-        }
+        const auto next = scheduler_.time_to_next_end(now);
+        request.wait = next ? list_wait : idle_list_wait;
+        request.expected_end =
+            std::min(request.wait, next.value_or(request.wait));
+    }
+    const auto extension = lease_.extension(oldest_heard(), now);
+    if (clock && may_extend && extension.count() > 0)
+    {
+        request.lease_until = add(*clock, extension);
         lease_.on_extension_sent(now);
         runs_ended_ = false;
     }
@@ -396,22 +401,25 @@
 
 void agent_node::start_run(const run_id& id, const std::string& payload)
 {
-    const auto clock = lease_.clock(context_.loop.now());
+    const auto now = context_.loop.now();
+    const auto clock = lease_.clock(now);
     const auto incarnation = target_->profile.incarnation;
-    port_.start(
-        {id, payload, add(clock.value_or(target_time()), start_validity)},
-        [this, id, incarnation](start_answer a)
-        {
-            if (incarnation == target_->profile.incarnation)
-            {
-                if (a == start_answer::accepted)
+    // The target extends its lease with the time until which a start is valid.
+    const auto validity =
+        std::min(start_validity, lease_.extension(oldest_heard(), now));
+    port_.start({id, payload, add(clock.value_or(target_time()), validity)},
+                [this, id, incarnation](start_answer a)
                 {
-                    context_.observer.on_phase(phase_run);
-                }
-                scheduler_.on_start_answer(id, a, context_.loop.now());
-                schedule_flush();
-            }
-        });
+                    if (incarnation == target_->profile.incarnation)
+                    {
+                        if (a == start_answer::accepted)
+                        {
+                            context_.observer.on_phase(phase_run);
+                        }
+                        scheduler_.on_start_answer(id, a, context_.loop.now());
+                        schedule_flush();
+                    }
+                });
 }
 
 void agent_node::stop_run(const run_id& id)
@@ -433,6 +441,7 @@
 void agent_node::on_opened(link_id link)
 {
     entries_[link] = {};
+    note_heard(link);
     load_reporter_.add_link(link);
     hub_.set_class(link, link_class::entry);
     context_.observer.on_phase(phase_link);
@@ -493,6 +502,7 @@
     {
         return;
     }
+    note_heard(link);
     entry_links_.on_received(link);
     const auto now = context_.loop.now();
     if (const auto* batch = std::get_if<run_batch>(&m))
@@ -585,13 +595,50 @@
 void agent_node::on_closed(link_id link, const failure& why)
 {
     context_.log(to_record(log_level::warning, why));
-    entries_.erase(link);
+    const auto it = entries_.find(link);
+    if (it != entries_.end())
+    {
+        closed_links_[to_source(link)] = it->second.last_heard;
+        entries_.erase(it);
+    }
     load_reporter_.remove_link(link);
     entry_links_.on_closed(link);
     scheduler_.on_source_lost(to_source(link), context_.loop.now());
     schedule_flush();
 }
 
+void agent_node::note_heard(link_id link)
+{
+    const auto it = entries_.find(link);
+    if (it != entries_.end())
+    {
+        it->second.last_heard = hub_.find(link)->last_heard();
+    }
+}
+
+std::optional<time_point> agent_node::oldest_heard()
+{
+    std::erase_if(closed_links_, [this](const auto& it)
+                  { return !scheduler_.has_orders(it.first); });
+    std::optional<time_point> out;
+    const auto consider = [&out](time_point t)
+    {
+        out = std::min(t, out.value_or(t));
+    };
+    for (const auto& [link, entry] : entries_)
+    {
+        if (scheduler_.has_orders(to_source(link)))
+        {
+            consider(entry.last_heard);
+        }
+    }
+    for (const auto& [source, heard] : closed_links_)
+    {
+        consider(heard);
+    }
+    return out;
+}
+
 target_load agent_node::current_load() const
 {
     const auto now = context_.loop.now();
--- a/packages/node/src/target_lease.cpp
+++ b/packages/node/src/target_lease.cpp
@@ -1,6 +1,8 @@
 #include <agatebank/core/duration_math.hpp>
 #include <agatebank/node/target_lease.hpp>
 
+#include <algorithm>
+
 namespace agatebank
 {
 
@@ -13,6 +15,10 @@
 /// Longest time that the target takes to kill its runs when the lease expires.
 constexpr duration max_kill_time = std::chrono::milliseconds(60);
 
+/// Callers submit a job again this long after they closed their connection, of
+/// which an entry tells its agents, unless it is silent.
+constexpr duration caller_retry_delay = std::chrono::milliseconds(1300);
+
 } // namespace
 
 target_lease::target_lease(lease_options options) : options_(options) {}
@@ -52,6 +58,18 @@
                          scale(options_.max_duration, extension_cutoff_share);
 }
 
+duration target_lease::extension(std::optional<time_point> oldest_heard,
+                                 time_point now) const
+{
+    if (!oldest_heard)
+    {
+        return options_.max_duration;
+    }
+    const auto longest = scale(caller_retry_delay - max_kill_time,
+                               1 / (1 + 2 * options_.clock_error));
+    return std::min(options_.max_duration, *oldest_heard + longest - now);
+}
+
 bool target_lease::is_connected(time_point now) const
 {
     return may_extend(now);
--- a/packages/node/tests/unit-target_lease.cpp
+++ b/packages/node/tests/unit-target_lease.cpp
@@ -53,3 +53,28 @@
     CHECK_FALSE(lease.is_connected(start));
     CHECK_FALSE(lease.clock(start));
 }
+
+// Guards against runs that go on when the agent is paused after their entry has
+// fallen silent: callers submit a job again after 1,300 ms.
+TEST_CASE("target_lease: runs end before the callers of a silent entry submit "
+          "their jobs again")
+{
+    const target_lease lease({});
+    CHECK(lease.extension({}, start) == 1000ms);
+    struct row
+    {
+        duration silent;
+    };
+    for (const auto& it :
+         {row{0ms}, row{100ms}, row{300ms}, row{800ms}, row{1100ms}, row{2s}})
+    {
+        INFO(it.silent.count());
+        const auto extension = lease.extension(start, start + it.silent);
+        CHECK(extension <= 1000ms);
+        // The target's clock is 2 % slow, and it takes up to 50 ms to kill.
+        const auto end = it.silent + extension * 102 / 100 + 50ms;
+        CHECK((extension.count() <= 0 || end < 1300ms));
+        // An entry that sends heartbeats doesn't shorten the lease by much.
+        CHECK((it.silent > 300ms || extension >= 850ms));
+    }
+}
--- a/packages/wire/include/agatebank/wire/tcp_link.hpp
+++ b/packages/wire/include/agatebank/wire/tcp_link.hpp
@@ -60,10 +60,10 @@
 /// random nonce. Each frame then consists of a length of 4 bytes, a tag, a
 /// reading of the sender's clock of 8 bytes and a message; tags also cover the
 /// nonces of both sides and the frame's position in the stream, so that a frame
-/// cannot be replayed. The link sends a
-/// heartbeat in each heartbeat period. It closes when nothing has been received
-/// that was sent within the silence timeout: what arrives late is as useless as
-/// what doesn't arrive, since the peer has acted on the silence by then.
+/// cannot be replayed. The link sends a heartbeat in each heartbeat period. It
+/// closes when nothing has been received that was sent within the silence
+/// timeout, and delivers nothing that was under way for longer: others may have
+/// acted on the silence by then.
 class tcp_link
 {
   public:
