Links of slow processes stay open; leases count starts, too

The receiver's own lag was counted before it had read what lay in its socket: the check by the newest message now follows the sockets, while a process that was paused itself still closes its links by its last receipt. A frame of 64 KiB or more may take longer than the silence timeout. - Lease calls wait at most a quarter of a shortened lease, so that a lost answer doesn't end the runs of other entries. - A target extends its lease with a start by up to 500 ms, which the agent did not count: it took the lease for expired up to 90 ms before the target did, and the entry could have placed the tasks elsewhere (unit test of target_lease).

--- a/packages/node/include/agatebank/node/target_lease.hpp
+++ b/packages/node/include/agatebank/node/target_lease.hpp
@@ -32,6 +32,9 @@
     // modifiers
     /// @brief Records that an extension is about to be sent.
     void on_extension_sent(time_point now);
+    /// @brief Records that a start is about to be sent. The target extends the
+    /// lease to the end of its validity, if that is later.
+    void on_start_sent(duration validity, time_point now);
     /// @brief Records an answer of the target.
     /// @param clock the target's time in the answer
     void on_answer(target_time clock, time_point now);
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -22,6 +22,7 @@
 /// Long-poll time of a lease call while runs are active: a quarter of the
 /// default lease.
 constexpr duration list_wait = 250ms;
+constexpr duration shortest_list_wait = 50ms;
 /// Long-poll time while nothing runs under the lease.
 constexpr duration idle_list_wait = 400ms;
 /// Delay before the next lease call after a failure.
@@ -282,14 +283,17 @@
     request.last_end_seen = last_end_seen_;
     const auto clock = lease_.clock(now);
     const bool may_extend = lease_.may_extend(now);
+    const auto extension = lease_.extension(oldest_heard(), now);
     if (may_extend && target_connected_)
     {
         const auto next = scheduler_.time_to_next_end(now);
-        request.wait = next ? list_wait : idle_list_wait;
+        // A short lease is extended sooner.
+        request.wait =
+            next ? std::clamp(extension / 4, shortest_list_wait, list_wait)
+                 : idle_list_wait;
         request.expected_end =
             std::min(request.wait, next.value_or(request.wait));
     }
-    const auto extension = lease_.extension(oldest_heard(), now);
     if (clock && may_extend && extension.count() > 0)
     {
         request.lease_until = add(*clock, extension);
@@ -407,6 +411,7 @@
     // The target extends its lease with the time until which a start is valid.
     const auto validity =
         std::min(start_validity, lease_.extension(oldest_heard(), now));
+    lease_.on_start_sent(validity, now);
     port_.start({id, payload, add(clock.value_or(target_time()), validity)},
                 [this, id, incarnation](start_answer a)
                 {
--- a/packages/node/src/target_lease.cpp
+++ b/packages/node/src/target_lease.cpp
@@ -28,6 +28,12 @@
     last_extension_sent_ = now;
 }
 
+void target_lease::on_start_sent(duration validity, time_point now)
+{
+    last_extension_sent_ =
+        std::max(last_extension_sent_, now + validity - options_.max_duration);
+}
+
 void target_lease::on_answer(target_time clock, time_point now)
 {
     clock_ = clock;
--- a/packages/node/tests/unit-target_lease.cpp
+++ b/packages/node/tests/unit-target_lease.cpp
@@ -78,3 +78,21 @@
         CHECK((it.silent > 300ms || extension >= 850ms));
     }
 }
+
+// Guards against tasks that are placed elsewhere while they still run: the
+// target extends its lease with a start, too.
+TEST_CASE("target_lease: a start that was sent last delays the expiry")
+{
+    target_lease lease({});
+    lease.on_answer(target_time(5000), start);
+    lease.on_extension_sent(start);
+    lease.on_start_sent(500ms, start + 640ms);
+    // Valid until 1,140 ms; a slow clock and the time to kill come on top.
+    CHECK_FALSE(lease.has_expired(start + 1200ms));
+    CHECK(lease.has_expired(start + 1300ms));
+    // One whose validity ends before the lease changes nothing.
+    lease.on_extension_sent(start + 2s);
+    lease.on_start_sent(500ms, start + 2100ms);
+    CHECK_FALSE(lease.has_expired(start + 3s));
+    CHECK(lease.has_expired(start + 3110ms));
+}
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -110,6 +110,7 @@
     bool flush_pending = false;
     time_point last_heartbeat;
     time_point last_message_sent;
+    time_point last_received;
     /// When the peer sent what was received last, by the own clock.
     time_point last_heard;
     int64_t remote_clock_us = 0;
@@ -139,7 +140,7 @@
         peer = peer_address(connection.get());
         g_socket_set_blocking(socket(), FALSE);
         g_socket_set_option(socket(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-        last_heard = context.loop.now();
+        last_received = last_heard = context.loop.now();
         send_buffer = local_nonce;
         if (const auto watched = watch_socket(); !watched)
         {
@@ -229,8 +230,6 @@
         {
             return;
         }
-        // The tag covers the remote nonce, so payloads are held back until the
-        // nonce has been received.
         const auto read_until = context.loop.iteration_began();
         auto payload = encode_number(static_cast<uint64_t>(to_us(read_until)),
                                      clock_bytes) +
@@ -239,7 +238,10 @@
         auto& kind = traffic.kinds[m.index()];
         ++kind.messages_sent;
         kind.bytes_sent += payload.size();
-        last_message_sent = context.loop.now();
+        // Heartbeats follow the clock reading, by which the peer judges.
+        last_message_sent = read_until;
+        // The tag covers the remote nonce, so payloads are held back until the
+        // nonce has been received.
         if (remote_nonce.empty() && context.auth.enabled())
         {
             untagged_payloads.push_back(std::move(payload));
@@ -359,13 +361,14 @@
         }
         traffic.bytes_received += static_cast<uint64_t>(n);
         const auto now = context.loop.now();
-        if (now - last_heard > context.options.silence_timeout)
+        if (now - last_received > context.options.silence_timeout)
         {
             // This process was suspended for longer than the silence timeout,
             // so the peer has closed the link.
             close(errc::peer_silent, step_silence);
             return;
         }
+        last_received = now;
         receive_buffer.append(buf.data(), static_cast<std::size_t>(n));
         process_frames();
         if (receive_buffer.size() >= read_chunk_bytes)
@@ -437,7 +440,9 @@
         const auto delay = delays.observe(
             static_cast<int64_t>(decode_number(payload.substr(0, clock_bytes))),
             now);
-        if (delay > context.options.silence_timeout)
+        // A long frame takes long in itself, and has no orders.
+        if (delay > context.options.silence_timeout &&
+            frame.size() < read_chunk_bytes)
         {
             close(errc::peer_silent, step_silence,
                   "a message was under way for " + to_ms_text(delay));
@@ -512,20 +517,46 @@
             return;
         }
         const auto now = context.loop.now();
-        if (now - last_heard > context.options.silence_timeout)
+        if (now - last_received > context.options.silence_timeout)
         {
-            close(errc::peer_silent, step_silence,
-                  "nothing received that was sent in the last " +
-                      to_ms_text(now - last_heard));
+            close(errc::peer_silent, step_silence);
             return;
         }
-        if (is_heartbeat_due(context.options, now, last_heartbeat,
+        if (now - last_heard > context.options.silence_timeout)
+        {
+            // What waits in the socket is read before the deferred call.
+            context.loop.defer(
+                [weak = weak_from_this()]
+                {
+                    if (const auto self = weak.lock())
+                    {
+                        self->check_silence();
+                    }
+                });
+        }
+        const auto read_until = context.loop.iteration_began();
+        if (is_heartbeat_due(context.options, read_until, last_heartbeat,
                              last_message_sent))
         {
-            last_heartbeat = now;
+            last_heartbeat = read_until;
             send_heartbeat();
         }
     }
+
+    void check_silence()
+    {
+        const auto keep = shared_from_this();
+        if (!open)
+        {
+            return;
+        }
+        const auto silent = context.loop.now() - last_heard;
+        if (silent > context.options.silence_timeout)
+        {
+            close(errc::peer_silent, step_silence,
+                  "the newest message was sent " + to_ms_text(silent) + " ago");
+        }
+    }
 };
 
 tcp_link::tcp_link(const link_context& context,
