--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -157,6 +157,9 @@
     std::size_t running() const noexcept;
     /// @brief Whether an entry has orders that have not ended.
     bool has_orders(order_source from) const;
+    /// @brief When the run was told to stop that has been stopping for longest;
+    /// empty if no run is.
+    std::optional<time_point> oldest_stop() const;
     std::size_t queued() const noexcept;
     const run_scheduler_counts& counts() const noexcept;
 
@@ -199,6 +202,7 @@
         /// when the latest stop request was sent, the latest start or stop
         /// request was answered, or the run was first listed as running
         time_point last_exchange_at;
+        time_point stop_began; ///< when the run was first told to stop
         bool stop_accepted = false;
         bool cold = false;         ///< the target was cold at its start
         bool known_to_run = false; ///< its start was accepted, or it was listed
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -297,6 +297,7 @@
         return;
     }
     r.state = run_state::stopping;
+    r.stop_began = now;
     r.stop_accepted = false;
     r.last_exchange_at = now;
     hooks_.stop(r.current_run);
@@ -667,6 +668,20 @@
     return it != orders_.end() && it->first.first == from;
 }
 
+std::optional<time_point> run_scheduler::oldest_stop() const
+{
+    std::optional<time_point> out;
+    for (const auto& [id, key] : started_runs_)
+    {
+        const auto& r = orders_.at(key);
+        if (r.state == run_state::stopping)
+        {
+            out = std::min(r.stop_began, out.value_or(r.stop_began));
+        }
+    }
+    return out;
+}
+
 std::size_t run_scheduler::queued() const noexcept
 {
     return queue_.size();
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -80,7 +80,8 @@
     void on_closed(link_id link, const failure& why);
     void note_heard(link_id link);
     /// @brief When the entry that has been silent for longest sent its last
-    /// message, of those with orders here; empty without orders.
+    /// message, of those with orders here, or the oldest unconfirmed stop
+    /// began, whichever is earlier; empty without orders.
     std::optional<time_point> oldest_heard();
     void on_evacuation_update(link_id link, const evacuation_update& update);
     /// @brief Logs orders that were under way for long.
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -625,7 +625,8 @@
 {
     std::erase_if(closed_links_, [this](const auto& it)
                   { return !scheduler_.has_orders(it.first); });
-    std::optional<time_point> out;
+    // The caller of a run that is being stopped may have left.
+    auto out = scheduler_.oldest_stop();
     const auto consider = [&out](time_point t)
     {
         out = std::min(t, out.value_or(t));
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -29,10 +29,9 @@
 /// A graceful stop ends by then, before the process is killed with unanswered
 /// requests.
 constexpr duration max_stop_duration = 5400ms;
-/// Time until an agent that lost its link has stopped this entry's runs: the
-/// silence timeout and 50 ms for a stop; the rest of the 300 ms allows for
-/// timer periods and one lost call to the target.
-const duration lost_agent_grace = max_pause + 300ms;
+/// Time until an agent that lost its link has stopped this entry's runs, also
+/// if it is paused: its target's lease has expired by then, see target_lease.
+constexpr duration lost_agent_grace = 1300ms;
 
 /// Time from a target's announcement to its agent until the entry knows it:
 /// two lease calls, and a dial that is repeated.
