--- a/packages/core/include/agatebank/core/error.hpp
+++ b/packages/core/include/agatebank/core/error.hpp
@@ -45,6 +45,7 @@
     process_leaving = 315,
     not_ready = 316,
     job_unsupported = 317,
+    request_late = 318,
 
     // outcomes of tasks and jobs: 400 to 499
     start_refused = 400,
--- a/packages/core/src/error.cpp
+++ b/packages/core/src/error.cpp
@@ -77,6 +77,8 @@
     error_row{errc::not_ready, "not_ready", "the process is not ready"},
     error_row{errc::job_unsupported, "job_unsupported",
               "the job asks for what is not built"},
+    error_row{errc::request_late, "request_late",
+              "the request was under way for too long"},
     error_row{errc::start_refused, "start_refused",
               "the agent refused the start"},
     error_row{errc::start_stale, "start_stale",
--- a/packages/http/include/agatebank/http/http_message.hpp
+++ b/packages/http/include/agatebank/http/http_message.hpp
@@ -2,6 +2,7 @@
 
 #include <agatebank/core/execution_status.hpp>
 #include <agatebank/core/result.hpp>
+#include <agatebank/core/units.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -34,6 +35,10 @@
     /// The client had closed its connection when the request was read. Set only
     /// by a server with a callback for abandoned requests.
     bool client_left = false;
+    /// Time from the connection's acceptance until its first request was read;
+    /// zero for later requests. More than a round trip and the client's own
+    /// delay: the path is slow.
+    duration since_accepted{};
 
     /// @brief A header's value, empty when absent. @param name lower case
     const std::string& header(const std::string& name) const;
--- a/packages/http/src/http_server.cpp
+++ b/packages/http/src/http_server.cpp
@@ -15,6 +15,10 @@
 {
 
 constexpr const char* body_key = "agatebank-body";
+/// Set on a socket whose first message has begun.
+constexpr const char* used_key = "agatebank-used";
+/// When the connection was accepted; set on its first message.
+constexpr const char* accepted_key = "agatebank-accepted";
 constexpr const char* step_listen = "http.listen";
 constexpr const char* step_receive = "http.receive";
 
@@ -30,6 +34,33 @@
     delete static_cast<body_buffer*>(data);
 }
 
+void free_time(gpointer data)
+{
+    delete static_cast<time_point*>(data);
+}
+
+// Notes when the connection of a message was accepted, if the message is its
+// first one.
+void note_accepted(SoupServerMessage* message, time_point now)
+{
+    GSocket* socket = soup_server_message_get_socket(message);
+    if (socket == nullptr ||
+        g_object_get_data(G_OBJECT(socket), used_key) != nullptr)
+    {
+        return;
+    }
+    g_object_set_data(G_OBJECT(socket), used_key, socket);
+    g_object_set_data_full(G_OBJECT(message), accepted_key, new time_point(now),
+                           free_time);
+}
+
+duration since_accepted(SoupServerMessage* message, time_point now)
+{
+    const auto* accepted = static_cast<time_point*>(
+        g_object_get_data(G_OBJECT(message), accepted_key));
+    return accepted == nullptr ? duration(0) : now - *accepted;
+}
+
 void on_chunk(SoupServerMessage* message, GBytes* chunk, gpointer)
 {
     auto* buf = static_cast<body_buffer*>(
@@ -443,6 +474,7 @@
     auto request = read_request(message, path, query);
     request.request_id = ex->request_id = ++self->last_request_id_;
     request.client_left = ex->watch_peer(self->abandoned_);
+    request.since_accepted = since_accepted(message, self->loop_.now());
     self->dispatch(ex, std::move(request));
 }
 
@@ -500,6 +532,7 @@
 {
     auto* self = static_cast<http_server*>(data);
     g_object_weak_ref(G_OBJECT(message), on_message_destroyed, self);
+    note_accepted(message, self->loop_.now());
     self->read_timers_[message] = self->timers_.schedule(
         self->options_.read_timeout,
         [message]
--- a/packages/http/tests/unit-http_server.cpp
+++ b/packages/http/tests/unit-http_server.cpp
@@ -360,3 +360,27 @@
         }
     }
 }
+
+// Guards against a request whose path is so slow that the server can't learn in
+// time that its client has left.
+TEST_CASE("http_server: the first request of a connection tells how long after "
+          "its acceptance it was read")
+{
+    server_fixture f;
+    std::vector<duration> ages;
+    f.server->route("POST", "/job",
+                    [&](const http_request& rq, const auto& respond)
+                    {
+                        ages.push_back(rq.since_accepted);
+                        respond(json_response(200, {}));
+                    });
+    const auto c = raw_connect(f.port, nullptr);
+    f.run(std::chrono::milliseconds(300));
+    c->send(post("/job", 3));
+    f.run(std::chrono::milliseconds(300));
+    c->send(post("/job", 3));
+    f.run(std::chrono::milliseconds(200));
+    REQUIRE(ages.size() == 2);
+    CHECK(ages[0] > std::chrono::milliseconds(250));
+    CHECK(ages[1] == std::chrono::milliseconds(0));
+}
