Read JSON with long lists in linear time

Callers saw: an entry that got one job with a list of many empty objects served nobody else for minutes. Any body that parse_json reads could do it, such as an announcement to an agent.

Cause: parse_json checked the structure in a callback of nlohmann::json. With a callback, the parser searches the enclosing list for a discarded value after each object, so the time grows with the square of the length.

Change: the structure is checked by a pass without values, then the text is parsed without a callback. Lists deeper than the limit are refused before any value is built. The description of an error, which quotes the text read last, is cut to 300 bytes.

--- a/packages/core/src/json_reader.cpp
+++ b/packages/core/src/json_reader.cpp
@@ -1,9 +1,7 @@
 #include <agatebank/core/json_reader.hpp>
 
 #include <cmath>
-#include <functional>
 #include <set>
-#include <stdexcept>
 #include <utility>
 #include <vector>
 
@@ -16,51 +14,111 @@
 using nlohmann::json;
 
 constexpr std::size_t max_described_characters = 60;
+constexpr std::size_t max_error_bytes = 300;
 
-struct structure_error : std::runtime_error
-{
-    using std::runtime_error::runtime_error;
-};
-
-// Parser callback that rejects nesting deeper than a limit and duplicate field
-// names in an object, both of which nlohmann::json accepts.
-class parse_guard
+// Checks JSON text without building values. Rejects nesting deeper than a limit
+// and duplicate field names in an object, both of which nlohmann::json accepts.
+// A parser callback could do the same, but then nlohmann::json searches the
+// enclosing array after each object, so that long lists take quadratic time.
+class structure_check : public nlohmann::json_sax<json>
 {
   public:
-    explicit parse_guard(int max_depth) : max_depth_(max_depth) {}
+    explicit structure_check(int max_depth) : max_depth_(max_depth) {}
 
-    bool operator()(int depth, json::parse_event_t event, const json& parsed)
+    bool null() override
     {
-        if (depth > max_depth_)
-        {
-            throw structure_error("nested deeper than " +
-                                  std::to_string(max_depth_) + " levels");
-        }
-        if (event == json::parse_event_t::object_start)
-        {
-            names_.emplace_back();
-        }
-        else if (event == json::parse_event_t::object_end)
-        {
-            names_.pop_back();
-        }
-        else if (event == json::parse_event_t::key)
+        return true;
+    }
+
+    bool boolean(bool) override
+    {
+        return true;
+    }
+
+    bool number_integer(number_integer_t) override
+    {
+        return true;
+    }
+
+    bool number_unsigned(number_unsigned_t) override
+    {
+        return true;
+    }
+
+    bool number_float(number_float_t, const string_t&) override
+    {
+        return true;
+    }
+
+    bool string(string_t&) override
+    {
+        return true;
+    }
+
+    bool binary(binary_t&) override
+    {
+        return true;
+    }
+
+    bool start_object(std::size_t) override
+    {
+        names_.emplace_back();
+        return enter();
+    }
+
+    bool end_object() override
+    {
+        names_.pop_back();
+        --depth_;
+        return true;
+    }
+
+    bool start_array(std::size_t) override
+    {
+        return enter();
+    }
+
+    bool end_array() override
+    {
+        --depth_;
+        return true;
+    }
+
+    bool key(string_t& name) override
+    {
+        if (!names_.back().insert(name).second)
         {
-            add_name(parsed.get_ref<const std::string&>());
+            error_ = "duplicate field \"" + name + "\"";
         }
-        return true;
+        return error_.empty();
+    }
+
+    bool parse_error(std::size_t, const std::string&,
+                     const json::exception& e) override
+    {
+        error_ = e.what();
+        return false;
+    }
+
+    const std::string& error() const noexcept
+    {
+        return error_;
     }
 
   private:
-    void add_name(const std::string& name)
+    bool enter()
     {
-        if (!names_.back().insert(name).second)
+        if (++depth_ > max_depth_)
         {
-            throw structure_error("duplicate field \"" + name + "\"");
+            error_ =
+                "nested deeper than " + std::to_string(max_depth_) + " levels";
         }
+        return error_.empty();
     }
 
     int max_depth_;
+    int depth_ = 0;
+    std::string error_;
     std::vector<std::set<std::string>> names_; ///< of each open object
 };
 
@@ -101,15 +159,14 @@
 result<json> parse_json(std::string_view text, const std::string& step,
                         const std::string& peer, int max_depth)
 {
-    parse_guard guard(max_depth);
-    try
-    {
-        return json::parse(text.begin(), text.end(), std::ref(guard));
-    }
-    catch (const std::exception& e)
+    structure_check check(max_depth);
+    if (!json::sax_parse(text.begin(), text.end(), &check))
     {
-        return fail(errc::request_malformed, step, peer, e.what());
+        // The parser quotes the text that it read last, however long it is.
+        return fail(errc::request_malformed, step, peer,
+                    check.error().substr(0, max_error_bytes));
     }
+    return json::parse(text.begin(), text.end());
 }
 
 void json_errors::add(const std::string& path, const std::string& found,
--- a/packages/core/tests/unit-json_reader.cpp
+++ b/packages/core/tests/unit-json_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <string>
 
 using namespace agatebank;
@@ -63,3 +64,58 @@
         }
     }
 }
+
+// Guards against text that keeps a process busy for minutes: the time to read a
+// list grew with the square of its length.
+TEST_CASE("json_reader: long lists of objects are read in linear time")
+{
+    std::string text = "[";
+    for (int i = 0; i < 200'000; ++i)
+    {
+        text += "{},";
+    }
+    text += "{}]";
+    const auto began = std::chrono::steady_clock::now();
+    const auto document = parse_json(text, "test", "");
+    const auto took = std::chrono::steady_clock::now() - began;
+    REQUIRE(document);
+    CHECK(document->size() == 200'001);
+    CHECK(took < std::chrono::seconds(10));
+}
+
+// Guards against log lines and answers as long as the text that was refused.
+TEST_CASE("json_reader: the description of an error is short")
+{
+    const std::string rows[] = {"\"" + std::string(1'000'000, 'a'),
+                                "{\"" + std::string(1'000'000, 'a') + "\" 1"};
+    for (const auto& text : rows)
+    {
+        const auto got = parse_json(text, "test", "");
+        REQUIRE(!got);
+        CHECK(got.error().detail.size() <= 300);
+    }
+}
+
+TEST_CASE("json_reader: nesting is limited, and field names are unique in "
+          "their object")
+{
+    struct row
+    {
+        const char* text;
+        bool valid;
+    };
+    const row rows[] = {{R"([[[1]]])", true},
+                        {R"([[[[]]]])", false},
+                        {R"({"a":{"b":[]}})", true},
+                        {R"({"a":{"b":[{}]}})", false},
+                        {R"([[],[[]],[[1],[2]],{}])", true},
+                        {R"({"a":1,"b":{"a":1}})", true},
+                        {R"([{"a":1},{"a":1}])", true},
+                        {R"({"a":1,"a":1})", false},
+                        {R"({"a":{"b":1},"c":{"b":1,"b":2}})", false}};
+    for (const auto& it : rows)
+    {
+        INFO(it.text);
+        CHECK(parse_json(it.text, "test", "", 3).has_value() == it.valid);
+    }
+}
