--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -72,6 +72,29 @@
     page_size_ = rows;
 }
 
+void store_stand_in::set_odd_rows(std::string rows)
+{
+    odd_rows_ = std::move(rows);
+}
+
+// The odd rows are added as text, since nlohmann::json copies values that are
+// deeply nested by recursion.
+http_response store_stand_in::answer(nlohmann::json body) const
+{
+    if (odd_rows_.empty())
+    {
+        return json_response(200, body);
+    }
+    const auto rows = std::exchange(body["rows"], nlohmann::json::array());
+    auto out = json_response(200, body);
+    auto text = rows.dump();
+    text.pop_back();
+    text += (rows.empty() ? "" : ",") + odd_rows_ + "]";
+    const std::string empty = R"("rows":[])";
+    out.body.replace(out.body.find(empty), empty.size(), R"("rows":)" + text);
+    return out;
+}
+
 std::string store_stand_in::address() const
 {
     return server_.options().address + ":" +
@@ -119,10 +142,10 @@
         }
         rows.push_back(to_json(it->first, it->second));
     }
-    respond(json_response(200, {{"rows", rows},
-                                {"hasMore", has_more},
-                                {"schemaVersion", version_},
-                                {"nowMs", 1}}));
+    respond(answer({{"rows", rows},
+                    {"hasMore", has_more},
+                    {"schemaVersion", version_},
+                    {"nowMs", 1}}));
 }
 
 void store_stand_in::follow(const http_request& request,
@@ -158,8 +181,8 @@
             rows.push_back(to_json(key, row));
         }
     }
-    respond(json_response(
-        200, {{"rows", rows}, {"schemaVersion", version_}, {"nowMs", 1}}));
+    respond(
+        answer({{"rows", rows}, {"schemaVersion", version_}, {"nowMs", 1}}));
 }
 
 void store_stand_in::answer_waiting()
--- a/tests/platform/store_stand_in.hpp
+++ b/tests/platform/store_stand_in.hpp
@@ -40,6 +40,9 @@
     /// present version or an earlier one are answered 410.
     void discard_history();
     void set_mode(store_mode mode);
+    /// @brief Adds rows to each answer, as another writer left them.
+    /// @param rows JSON text of one or more rows, separated by commas
+    void set_odd_rows(std::string rows);
     /// @brief Limits the rows of one answer to a read.
     void set_page_size(std::size_t rows);
 
@@ -64,6 +67,8 @@
     void answer_changes(int64_t after, const http_responder& respond);
     void answer_waiting();
     nlohmann::json to_json(const std::string& key, const row_record& row) const;
+    /// @brief An answer with rows, to which the odd ones are added.
+    http_response answer(nlohmann::json body) const;
 
     event_loop& loop_;
     http_server server_;
@@ -72,6 +77,7 @@
     int64_t version_ = 10;
     int64_t oldest_change_ = 0; ///< later changes are in the history
     std::size_t page_size_ = 1000;
+    std::string odd_rows_;
     std::vector<waiting_call> waiting_;
 };
 
