--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -453,4 +453,9 @@
     return run_until(loop, timeout, [this, job] { return jobs_[job]->ended; });
 }
 
+endpoint node_cluster::announcements(std::size_t agent) const
+{
+    return {agent_ip(agent), control_port_};
+}
+
 } // namespace agatebank
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -111,6 +111,8 @@
     endpoint callers(std::size_t entry) const;
     /// @brief Where an entry accepts links.
     endpoint links(std::size_t entry) const;
+    /// @brief Where an agent receives announcements.
+    endpoint announcements(std::size_t agent) const;
     /// @brief The body of such a job.
     static std::string job_body(unsigned tasks,
                                 const std::string& payload = "x");
--- a/tests/platform/unit-odd_announcements.cpp
+++ b/tests/platform/unit-odd_announcements.cpp
@@ -3,7 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <cstdint>
 #include <deque>
+#include <functional>
+#include <sstream>
 
 using namespace agatebank;
 using namespace std::chrono_literals;
@@ -14,10 +18,15 @@
 namespace
 {
 
+using nlohmann::json;
+
+constexpr duration writing_time = 1500ms;
 constexpr duration small_body_period = 10ms;
 constexpr duration large_body_period = 100ms;
 constexpr std::size_t large_body = 100'000;
 constexpr std::size_t megabyte = 1'000'000;
+/// Log lines about refused announcements, of a hundred or more.
+constexpr std::size_t max_refusal_lines = 4;
 /// Calls without an answer, of which a writer keeps the latest.
 constexpr std::size_t max_calls = 40;
 
@@ -56,6 +65,11 @@
     watch timer_;
 };
 
+std::size_t count_lines(const std::string& text)
+{
+    return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
 std::string nested_arrays(std::size_t depth)
 {
     return std::string(depth, '[') + std::string(depth, ']');
@@ -72,8 +86,146 @@
     return out + "{}]";
 }
 
+// The announcement of the cluster's first target, as its stand-in sends it.
+json announcement(const node_cluster& c)
+{
+    return {{"service", "desk"},
+            {"address", c.targets[0]->address()},
+            {"zone", "z1"},
+            {"state", "ready"},
+            {"capacity", {{"cpu", 16000}, {"memMb", 65536}, {"gpus", 0}}},
+            {"labels", {"a", "r1"}},
+            {"born", 1000},
+            {"sequence", 1}};
+}
+
+int64_t unix_ms()
+{
+    return g_get_real_time() / 1000;
+}
+
+struct odd_row
+{
+    const char* name;
+    std::function<std::string(const node_cluster&)> body;
+    const char* path = "/v1/instances/i-0/heartbeat";
+    bool refused = true; ///< with a log line
+};
+
+odd_row changed(const char* name, std::function<void(json&)> change,
+                const char* path = "/v1/instances/i-0/heartbeat")
+{
+    return {name,
+            [change](const node_cluster& c)
+            {
+                auto body = announcement(c);
+                change(body);
+                return body.dump();
+            },
+            path};
+}
+
+odd_row fixed(const char* name, std::string body,
+              const char* path = "/v1/instances/i-0/heartbeat",
+              bool refused = true)
+{
+    return {name, [body](const node_cluster&) { return body; }, path, refused};
+}
+
+// Runs a cluster of one entry and one agent while a writer sends the row's body
+// to the agent, from before the target's first announcement.
+void check_row(const odd_row& row)
+{
+    INFO(row.name);
+    cluster_plan plan;
+    plan.entries = 1;
+    plan.agents = 1;
+    node_cluster c(plan);
+    repeated_writer writer(c.loop, c.announcements(0), row.path, row.body(c));
+    CHECK(c.wait_ready());
+    const auto end = c.loop.now() + writing_time;
+    char job = 'a';
+    while (c.loop.now() < end)
+    {
+        const auto j = c.submit(0, std::string("000000000000000") + job, 4);
+        CHECK(c.wait_ended(j));
+        CHECK(c.job(j).status == 200);
+        if (c.job(j).status != 200)
+        {
+            break;
+        }
+        job = job == 'f' ? 'a' : static_cast<char>(job + 1);
+        run_for(c.loop, 100ms);
+    }
+    CHECK(c.agent(0).running());
+    CHECK(c.ledger.overlaps == 0);
+    c.targets[0]->set_draining();
+    CHECK(run_until(
+        c.loop, 5s,
+        [&c]
+        { return c.agent_logged(0, "target announced that it is draining"); }));
+    const auto refusals = [&c]
+    {
+        return count_lines(c.agent_log(0, "announcement was refused"));
+    };
+    CHECK(run_until(c.loop, 1s,
+                    [&] { return refusals() >= (row.refused ? 1 : 0); }));
+    CHECK(refusals() <= max_refusal_lines);
+    CHECK(count_lines(c.agent_log(0, "target announced incarnation")) == 1);
+}
+
 } // namespace
 
+// Guards against an agent that is busy for minutes with one body, or ends.
+TEST_CASE("odd announcements: bodies that are deep, wide or unreadable")
+{
+    const odd_row rows[] = {
+        fixed("a megabyte of [", std::string(megabyte, '[')),
+        fixed("a megabyte of nested arrays", nested_arrays(megabyte / 2)),
+        fixed("nested arrays in a field",
+              R"({"service":)" + nested_arrays(megabyte / 2) + "}"),
+        fixed("a megabyte of empty objects", wide_array(megabyte)),
+        fixed("no text", "\xff\xfe\x01"),
+        fixed("empty", ""),
+        fixed("a deregistration of another worker, with a deep body",
+              nested_arrays(megabyte / 2), "/v1/instances/i-9/deregister",
+              false)};
+    for (const auto& it : rows)
+    {
+        check_row(it);
+    }
+}
+
+// Guards against an agent that follows another worker's announcement, and from
+// then on ignores those of its own target as older ones.
+TEST_CASE("odd announcements: of an address that is not the agent's target")
+{
+    const auto at = [](const char* name, const json& address,
+                       const char* path = "/v1/instances/i-0/heartbeat")
+    {
+        return changed(
+            name,
+            [address](json& body)
+            {
+                body["address"] = address;
+                body["born"] = unix_ms();
+            },
+            path);
+    };
+    const odd_row rows[] = {
+        at("another worker", "10.0.0.9:8080", "/v1/instances/i-9/heartbeat"),
+        at("a port out of range", "127.0.2.1:70000"),
+        at("a port far out of range", "127.0.2.1:99999999999999999999"),
+        at("a port of 0", "127.0.2.1:0"),
+        at("no port", "127.0.2.1"),
+        at("a number", 7),
+        at("null", nullptr)};
+    for (const auto& it : rows)
+    {
+        check_row(it);
+    }
+}
+
 // Guards against an entry that is busy for minutes with the body of one job.
 TEST_CASE("odd announcements: jobs with deep or wide bodies")
 {
