--- a/tests/platform/unit-odd_announcements.cpp
+++ b/tests/platform/unit-odd_announcements.cpp
@@ -226,6 +226,37 @@
     }
 }
 
+// Guards against capacities that overflow the sums of the entries, and against
+// texts that no entry accepts on its link.
+TEST_CASE("odd announcements: amounts and texts out of their range")
+{
+    const auto late = [](const char* name, std::function<void(json&)> change)
+    {
+        return changed(name,
+                       [change](json& body)
+                       {
+                           body["sequence"] = 900;
+                           change(body);
+                       });
+    };
+    const odd_row rows[] = {
+        late("cpu", [](json& b) { b["capacity"]["cpu"] = INT64_MAX; }),
+        late("memMb", [](json& b) { b["capacity"]["memMb"] = INT64_MAX; }),
+        late("gpus", [](json& b) { b["capacity"]["gpus"] = INT64_MAX; }),
+        late("a long service",
+             [](json& b) { b["service"] = std::string(megabyte, 's'); }),
+        late("a long failure domain",
+             [](json& b) { b["zone"] = std::string(megabyte, 'z'); }),
+        late("many labels", [](json& b)
+             { b["labels"] = std::vector<std::string>(100'000, "l"); }),
+        late("no service", [](json& b) { b.erase("service"); }),
+        late("a state that is not named", [](json& b) { b["state"] = "odd"; })};
+    for (const auto& it : rows)
+    {
+        check_row(it);
+    }
+}
+
 // Guards against an entry that is busy for minutes with the body of one job.
 TEST_CASE("odd announcements: jobs with deep or wide bodies")
 {
