Refuse starts in the future and sequence numbers out of range

Callers saw: nothing yet. An announcement with a start (born) or a sequence number near the largest number made all announcements that followed look old, for ever.

Measured: the rows pass.

--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -245,7 +245,11 @@
         {[&node](const target_announcement& a) { node.on_announcement(a); },
          [&node](const std::string& t) { node.on_deregistration(t); },
          [&rt] { return rt.loop.now(); },
-         [&settings] { return platform::announcement_limits{settings.target}; },
+         [&settings]
+         {
+             return platform::announcement_limits{settings.target,
+                                                  g_get_real_time() / 1000};
+         },
          rt.log()});
     http_server metrics(rt.loop, to_server_options(settings.metrics));
     add_node_metrics(rt.metrics, node);
--- a/tests/platform/unit-odd_announcements.cpp
+++ b/tests/platform/unit-odd_announcements.cpp
@@ -125,6 +125,20 @@
             path};
 }
 
+// An announcement with a field that is written as text, since the value cannot
+// be held by a number type.
+odd_row with_number(const char* name, const char* field, const char* number)
+{
+    return {name, [field, number](const node_cluster& c)
+            {
+                auto body = announcement(c);
+                body[field] = "NUMBER";
+                auto text = body.dump();
+                text.replace(text.find("\"NUMBER\""), 8, number);
+                return text;
+            }};
+}
+
 odd_row fixed(const char* name, std::string body,
               const char* path = "/v1/instances/i-0/heartbeat",
               bool refused = true)
@@ -226,6 +240,27 @@
     }
 }
 
+// Guards against an agent to which the announcements of its target look old
+// for ever, since another writer named a very late start or sequence number.
+TEST_CASE("odd announcements: numbers that are too large")
+{
+    const odd_row rows[] = {
+        with_number("born: largest signed", "born", "9223372036854775807"),
+        with_number("born: largest unsigned", "born", "18446744073709551615"),
+        with_number("born: beyond all types", "born", "1e400"),
+        with_number("born: a real number", "born", "9.2e18"),
+        changed("born: a day ahead",
+                [](json& body) { body["born"] = unix_ms() + 86'400'000; }),
+        with_number("sequence: largest signed", "sequence",
+                    "9223372036854775807"),
+        with_number("sequence: largest unsigned", "sequence",
+                    "18446744073709551615")};
+    for (const auto& it : rows)
+    {
+        check_row(it);
+    }
+}
+
 // Guards against capacities that overflow the sums of the entries, and against
 // texts that no entry accepts on its link.
 TEST_CASE("odd announcements: amounts and texts out of their range")
