--- a/tests/fuzz/unit-json_documents.cpp
+++ b/tests/fuzz/unit-json_documents.cpp
@@ -10,6 +10,10 @@
 #include <catch2/catch.hpp>
 
 #include <functional>
+#include <platform/job_decoder.hpp>
+#include <platform/route_decoder.hpp>
+#include <platform/target_announcements.hpp>
+#include <platform/target_lists.hpp>
 #include <string>
 
 using namespace agatebank;
@@ -62,6 +66,29 @@
     return code_of(parse_inventory_csv(text, "peer"));
 }
 
+std::error_code read_announcement(const std::string& text)
+{
+    return code_of(platform::decode_announcement(
+        "i-1", text, "peer", {"10.0.0.1:80", 1'800'000'000'000}));
+}
+
+std::error_code read_lists(const std::string& text)
+{
+    return platform::decode_lists(text)
+               ? std::error_code()
+               : make_error_code(errc::message_malformed);
+}
+
+std::error_code read_platform_job(const std::string& text)
+{
+    return code_of(platform::decode_job(text, "peer"));
+}
+
+std::error_code read_routes(const std::string& text)
+{
+    return code_of(platform::decode_routes(text));
+}
+
 struct reader_row
 {
     const char* folder;
@@ -71,11 +98,16 @@
 const reader_row readers[] = {{"job", read_job},
                               {"configuration", read_configuration},
                               {"settings", read_settings},
-                              {"csv", read_csv}};
+                              {"csv", read_csv},
+                              {"announcement", read_announcement},
+                              {"lists", read_lists},
+                              {"platform_job", read_platform_job},
+                              {"routes", read_routes}};
 
 bool is_expected(const std::error_code& ec)
 {
     return ec == errc::request_malformed || ec == errc::too_many_tasks ||
+           ec == errc::message_malformed || ec == errc::job_unsupported ||
            ec == errc::settings_invalid || ec == errc::configuration_invalid;
 }
 
