Simulate input that arrives late

The property test of single runs missed the incident in which two entries held one job: its callers, requests, messages and timers are all on time.

It is in packages/node, as fleet doesn't depend on target_lease and delay_estimator. agent_node, entry_node and tcp_link need sockets, so the simulation models what they do with the lease, jobs and links; a change there has to be made here too.

--- /dev/null
+++ b/packages/node/tests/simulated_agent.hpp
@@ -0,0 +1,425 @@
+#pragma once
+
+#include "leased_target.hpp"
+#include "simulated_network.hpp"
+#include <agatebank/core/duration_math.hpp>
+#include <agatebank/fleet/run_scheduler.hpp>
+#include <agatebank/node/target_lease.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace agatebank
+{
+
+/// @brief Messages of a simulated_agent, called at the entry that receives
+/// them.
+struct simulated_agent_hooks
+{
+    std::function<void(std::size_t entry, simulated_link, const target_load&)>
+        on_hello;
+    std::function<void(std::size_t entry, simulated_link, const target_load&)>
+        on_load;
+    std::function<void(std::size_t entry, simulated_link, const order_result&)>
+        on_result;
+    std::function<void(const std::string&)> note; ///< for the trace
+};
+
+/// @brief Rules of an agent's lease.
+struct lease_rules
+{
+    /// the lease ends a bounded time after the sending of the newest message
+    bool bound_by_heard = true;
+    /// Not in agent_node: the bound of a run that is being stopped doesn't move
+    /// with later messages.
+    bool bound_stopped = false;
+    /// Not in agent_node: a start extends the lease at the target, so it counts
+    /// as an extension.
+    bool count_starts = false;
+};
+
+/// @brief Does what agent_node does with orders, its links and its lease,
+/// around the real run_scheduler and target_lease. Calls to the target are
+/// lost or late.
+class simulated_agent
+{
+  public:
+    static constexpr resources capacity{16000, 4000, 0};
+
+    simulated_agent(event_queue& events, random_choice& random,
+                    simulated_process& process, simulated_network& network,
+                    std::size_t node, leased_target& target,
+                    simulated_agent_hooks hooks, lease_rules rules,
+                    unsigned late_call_percent)
+        : events_(events)
+        , random_(random)
+        , process_(process)
+        , network_(network)
+        , node_(node)
+        , target_(target)
+        , hooks_(std::move(hooks))
+        , rules_(rules)
+        , late_call_percent_(late_call_percent)
+        , scheduler_(scheduler_hooks())
+        , lease_({})
+    {
+        scheduler_.set_capacity(capacity, events_.now());
+        process_.every(timer_period, [this] { on_timer(); });
+        extend_lease();
+    }
+
+    void on_opened(simulated_link link, std::size_t entry)
+    {
+        links_[link] = {entry, 0, {}};
+        const auto load = current_load(links_[link]);
+        network_.send(link, node_,
+                      [this, link, entry, load]
+                      { hooks_.on_hello(entry, link, load); });
+        links_[link].reported = load;
+    }
+
+    void on_closed(simulated_link link)
+    {
+        if (links_.erase(link) != 0)
+        {
+            closed_links_[link] = network_.last_heard(link, node_);
+        }
+        stop_bound_ = network_.last_heard(link, node_);
+        scheduler_.on_source_lost(order_source(link), events_.now());
+        stop_bound_.reset();
+    }
+
+    void on_batch(simulated_link link, const run_batch& b)
+    {
+        if (const auto it = links_.find(link); it != links_.end())
+        {
+            for (const auto& o : b.orders)
+            {
+                auto& last = it->second.last_order;
+                last = std::max(last, o.id.value());
+            }
+            scheduler_.on_batch(order_source(link), b, events_.now());
+        }
+    }
+
+    void on_cancel(simulated_link link, const std::vector<order_id>& ids)
+    {
+        // The caller may have left right after the message before was sent.
+        stop_bound_ = network_.heard_before(link, node_);
+        scheduler_.on_cancel(order_source(link), ids, events_.now());
+        stop_bound_.reset();
+    }
+
+  private:
+    using ms = std::chrono::milliseconds;
+
+    static constexpr duration timer_period = ms(50);
+    static constexpr duration list_wait = ms(250);
+    static constexpr duration idle_list_wait = ms(400);
+    static constexpr duration lease_retry_delay = ms(40);
+    static constexpr duration start_validity = ms(500);
+    static constexpr duration call_timeout = ms(400);
+
+    struct entry_link
+    {
+        std::size_t entry = 0;
+        uint64_t last_order = 0;
+        target_load reported;
+    };
+
+    struct stopped_run
+    {
+        time_point stopped; ///< when the stop was first requested
+        /// sending of the newest message that doesn't show the reason
+        time_point heard;
+    };
+
+    run_scheduler_hooks scheduler_hooks()
+    {
+        run_scheduler_hooks h;
+        h.start = [this](const run_id& n, const std::string& payload)
+        {
+            start_run(n, payload);
+        };
+        h.stop = [this](const run_id& n)
+        {
+            stop_run(n);
+        };
+        h.report = [this](order_source s, const order_result& r)
+        {
+            if (const auto it = links_.find(s.value()); it != links_.end())
+            {
+                network_.send(it->first, node_,
+                              [this, link = it->first, entry = it->second.entry,
+                               r] { hooks_.on_result(entry, link, r); });
+            }
+        };
+        h.report_loss = [](const std::vector<lost_run>&) {
+        };
+        h.log = [](const log_record&) {
+        };
+        return h;
+    }
+
+    void on_timer()
+    {
+        const auto now = events_.now();
+        scheduler_.tick(now);
+        if (lease_.has_expired(now) && !runs_ended_)
+        {
+            runs_ended_ = true;
+            hooks_.note("assumes that all runs have ended with the lease");
+            scheduler_.on_all_runs_ended(false, "the lease expired", now);
+        }
+        update_acceptance();
+        for (auto& [link, it] : links_)
+        {
+            const auto load = current_load(it);
+            if (load == it.reported)
+            {
+                continue;
+            }
+            it.reported = load;
+            network_.send(link, node_,
+                          [this, link = link, e = it.entry, load]
+                          { hooks_.on_load(e, link, load); });
+        }
+    }
+
+    target_load current_load(const entry_link& link) const
+    {
+        auto out = scheduler_.load(events_.now());
+        out.accepts_work = lease_.is_connected(events_.now());
+        out.last_order_received = link.last_order;
+        return out;
+    }
+
+    void update_acceptance()
+    {
+        scheduler_.set_accepting_orders(lease_.is_connected(events_.now()),
+                                        events_.now());
+    }
+
+    // lease
+
+    std::optional<time_point> oldest_heard()
+    {
+        std::erase_if(closed_links_,
+                      [this](const auto& it) {
+                          return !scheduler_.has_orders(order_source(it.first));
+                      });
+        std::optional<time_point> out;
+        const auto consider = [&out](time_point t)
+        {
+            out = std::min(t, out.value_or(t));
+        };
+        for (const auto& [link, it] : links_)
+        {
+            if (scheduler_.has_orders(order_source(link)))
+            {
+                consider(network_.last_heard(link, node_));
+            }
+        }
+        for (const auto& [link, heard] : closed_links_)
+        {
+            consider(heard);
+        }
+        for (const auto& [run, it] : stopped_runs_)
+        {
+            consider(it.heard);
+        }
+        return rules_.bound_by_heard ? out : std::nullopt;
+    }
+
+    static target_time add(target_time t, duration d)
+    {
+        return target_time(t.value() +
+                           std::chrono::duration_cast<ms>(d).count());
+    }
+
+    void extend_lease()
+    {
+        const auto now = events_.now();
+        lease_request rq;
+        rq.last_end_seen = last_end_seen_;
+        const auto clock = lease_.clock(now);
+        const bool may_extend = lease_.may_extend(now);
+        if (may_extend && target_connected_)
+        {
+            const auto next = scheduler_.time_to_next_end(now);
+            rq.wait = next ? list_wait : idle_list_wait;
+            rq.expected_end = std::min(rq.wait, next.value_or(rq.wait));
+        }
+        const auto extension = lease_.extension(oldest_heard(), now);
+        if (clock && may_extend && extension.count() > 0)
+        {
+            rq.lease_until = add(*clock, extension);
+            hooks_.note("extends the lease by " + to_ms_text(extension));
+            lease_.on_extension_sent(now);
+            runs_ended_ = false;
+        }
+        call_lease(rq);
+    }
+
+    // A call is answered once: by the target or by its time limit.
+    void call_lease(const lease_request& rq)
+    {
+        const auto sent = events_.now();
+        const auto over = std::make_shared<bool>(false);
+        const bool lost = random_.percent(late_call_percent_);
+        const auto respond = [this, sent, over](const lease_answer& a)
+        {
+            process_.receive_after(random_.between(ms(0), ms(3)),
+                                   [this, sent, over, a]
+                                   {
+                                       if (!std::exchange(*over, true))
+                                       {
+                                           on_lease_answer(a, sent);
+                                       }
+                                   });
+        };
+        events_.at(lost ? random_.between(ms(100), ms(500))
+                        : random_.between(ms(1), ms(3)),
+                   [this, rq, lost, respond]
+                   {
+                       target_.extend(rq, lost ? [](const lease_answer&) {}
+                                               : leased_target::respond_fn(
+                                                     respond));
+                   });
+        process_.after(rq.wait + call_timeout,
+                       [this, over]
+                       {
+                           if (!std::exchange(*over, true))
+                           {
+                               target_connected_ = false;
+                               update_acceptance();
+                               process_.after(lease_retry_delay,
+                                              [this] { extend_lease(); });
+                           }
+                       });
+    }
+
+    void on_lease_answer(const lease_answer& answer, time_point sent)
+    {
+        const auto now = events_.now();
+        target_connected_ = true;
+        lease_.on_answer(answer.clock, now);
+        for (const auto& it : answer.ended)
+        {
+            last_end_seen_ = std::max(last_end_seen_, it.position);
+        }
+        std::erase_if(stopped_runs_,
+                      [&answer, sent](const auto& it)
+                      {
+                          return it.second.stopped < sent &&
+                                 std::none_of(answer.running.begin(),
+                                              answer.running.end(),
+                                              [&it](const active_run& r)
+                                              { return r.id == it.first; });
+                      });
+        scheduler_.on_listing(answer, sent, now);
+        update_acceptance();
+        process_.after(ms(1), [this] { extend_lease(); });
+    }
+
+    // runs
+
+    // A request is carried out at once, late, or twice.
+    void start_run(const run_id& n, const std::string& payload)
+    {
+        const auto now = events_.now();
+        const auto validity =
+            std::min(start_validity, lease_.extension(oldest_heard(), now));
+        if (rules_.count_starts)
+        {
+            lease_.on_extension_sent(now);
+            runs_ended_ = false;
+        }
+        const start_request rq{
+            n, payload,
+            add(lease_.clock(now).value_or(target_time()), validity)};
+        const bool late = random_.percent(late_call_percent_);
+        const bool twice = random_.percent(late_call_percent_);
+        if (late || twice)
+        {
+            events_.at(random_.between(ms(100), ms(1500)),
+                       [this, rq] { target_.start(rq); });
+        }
+        if (late)
+        {
+            process_.after(call_timeout,
+                           [this, n] {
+                               scheduler_.on_start_answer(
+                                   n, start_answer::unknown, events_.now());
+                           });
+            return;
+        }
+        events_.at(random_.between(ms(1), ms(3)),
+                   [this, rq]
+                   {
+                       const auto answer = target_.start(rq);
+                       process_.receive_after(ms(1),
+                                              [this, rq, answer] {
+                                                  scheduler_.on_start_answer(
+                                                      rq.id, answer,
+                                                      events_.now());
+                                              });
+                   });
+    }
+
+    void stop_run(const run_id& n)
+    {
+        if (rules_.bound_stopped)
+        {
+            stopped_runs_.emplace(
+                n, stopped_run{events_.now(),
+                               stop_bound_.value_or(events_.now())});
+        }
+        // The repetition of a lost call is not lost.
+        if (random_.percent(10) && lost_stops_.insert(n).second)
+        {
+            process_.after(
+                call_timeout, [this, n]
+                { scheduler_.on_stop_answer(n, false, events_.now()); });
+            return;
+        }
+        events_.at(random_.between(ms(1), ms(3)),
+                   [this, n]
+                   {
+                       target_.stop(n);
+                       process_.receive_after(ms(1),
+                                              [this, n] {
+                                                  scheduler_.on_stop_answer(
+                                                      n, true, events_.now());
+                                              });
+                   });
+    }
+
+    event_queue& events_;
+    random_choice& random_;
+    simulated_process& process_;
+    simulated_network& network_;
+    std::size_t node_;
+    leased_target& target_;
+    simulated_agent_hooks hooks_;
+    lease_rules rules_;
+    unsigned late_call_percent_;
+    run_scheduler scheduler_;
+    target_lease lease_;
+    std::map<simulated_link, entry_link> links_;
+    /// of closed links whose runs haven't ended yet, when the entry was heard
+    std::map<simulated_link, time_point> closed_links_;
+    /// runs that are being stopped
+    std::map<run_id, stopped_run> stopped_runs_;
+    /// when the entry was heard whose orders are being cancelled
+    std::optional<time_point> stop_bound_;
+    std::set<run_id> lost_stops_; ///< runs with a stop request that was lost
+    end_position last_end_seen_;
+    bool target_connected_ = false;
+    bool runs_ended_ = false;
+};
+
+} // namespace agatebank
