node: let an entry advertise an address other than its own

Agents and entries dial an entry at the address of its roster record, which was the one that it listens on. So nothing could stand between: neither an address translation nor the relays of a test. No caller saw a fault.

node.advertised_address (an IP address, unset by default) goes into the roster record in place of node.address. Anything but an IP address is refused when the settings are read.

--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -163,7 +163,8 @@
                      settings.remote_data_factor,
                      settings.announcement_period,
                      settings.processor_share,
-                     settings.relay},
+                     settings.relay,
+                     settings.advertised_address},
                     {platform::decode_routes, processor_time});
     platform::job_ingress ingress(rt.loop, timers, node, rt.log());
     rt.metrics.add_gauge(
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -35,6 +35,9 @@
     double processor_share = 0; ///< cores; 0: not limited
     /// whether jobs are relayed to and taken from other entries
     bool relay = false;
+    /// IP address under which other processes reach the links; empty: the one
+    /// that it listens on
+    std::string advertised_address = {};
 };
 
 /// @brief Functions that the process supplies to an entry node.
--- a/packages/node/include/agatebank/node/node_settings.hpp
+++ b/packages/node/include/agatebank/node/node_settings.hpp
@@ -21,7 +21,10 @@
     std::string name;
     failure_domain_name failure_domain;
     std::string log_level = "info";
-    std::string address;         ///< entry: IP address that it listens on
+    std::string address; ///< entry: IP address that it listens on
+    /// entry: IP address under which other processes reach its links; empty:
+    /// the one that it listens on
+    std::string advertised_address;
     uint16_t link_port = 0;      ///< for links; the same for all entries
     std::vector<endpoint> seeds; ///< link addresses of entries to dial first
     /// cores that the process may use on average; 0: not limited
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -54,9 +54,12 @@
     return link_id(peer.value());
 }
 
-entry_address to_address(const endpoint& remote)
+// Where other processes reach an entry's links.
+entry_address advertised_links(const entry_node_settings& settings)
 {
-    return {remote.address, remote.port};
+    return {settings.advertised_address.empty() ? settings.links.address
+                                                : settings.advertised_address,
+            settings.links.port};
 }
 
 } // namespace
@@ -102,7 +105,7 @@
           })
     , entry_links_(context_, hub_,
                    {context_.self.name,
-                    entry_record{to_address(settings_.links),
+                    entry_record{advertised_links(settings_),
                                  context_.self.failure_domain, 1, false},
                     entry_link_count, true},
                    {[this](link_id l)
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -52,6 +52,23 @@
     }
 }
 
+void read_advertised_address(json_fields& fields, std::string& out)
+{
+    constexpr const char* name = "advertised_address";
+    if (!fields.has(name))
+    {
+        return;
+    }
+    fields.optional_text(name, out);
+    const object_ptr<GInetAddress> inet(
+        g_inet_address_new_from_string(out.c_str()));
+    if (!inet)
+    {
+        fields.errors().add(fields.path() + "/" + name, "\"" + out + "\"",
+                            "IP");
+    }
+}
+
 void read_node(const json& value, const std::string& path, json_errors& errors,
                node_role role, node_settings& out)
 {
@@ -70,6 +87,7 @@
     if (role == node_role::entry)
     {
         fields.text("address", out.address);
+        read_advertised_address(fields, out.advertised_address);
         read_endpoint(fields, "callers", out.callers);
         read_endpoint(fields, "readiness", out.readiness);
         fields.text("table_service", out.table_service);
--- a/packages/node/tests/unit-node_settings.cpp
+++ b/packages/node/tests/unit-node_settings.cpp
@@ -24,6 +24,30 @@
 
 } // namespace
 
+// Guards against an advertised address that can't be dialled, which would leave
+// an entry without agents.
+TEST_CASE("node_settings: the advertised address of an entry is an IP address")
+{
+    auto d = entry_document();
+    const auto unset = parse_node_settings(d, node_role::entry, "f");
+    REQUIRE(unset);
+    CHECK(unset->advertised_address.empty());
+    for (const auto& it : {"127.0.4.1", "::1"})
+    {
+        d["node"]["advertised_address"] = it;
+        const auto set = parse_node_settings(d, node_role::entry, "f");
+        REQUIRE(set);
+        CHECK(set->advertised_address == it);
+    }
+    for (const auto& it : {json(""), json("entry-1"), json("127.0.4.1:7000"),
+                           json("127.0.4"), json(1)})
+    {
+        INFO(it);
+        d["node"]["advertised_address"] = it;
+        CHECK_FALSE(parse_node_settings(d, node_role::entry, "f"));
+    }
+}
+
 // Guards against an entry that relays jobs without being told to, and against
 // an invalid setting that is taken for a valid one.
 TEST_CASE("node_settings: relay and poll spacing are off unless set, and "
