harness: delay and hold each direction of a relay

tcp_relay could delay bytes to the client only. It wrote delayed bytes synchronously, so a paused client with a full socket would have stopped the test process, and bytes that arrived after the delay had ended overtook those before them. The end of a connection discarded what was delayed.

Each direction now has a queue of chunks with due times, written in order without blocking. delay_to_upstream, hold_to_client and hold_to_upstream act on one direction. The end of a connection comes right behind the bytes before it. Connections that have ended are forgotten.

--- a/tools/harness/include/agatebank/harness/tcp_relay.hpp
+++ b/tools/harness/include/agatebank/harness/tcp_relay.hpp
@@ -42,9 +42,17 @@
     /// @brief While held, received bytes are buffered; they are forwarded when
     /// the hold ends.
     void hold(bool held);
+    /// @brief The same for the bytes from the upstream to the client.
+    void hold_to_client(bool held);
+    /// @brief The same for the bytes from the client to the upstream.
+    void hold_to_upstream(bool held);
     /// @brief From now on, bytes from the upstream reach the client this much
-    /// later, in order and without gaps, like on a link with a long queue.
+    /// later, in order and without gaps, like on a link with a long queue. The
+    /// end of a connection comes right behind the bytes before it, at once if
+    /// there are none.
     void delay_to_client(duration delay);
+    /// @brief The same for the bytes from the client to the upstream.
+    void delay_to_upstream(duration delay);
     /// @brief While blocked, new connections are accepted but not forwarded.
     void block(bool blocked);
 
@@ -53,8 +61,16 @@
     std::size_t connections() const noexcept;
 
   private:
+    /// What happens to the bytes of one direction.
+    struct flow_state
+    {
+        bool held = false;
+        duration delay{};
+    };
     struct relayed_connection;
 
+    void apply_states();
+    void erase_closed();
     static gboolean on_incoming(GSocketService* service,
                                 GSocketConnection* connection, GObject* source,
                                 gpointer self);
@@ -63,8 +79,8 @@
     endpoint upstream_;
     uint16_t port_ = 0;
     bool blocked_ = false;
-    bool held_ = false;
-    duration delay_to_client_{};
+    flow_state to_client_;
+    flow_state to_upstream_;
     uint64_t next_id_ = 0;
     std::map<uint64_t, std::shared_ptr<relayed_connection>> connections_;
 };
--- a/tools/harness/src/tcp_relay.cpp
+++ b/tools/harness/src/tcp_relay.cpp
@@ -1,6 +1,7 @@
 #include <agatebank/harness/tcp_relay.hpp>
 
 #include <algorithm>
+#include <deque>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -12,6 +13,8 @@
 {
 
 constexpr gsize read_bytes = 64U << 10U;
+/// Bytes that wait in one direction of a connection before it reads no more.
+constexpr gsize max_queue_bytes = 1U << 20U;
 constexpr const char* loopback = "127.0.0.1";
 
 } // namespace
@@ -20,35 +23,39 @@
 // reference to it.
 struct tcp_relay::relayed_connection
 {
-    object_ptr<GSocketConnection> client_side;
-    object_ptr<GSocketConnection> upstream_side;
-    object_ptr<GCancellable> cancellable{g_cancellable_new()};
-    bool held = false;
-    duration delay_to_client{};
-    gint64 last_delivery_us = 0; ///< to the client, of delayed bytes
-
-    struct transfer
+    // The bytes of one direction, in the order of their arrival.
+    struct flow
     {
-        std::shared_ptr<relayed_connection> owner;
+        struct item
+        {
+            gint64 due_us = 0;
+            bytes_ptr chunk; ///< null: the end of the connection
+        };
+
         GInputStream* from = nullptr;
         GOutputStream* to = nullptr;
-        bool to_client = false;
+        flow_state state;
+        std::deque<item> queue;
+        gsize queued_bytes = 0;
+        gint64 last_due_us = 0;
+        bool reading = false;
+        bool writing = false;
+        guint timer = 0;
+    };
+    // An operation in progress of one direction.
+    struct operation
+    {
+        std::shared_ptr<relayed_connection> owner;
+        flow* direction = nullptr;
         bytes_ptr chunk;
     };
 
-    std::vector<std::unique_ptr<transfer>> held_transfers;
-
-    void hold(bool on)
-    {
-        held = on;
-        if (!held)
-        {
-            for (auto& current : std::exchange(held_transfers, {}))
-            {
-                write(std::move(current));
-            }
-        }
-    }
+    object_ptr<GSocketConnection> client_side;
+    object_ptr<GSocketConnection> upstream_side;
+    object_ptr<GCancellable> cancellable{g_cancellable_new()};
+    flow to_client;
+    flow to_upstream;
+    bool closed = false;
 
     // Connects asynchronously: a stopped upstream process may never answer, and
     // the loop must not block on it.
@@ -79,117 +86,142 @@
             p->close();
             return;
         }
-        start(p);
+        begin(p, p->to_upstream, p->client_side.get(), p->upstream_side.get());
+        begin(p, p->to_client, p->upstream_side.get(), p->client_side.get());
     }
 
-    static void start(const std::shared_ptr<relayed_connection>& p)
+    static void begin(const std::shared_ptr<relayed_connection>& p, flow& f,
+                      GSocketConnection* from, GSocketConnection* to)
     {
-        run(p, p->client_side.get(), p->upstream_side.get(), false);
-        run(p, p->upstream_side.get(), p->client_side.get(), true);
+        f.from = g_io_stream_get_input_stream(G_IO_STREAM(from));
+        f.to = g_io_stream_get_output_stream(G_IO_STREAM(to));
+        read(p, f);
     }
 
-    static void run(const std::shared_ptr<relayed_connection>& p,
-                    GSocketConnection* from, GSocketConnection* to,
-                    bool to_client)
+    static void set_state(const std::shared_ptr<relayed_connection>& p, flow& f,
+                          const flow_state& state)
     {
-        auto current = std::make_unique<transfer>();
-        current->to_client = to_client;
-        current->owner = p;
-        current->from = g_io_stream_get_input_stream(G_IO_STREAM(from));
-        current->to = g_io_stream_get_output_stream(G_IO_STREAM(to));
-        read(std::move(current));
+        f.state = state;
+        pump(p, f);
     }
 
-    static void read(std::unique_ptr<transfer> current)
+    static void read(const std::shared_ptr<relayed_connection>& p, flow& f)
     {
-        auto* raw = current.release();
-        g_input_stream_read_bytes_async(
-            raw->from, read_bytes, G_PRIORITY_DEFAULT,
-            raw->owner->cancellable.get(), on_read, raw);
+        if (f.reading || f.from == nullptr || f.queued_bytes >= max_queue_bytes)
+        {
+            return;
+        }
+        f.reading = true;
+        g_input_stream_read_bytes_async(f.from, read_bytes, G_PRIORITY_DEFAULT,
+                                        p->cancellable.get(), on_read,
+                                        new operation{p, &f, nullptr});
     }
 
     static void on_read(GObject* source, GAsyncResult* res, gpointer data)
     {
-        std::unique_ptr<transfer> current(static_cast<transfer*>(data));
-        current->chunk.reset(g_input_stream_read_bytes_finish(
-            G_INPUT_STREAM(source), res, nullptr));
-        if (current->owner->stopped())
+        const std::unique_ptr<operation> op(static_cast<operation*>(data));
+        const auto& p = op->owner;
+        auto& f = *op->direction;
+        f.reading = false;
+        bytes_ptr chunk(g_input_stream_read_bytes_finish(G_INPUT_STREAM(source),
+                                                         res, nullptr));
+        if (p->stopped())
         {
             return;
         }
-        if (!current->chunk || g_bytes_get_size(current->chunk.get()) == 0)
+        const auto n = chunk ? g_bytes_get_size(chunk.get()) : 0;
+        if (n == 0)
+        {
+            // The end of the connection stays behind the bytes before it.
+            f.queue.push_back({f.last_due_us, nullptr});
+            if (f.queue.size() == 1 && !f.writing)
+            {
+                p->close();
+                return;
+            }
+        }
+        else
+        {
+            f.last_due_us = std::max(f.last_due_us, g_get_monotonic_time() +
+                                                        f.state.delay.count());
+            f.queued_bytes += n;
+            f.queue.push_back({f.last_due_us, std::move(chunk)});
+            read(p, f);
+        }
+        pump(p, f);
+    }
+
+    // Writes the first chunk if it is due, else waits until it is.
+    static void pump(const std::shared_ptr<relayed_connection>& p, flow& f)
+    {
+        if (f.state.held || f.writing || f.timer != 0 || f.queue.empty() ||
+            p->stopped())
         {
-            current->owner->close();
             return;
         }
-        if (current->owner->held)
+        const auto wait_us = f.queue.front().due_us - g_get_monotonic_time();
+        if (wait_us > 0)
         {
-            auto& buffered = current->owner->held_transfers;
-            buffered.push_back(std::move(current));
+            f.timer = g_timeout_add_full(
+                G_PRIORITY_DEFAULT, static_cast<guint>((wait_us + 999) / 1000),
+                on_due, new operation{p, &f, nullptr}, free_operation);
             return;
         }
-        if (current->to_client && current->owner->delay_to_client.count() != 0)
+        if (!f.queue.front().chunk)
         {
-            deliver_later(std::move(current));
+            p->close();
             return;
         }
-        write(std::move(current));
-    }
-
-    // Schedules the delivery of a chunk and reads on.
-    static void deliver_later(std::unique_ptr<transfer> current)
-    {
-        const auto now = g_get_monotonic_time();
-        auto& last = current->owner->last_delivery_us;
-        last = std::max(last, now + current->owner->delay_to_client.count());
-        auto delivery = std::make_unique<transfer>();
-        delivery->owner = current->owner;
-        delivery->to = current->to;
-        delivery->chunk = std::move(current->chunk);
-        const auto wait_ms = static_cast<guint>((last - now + 999) / 1000);
-        g_timeout_add(wait_ms, deliver, delivery.release());
-        read(std::move(current));
+        auto op = std::make_unique<operation>();
+        op->owner = p;
+        op->direction = &f;
+        op->chunk = std::move(f.queue.front().chunk);
+        f.queue.pop_front();
+        f.writing = true;
+        gsize n = 0;
+        const void* bytes = g_bytes_get_data(op->chunk.get(), &n);
+        f.queued_bytes -= n;
+        g_output_stream_write_all_async(f.to, bytes, n, G_PRIORITY_DEFAULT,
+                                        p->cancellable.get(), on_written,
+                                        op.release());
     }
 
-    static gboolean deliver(gpointer data)
+    static gboolean on_due(gpointer data)
     {
-        const std::unique_ptr<transfer> current(static_cast<transfer*>(data));
-        if (!current->owner->stopped())
-        {
-            gsize n = 0;
-            const void* bytes = g_bytes_get_data(current->chunk.get(), &n);
-            g_output_stream_write_all(current->to, bytes, n, nullptr, nullptr,
-                                      nullptr);
-        }
+        const auto* op = static_cast<operation*>(data);
+        op->direction->timer = 0;
+        pump(op->owner, *op->direction);
         return G_SOURCE_REMOVE;
     }
 
-    static void write(std::unique_ptr<transfer> current)
+    static void free_operation(gpointer data)
     {
-        auto* raw = current.release();
-        gsize n = 0;
-        const void* bytes = g_bytes_get_data(raw->chunk.get(), &n);
-        g_output_stream_write_all_async(raw->to, bytes, n, G_PRIORITY_DEFAULT,
-                                        raw->owner->cancellable.get(),
-                                        on_written, raw);
+        const std::unique_ptr<operation> op(static_cast<operation*>(data));
     }
 
     static void on_written(GObject* source, GAsyncResult* res, gpointer data)
     {
-        std::unique_ptr<transfer> current(static_cast<transfer*>(data));
+        const std::unique_ptr<operation> op(static_cast<operation*>(data));
         const bool ok =
             g_output_stream_write_all_finish(G_OUTPUT_STREAM(source), res,
                                              nullptr, nullptr) == TRUE;
-        if (current->owner->stopped())
+        const auto& p = op->owner;
+        auto& f = *op->direction;
+        f.writing = false;
+        if (p->stopped())
         {
             return;
         }
         if (!ok)
         {
-            current->owner->close();
+            p->close();
             return;
         }
-        read(std::move(current));
+        pump(p, f);
+        if (!p->stopped())
+        {
+            read(p, f);
+        }
     }
 
     bool stopped() const
@@ -201,11 +233,15 @@
     void forget()
     {
         g_cancellable_cancel(cancellable.get());
-        held_transfers.clear();
+        for (auto* it : {&to_client, &to_upstream})
+        {
+            it->queue.clear();
+        }
     }
 
     void close()
     {
+        closed = true;
         forget();
         for (const auto* c : {&client_side, &upstream_side})
         {
@@ -254,6 +290,7 @@
                                 GObject*, gpointer data)
 {
     auto* self = static_cast<tcp_relay*>(data);
+    self->erase_closed();
     auto p = std::make_shared<relayed_connection>();
     p->client_side = share_object(connection);
     self->connections_[++self->next_id_] = p;
@@ -261,8 +298,8 @@
     {
         return TRUE;
     }
-    p->hold(self->held_);
-    p->delay_to_client = self->delay_to_client_;
+    p->to_client.state = self->to_client_;
+    p->to_upstream.state = self->to_upstream_;
     relayed_connection::connect(p, self->upstream_);
     return TRUE;
 }
@@ -286,19 +323,49 @@
 
 void tcp_relay::hold(bool held)
 {
-    held_ = held;
-    for (const auto& it : connections_)
-    {
-        it.second->hold(held);
-    }
+    hold_to_client(held);
+    hold_to_upstream(held);
+}
+
+void tcp_relay::hold_to_client(bool held)
+{
+    to_client_.held = held;
+    apply_states();
+}
+
+void tcp_relay::hold_to_upstream(bool held)
+{
+    to_upstream_.held = held;
+    apply_states();
 }
 
 void tcp_relay::delay_to_client(duration delay)
 {
-    delay_to_client_ = delay;
-    for (const auto& it : connections_)
+    to_client_.delay = delay;
+    apply_states();
+}
+
+void tcp_relay::delay_to_upstream(duration delay)
+{
+    to_upstream_.delay = delay;
+    apply_states();
+}
+
+void tcp_relay::erase_closed()
+{
+    std::erase_if(connections_,
+                  [](const auto& it) { return it.second->closed; });
+}
+
+void tcp_relay::apply_states()
+{
+    const auto connections = connections_;
+    for (const auto& it : connections)
     {
-        it.second->delay_to_client = delay;
+        relayed_connection::set_state(it.second, it.second->to_client,
+                                      to_client_);
+        relayed_connection::set_state(it.second, it.second->to_upstream,
+                                      to_upstream_);
     }
 }
 
