tests: record two second runs that the fault soak has found

The target restarts under the same id after it has listed the end of the run. Calls that a stand-in carries out late are now carried out by the next incarnation after a restart, as those in its sockets were; a crash still discards them.

--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -86,9 +86,9 @@
         return;
     }
     timers_.schedule(call_delay_,
-                     [this, handler, body, respond, born = born_ms_]
+                     [this, handler, body, respond, life = lives_]
                      {
-                         if (server_ && born == born_ms_)
+                         if (server_ && life == lives_)
                          {
                              (this->*handler)(body, respond);
                          }
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -85,7 +85,8 @@
     void set_checks_fences(bool checks);
     void set_draining();
     /// @brief From now on, calls are carried out this long after they were
-    /// read. Calls of an ended incarnation aren't carried out.
+    /// read, by the next incarnation if the target has restarted meanwhile. A
+    /// crash discards them.
     void set_call_delay(duration delay);
     /// @brief Announces itself with another period, first after an offset.
     void set_announcement_period(duration period, duration offset);
--- a/tests/platform/unit-fault_soak.cpp
+++ b/tests/platform/unit-fault_soak.cpp
@@ -65,6 +65,9 @@
              row{103, 20,
                  "a repeated call to start a run reaches the next incarnation "
                  "of a target after the agent has reported the run's end"},
+             row{116, 3,
+                 "a request under way for 1.8 s is read shortly before the end "
+                 "of its connection, after the job was submitted again"},
          })
     {
         INFO(it.cause);
--- /dev/null
+++ b/tests/platform/unit-restarted_target.cpp
@@ -0,0 +1,55 @@
+#include "node_cluster.hpp"
+#include <agatebank/harness/run_until.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+// Guards against a second run of a task when a target restarts under the same
+// id. It lists the end of the run; a repeated call to start the same run, sent
+// as the first had no answer, then reaches the new incarnation, whose clock and
+// fencing token begin anew. Meanwhile the entry has sent the task elsewhere.
+// Seen with seed 103 of the fault soak.
+TEST_CASE("restarted target: a repeated start call that reaches the next "
+          "incarnation starts no second run")
+{
+    node_cluster c({1, 2, 400ms});
+    REQUIRE(c.wait_ready());
+    // The first call is carried out after the agent has repeated it.
+    constexpr duration repeat_delay = 50ms;
+    for (const auto wait :
+         {40ms, 42ms, 44ms, 46ms, 47ms, 48ms, 49ms, 50ms, 51ms})
+    {
+        for (const auto& it : c.targets)
+        {
+            it->set_call_delay(repeat_delay + 30ms);
+        }
+        const auto overlaps = c.ledger.overlaps;
+        const auto job =
+            c.submit(0, "00000000000000" + std::to_string(wait.count()), 1);
+        const auto started = [&c]() -> target_stand_in*
+        {
+            for (const auto& it : c.targets)
+            {
+                if (it->running() != 0)
+                {
+                    return it.get();
+                }
+            }
+            return nullptr;
+        };
+        REQUIRE(run_until(c.loop, 3s, [&] { return started() != nullptr; }));
+        auto& target = *started();
+        run_for(c.loop, wait);
+        target.restart();
+        for (const auto& it : c.targets)
+        {
+            it->set_call_delay({});
+        }
+        INFO("restarted " << wait.count() << " ms after the start");
+        CHECK(c.wait_ended(job));
+        CHECK(c.ledger.overlaps == overlaps);
+        run_for(c.loop, 500ms);
+    }
+}
