--- a/packages/node/tests/unit-late_input.cpp
+++ b/packages/node/tests/unit-late_input.cpp
@@ -107,8 +107,7 @@
      }},
 };
 
-// Corrections that the product doesn't have, without which the rules of the
-// design note don't prevent overlaps.
+// Without these, the other rules of the design note don't prevent overlaps.
 late_input_options corrected()
 {
     late_input_options out;
