Late input test: callers state the run time of its task

Cause: its task runs for 1 s, but its callers stated 60 ms. The agent judges a run by the time of asking its target and the progress that is listed up to 250 ms later. A listing that is asked for 283 ms or more after the start, and says up to about 53 %, makes the run count as stalled: it is stopped, and the task is started again at the other target. Which listing is asked for when is a matter of some ms. So the second start is a restart by the same entry, after the first run has ended; the late request had been dropped, and no two runs overlapped.

The callers of this test now state the time that the task takes. All checks stay as they were.

--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -26,6 +26,11 @@
     return out;
 }
 
+int64_t to_ms(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
 std::string at(const std::string& ip, uint16_t port)
 {
     return ip + ":" + std::to_string(port);
@@ -215,10 +220,7 @@
     }
     if (plan_.announcement_period.count() != 0)
     {
-        settings["announcement_period_ms"] =
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                plan_.announcement_period)
-                .count();
+        settings["announcement_period_ms"] = to_ms(plan_.announcement_period);
     }
     if (plan_.processor_share > 0)
     {
@@ -387,13 +389,16 @@
 
 // callers
 
-std::string node_cluster::job_body(unsigned tasks, const std::string& payload)
+std::string node_cluster::job_body(unsigned tasks, const std::string& payload,
+                                   duration estimate)
 {
-    return json{
-        {"spec", payload},
-        {"bestEffort", true},
-        {"steps",
-         {{{"count", tasks}, {"cpu", 1000}, {"memMb", 8}, {"estimateMs", 60}}}}}
+    return json{{"spec", payload},
+                {"bestEffort", true},
+                {"steps",
+                 {{{"count", tasks},
+                   {"cpu", 1000},
+                   {"memMb", 8},
+                   {"estimateMs", to_ms(estimate)}}}}}
         .dump();
 }
 
@@ -417,14 +422,15 @@
                                  const std::string& prefix,
                                  const std::string& payload)
 {
-    return send_job(callers(entry), prefix + id, job_body(tasks, payload),
-                    deadline);
+    return send_job(callers(entry), prefix + id,
+                    job_body(tasks, payload, plan_.estimate), deadline);
 }
 
 std::size_t node_cluster::submit_to(const endpoint& callers,
                                     const std::string& id, duration deadline)
 {
-    return send_job(callers, "/q/" + id, job_body(1), deadline);
+    return send_job(callers, "/q/" + id, job_body(1, "x", plan_.estimate),
+                    deadline);
 }
 
 std::size_t node_cluster::send_job(const endpoint& callers,
@@ -434,12 +440,8 @@
     http_call call;
     call.method = "POST";
     call.url = "http://" + callers.to_string() + path;
-    call.headers = {
-        {"Host", "desk.example"},
-        {"Deadline-Ms",
-         std::to_string(
-             std::chrono::duration_cast<std::chrono::milliseconds>(deadline)
-                 .count())}};
+    call.headers = {{"Host", "desk.example"},
+                    {"Deadline-Ms", std::to_string(to_ms(deadline))}};
     call.body = body;
     call.timeout = deadline + 2s;
     call.may_resend = plan_.keep_connections;
--- a/tests/platform/node_cluster.hpp
+++ b/tests/platform/node_cluster.hpp
@@ -17,6 +17,9 @@
 namespace agatebank
 {
 
+/// Run time of a task that callers state.
+constexpr duration default_estimate = std::chrono::milliseconds(60);
+
 /// @brief Size and options of a cluster.
 struct cluster_plan
 {
@@ -38,6 +41,8 @@
     double processor_share = 0; ///< cores, of entries that don't relay
     /// relays stand before the links and the callers' address of each entry
     bool network = false;
+    /// run time of a task that callers state
+    duration estimate = default_estimate;
 };
 
 /// @brief A submitted job and its response. Status 0: no response yet, or the
@@ -123,7 +128,8 @@
     endpoint announcements(std::size_t agent) const;
     /// @brief The body of such a job.
     static std::string job_body(unsigned tasks,
-                                const std::string& payload = "x");
+                                const std::string& payload = "x",
+                                duration estimate = default_estimate);
     /// @brief Closes the connection of a job's caller.
     void disconnect(std::size_t job);
     const caller_job& job(std::size_t n) const;
--- a/tests/platform/unit-late_input.cpp
+++ b/tests/platform/unit-late_input.cpp
@@ -127,7 +127,11 @@
 TEST_CASE("late input: a request that is read after its caller left starts no "
           "second run of a task")
 {
-    node_cluster c({2, 2, 1s});
+    cluster_plan plan{2, 2, 1s};
+    // A run that takes far longer than stated may be stopped as stalled, and
+    // the task started again.
+    plan.estimate = plan.run_time;
+    node_cluster c(plan);
     REQUIRE(c.wait_ready());
     tcp_relay network({"127.0.3.1", 0}, c.callers(0));
     network.hold(true);
