--- a/packages/http/include/agatebank/http/http_server.hpp
+++ b/packages/http/include/agatebank/http/http_server.hpp
@@ -36,6 +36,8 @@
 /// @brief Handles one request.
 using http_handler = std::function<void(const http_request&, http_responder)>;
 
+class http_exchange;
+
 /// @brief HTTP server with routes on the process's event loop. Refuses chunked
 /// request bodies (411) and bodies over the limit (413).
 ///
@@ -79,7 +81,6 @@
     const http_server_options& options() const noexcept;
 
   private:
-    struct exchange;
     struct route_entry
     {
         std::string method;
@@ -99,8 +100,9 @@
     static void on_read_ended(SoupServer* server, SoupServerMessage* message,
                               gpointer self);
 
-    void dispatch(const std::shared_ptr<exchange>& ex, http_request request);
-    http_responder make_responder(const std::shared_ptr<exchange>& ex);
+    void dispatch(const std::shared_ptr<http_exchange>& ex,
+                  http_request request);
+    http_responder make_responder(const std::shared_ptr<http_exchange>& ex);
 
     event_loop& loop_;
     http_server_options options_;
--- a/packages/http/src/http_server.cpp
+++ b/packages/http/src/http_server.cpp
@@ -1,13 +1,10 @@
+#include "http_exchange.hpp"
 #include <agatebank/http/http_server.hpp>
-#include <agatebank/loop/socket_poller.hpp>
 
 #include <algorithm>
-#include <cerrno>
 #include <optional>
 #include <utility>
 
-#include <sys/socket.h>
-
 namespace agatebank
 {
 
@@ -177,25 +174,6 @@
     return rq;
 }
 
-enum class peer_state
-{
-    waiting, ///< for the response
-    closed,
-    unknown ///< unread data of a pipelined request hides the end
-};
-
-peer_state look_at_peer(int fd)
-{
-    char byte = 0;
-    const auto n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (n > 0)
-    {
-        return peer_state::unknown;
-    }
-    return n < 0 && (errno == EAGAIN || errno == EINTR) ? peer_state::waiting
-                                                        : peer_state::closed;
-}
-
 std::optional<http_response> refuse_body(SoupServerMessage* message)
 {
     const auto refuse = [](unsigned status, errc e, std::string detail)
@@ -220,22 +198,6 @@
     return std::nullopt;
 }
 
-void write_response(SoupServerMessage* message, const http_response& r)
-{
-    auto* headers = soup_server_message_get_response_headers(message);
-    for (const auto& h : r.headers)
-    {
-        soup_message_headers_append(headers, h.name.c_str(), h.value.c_str());
-    }
-    soup_server_message_set_status(message, r.status, nullptr);
-    if (!r.body.empty())
-    {
-        soup_server_message_set_response(message, r.content_type.c_str(),
-                                         SOUP_MEMORY_COPY, r.body.data(),
-                                         r.body.size());
-    }
-}
-
 result<object_ptr<GTlsCertificate>>
 load_certificate(const http_server_options& options)
 {
@@ -253,99 +215,6 @@
 
 } // namespace
 
-struct http_server::exchange
-{
-    object_ptr<SoupServerMessage> message;
-    bool closed = false;
-    bool answered = false;
-    uint64_t request_id = 0;
-    std::function<void(uint64_t)> abandoned;
-    socket_poller& sockets;
-    socket_watch_id peer_watch; ///< libsoup does not read while paused
-    gulong finished_handler = 0;
-    gulong disconnected_handler = 0;
-
-    static void on_closed(SoupServerMessage*, gpointer data)
-    {
-        auto* self = static_cast<exchange*>(data);
-        self->closed = true;
-        self->end_peer_watch();
-        self->notify_abandoned();
-    }
-
-    void notify_abandoned()
-    {
-        const auto fn = std::exchange(abandoned, nullptr);
-        if (fn && !answered)
-        {
-            fn(request_id);
-        }
-    }
-
-    // Calls @p fn when the client closes its connection before the response.
-    // libsoup does not detect that while the message is paused.
-    // @return whether the client has closed it already
-    bool watch_peer(std::function<void(uint64_t)> fn)
-    {
-        GSocket* socket = soup_server_message_get_socket(message.get());
-        if (!fn || socket == nullptr)
-        {
-            return false;
-        }
-        abandoned = std::move(fn);
-        const int fd = g_socket_get_fd(socket);
-        const auto id = sockets.add(fd, {[this, fd] { check_peer(fd); }, {}});
-        if (!id)
-        {
-            // The end of the job is unaffected: its answer is not delivered.
-            g_warning("%s", id.error().to_string().c_str());
-        }
-        else
-        {
-            peer_watch = *id;
-        }
-        return look_at_peer(fd) == peer_state::closed;
-    }
-
-    void end_peer_watch()
-    {
-        sockets.remove(std::exchange(peer_watch, {}));
-    }
-
-    void check_peer(int fd)
-    {
-        const auto state = look_at_peer(fd);
-        if (state == peer_state::waiting)
-        {
-            return;
-        }
-        end_peer_watch();
-        if (state == peer_state::closed)
-        {
-            notify_abandoned();
-        }
-    }
-
-    exchange(SoupServerMessage* m, socket_poller& s)
-        : message(share_object(m)), sockets(s)
-    {
-        finished_handler =
-            g_signal_connect(m, "finished", G_CALLBACK(on_closed), this);
-        disconnected_handler =
-            g_signal_connect(m, "disconnected", G_CALLBACK(on_closed), this);
-    }
-
-    ~exchange()
-    {
-        end_peer_watch();
-        g_signal_handler_disconnect(message.get(), finished_handler);
-        g_signal_handler_disconnect(message.get(), disconnected_handler);
-    }
-
-    exchange(const exchange&) = delete;
-    exchange& operator=(const exchange&) = delete;
-};
-
 http_server::http_server(event_loop& loop, http_server_options options)
     : loop_(loop)
     , options_(std::move(options))
@@ -470,15 +339,16 @@
         return;
     }
     soup_server_message_pause(message);
-    auto ex = std::make_shared<exchange>(message, self->loop_.sockets());
     auto request = read_request(message, path, query);
-    request.request_id = ex->request_id = ++self->last_request_id_;
+    request.request_id = ++self->last_request_id_;
+    auto ex = std::make_shared<http_exchange>(message, self->loop_.sockets(),
+                                              request.request_id);
     request.client_left = ex->watch_peer(self->abandoned_);
     request.since_accepted = since_accepted(message, self->loop_.now());
     self->dispatch(ex, std::move(request));
 }
 
-void http_server::dispatch(const std::shared_ptr<exchange>& ex,
+void http_server::dispatch(const std::shared_ptr<http_exchange>& ex,
                            http_request request)
 {
     const auto responder = make_responder(ex);
@@ -508,7 +378,8 @@
         execution_status::not_run));
 }
 
-http_responder http_server::make_responder(const std::shared_ptr<exchange>& ex)
+http_responder
+http_server::make_responder(const std::shared_ptr<http_exchange>& ex)
 {
     ++*in_flight_;
     // Decrements the count when the last copy of the responder is destroyed.
@@ -516,14 +387,7 @@
                                       [n = in_flight_](void*) { --*n; });
     return [ex, guard](const http_response& r)
     {
-        if (ex->closed || ex->answered)
-        {
-            return;
-        }
-        ex->answered = true;
-        ex->end_peer_watch();
-        write_response(ex->message.get(), r);
-        soup_server_message_unpause(ex->message.get());
+        ex->answer(r);
     };
 }
 
