http_server: bytes behind a request don't hide that its client has left

A client that sent more bytes behind its request, a pipelined request or a part of one, was not noticed when it left: the server peeked at the socket, saw the unread bytes, and stopped watching.

The socket poller now has a watch for the end of a connection only (EPOLLRDHUP, with resets), and the look at the peer polls for POLLRDHUP. Unread bytes neither hide the end nor wake up the loop. Bytes that fill the receive buffer still keep the end from arriving.

--- a/packages/http/src/http_exchange.cpp
+++ b/packages/http/src/http_exchange.cpp
@@ -35,7 +35,12 @@
     }
     abandoned_ = std::move(abandoned);
     const int fd = g_socket_get_fd(socket);
-    const auto id = sockets_.add(fd, {[this, fd] { check_peer(fd); }, {}});
+    const auto id = sockets_.add_end_watch(fd,
+                                           [this]
+                                           {
+                                               end_peer_watch();
+                                               notify_abandoned();
+                                           });
     if (!id)
     {
         // The end of the job is unaffected: its answer is not delivered.
@@ -82,20 +87,6 @@
     sockets_.remove(std::exchange(peer_watch_, {}));
 }
 
-void http_exchange::check_peer(int fd)
-{
-    const auto state = look_at_peer(fd);
-    if (state == peer_state::waiting)
-    {
-        return;
-    }
-    end_peer_watch();
-    if (state == peer_state::closed)
-    {
-        notify_abandoned();
-    }
-}
-
 void write_response(SoupServerMessage* message, const http_response& response)
 {
     auto* headers = soup_server_message_get_response_headers(message);
--- a/packages/http/src/http_exchange.hpp
+++ b/packages/http/src/http_exchange.hpp
@@ -40,7 +40,6 @@
 
     void notify_abandoned();
     void end_peer_watch();
-    void check_peer(int fd);
 
     object_ptr<SoupServerMessage> message_;
     socket_poller& sockets_;
--- a/packages/http/src/peer_state.cpp
+++ b/packages/http/src/peer_state.cpp
@@ -1,22 +1,17 @@
 #include "peer_state.hpp"
 
-#include <cerrno>
-
-#include <sys/socket.h>
+#include <poll.h>
 
 namespace agatebank
 {
 
 peer_state look_at_peer(int fd)
 {
-    char byte = 0;
-    const auto n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (n > 0)
-    {
-        return peer_state::unknown;
-    }
-    return n < 0 && (errno == EAGAIN || errno == EINTR) ? peer_state::waiting
-                                                        : peer_state::closed;
+    // Without POLLIN: whether bytes are unread makes no difference.
+    pollfd socket{fd, POLLRDHUP, 0};
+    constexpr int no_wait = 0;
+    return ::poll(&socket, 1, no_wait) > 0 ? peer_state::closed
+                                           : peer_state::waiting;
 }
 
 } // namespace agatebank
--- a/packages/http/src/peer_state.hpp
+++ b/packages/http/src/peer_state.hpp
@@ -7,11 +7,12 @@
 enum class peer_state
 {
     waiting, ///< for the response
-    closed,
-    unknown ///< unread data of a pipelined request hides the end
+    closed
 };
 
-/// @brief Looks at a connected socket without reading from it.
+/// @brief Looks at a connected socket without reading from it. Unread bytes
+/// don't hide the end of the connection, as far as they leave room in the
+/// socket's receive buffer: the end is behind them.
 peer_state look_at_peer(int fd);
 
 } // namespace agatebank
--- a/packages/http/tests/unit-http_server.cpp
+++ b/packages/http/tests/unit-http_server.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -361,6 +362,76 @@
     }
 }
 
+// Guards against work for a client that left behind further bytes: unread data
+// hid the end of its connection.
+TEST_CASE("http_server: a client that sent more than its request is noticed "
+          "when it leaves, and not before")
+{
+    struct row
+    {
+        const char* name;
+        std::string more;
+        bool aborts;
+    };
+    const row rows[] = {
+        {"a byte, then closes", "P", false},
+        {"a half request, then closes", post("/job", 30).substr(0, 60), false},
+        {"a request, then closes", post("/job", 3), false},
+        {"many requests' bytes, then closes", std::string(20'000, 'x'), false},
+        {"a request, then resets", post("/job", 3), true}};
+    for (const auto& row : rows)
+    {
+        SECTION(row.name)
+        {
+            server_fixture f;
+            std::vector<uint64_t> abandoned;
+            f.server->on_abandoned([&abandoned](uint64_t id)
+                                   { abandoned.push_back(id); });
+            const auto c = raw_connect(f.port, nullptr);
+            c->send(get("/held"));
+            f.run();
+            REQUIRE(f.held.size() == 1);
+            c->send(row.more);
+            f.run(std::chrono::milliseconds(50));
+            CHECK(abandoned.empty());
+            c->close(row.aborts);
+            f.run(std::chrono::milliseconds(50));
+            CHECK(abandoned == std::vector<uint64_t>{1});
+            CHECK(f.held.size() == 1);
+        }
+    }
+}
+
+// Guards against work for a client that had left when its request was read: the
+// bytes behind the request hid the end of its connection.
+TEST_CASE("http_server: a request with further bytes behind it tells whether "
+          "its client had left")
+{
+    for (const bool closes : {false, true})
+    {
+        INFO("closes: " << closes);
+        server_fixture f;
+        std::vector<bool> left;
+        f.server->route("POST", "/job",
+                        [&left](const http_request& rq, const auto& respond)
+                        {
+                            left.push_back(rq.client_left);
+                            respond(json_response(200, {}));
+                        });
+        f.server->on_abandoned([](uint64_t) {});
+        const auto c = raw_connect(f.port, nullptr);
+        // More than the server reads at once.
+        c->send(post("/job", 3) + "POST " + std::string(20'000, 'x'));
+        if (closes)
+        {
+            c->close();
+        }
+        f.run(std::chrono::milliseconds(200));
+        REQUIRE(!left.empty());
+        CHECK(left.front() == closes);
+    }
+}
+
 // Guards against a request whose path is so slow that the server can't learn in
 // time that its client has left.
 TEST_CASE("http_server: the first request of a connection tells how long after "
--- a/packages/loop/include/agatebank/loop/socket_poller.hpp
+++ b/packages/loop/include/agatebank/loop/socket_poller.hpp
@@ -48,6 +48,13 @@
     /// @return an id, or the errno of step "loop.epoll_create" or
     /// "loop.epoll_add"
     result<socket_watch_id> add(int fd, socket_handlers handlers);
+    /// @brief Waits for the end of the connection only: the peer has closed its
+    /// sending direction, or the connection failed. Unread bytes don't count
+    /// and don't hide it. The socket's handler is called in each iteration of
+    /// the loop from then on, so it should remove the socket.
+    /// @param fd to be removed before it is closed
+    /// @return as add()
+    result<socket_watch_id> add_end_watch(int fd, std::function<void()> on_end);
     /// @brief Begins or ends waiting until the socket is writable.
     /// @return the errno of step "loop.epoll_modify"; success for an unknown id
     result<void> wait_writable(socket_watch_id id, bool wait);
@@ -66,9 +73,12 @@
     {
         int fd;
         socket_handlers handlers;
+        uint32_t read_events; ///< on which on_readable is called
         bool wants_writable = false;
     };
 
+    result<socket_watch_id> add_entry(int fd, socket_handlers handlers,
+                                      uint32_t read_events);
     void dispatch_ready();
     void call_handlers(socket_watch_id id, uint32_t events);
 
--- a/packages/loop/src/socket_poller.cpp
+++ b/packages/loop/src/socket_poller.cpp
@@ -30,10 +30,11 @@
                 "errno " + std::to_string(ec.value()));
 }
 
-epoll_event make_event(socket_watch_id id, bool wants_writable)
+epoll_event make_event(socket_watch_id id, uint32_t read_events,
+                       bool wants_writable)
 {
     epoll_event out{};
-    out.events = EPOLLIN | (wants_writable ? EPOLLOUT : 0U);
+    out.events = read_events | (wants_writable ? EPOLLOUT : 0U);
     out.data.u64 = id.value();
     return out;
 }
@@ -58,19 +59,31 @@
 }
 
 result<socket_watch_id> socket_poller::add(int fd, socket_handlers handlers)
+{
+    return add_entry(fd, std::move(handlers), EPOLLIN);
+}
+
+result<socket_watch_id>
+socket_poller::add_end_watch(int fd, std::function<void()> on_end)
+{
+    return add_entry(fd, {std::move(on_end), {}}, EPOLLRDHUP);
+}
+
+result<socket_watch_id>
+socket_poller::add_entry(int fd, socket_handlers handlers, uint32_t read_events)
 {
     if (!status_)
     {
         return tl::unexpected(status_.error());
     }
     const socket_watch_id id(++last_id_);
-    auto event = make_event(id, false);
+    auto event = make_event(id, read_events, false);
     if (::epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, fd, &event) != 0)
     {
         return fail_errno(step_add, fd);
     }
-    entries_.emplace(id,
-                     std::make_shared<entry>(entry{fd, std::move(handlers)}));
+    entries_.emplace(id, std::make_shared<entry>(
+                             entry{fd, std::move(handlers), read_events}));
     by_fd_[fd] = id;
     // Attached behind the timers of the owners of sockets, so that these run
     // first after the process was suspended.
@@ -93,7 +106,7 @@
     {
         return {};
     }
-    auto event = make_event(id, wait);
+    auto event = make_event(id, it->second->read_events, wait);
     if (::epoll_ctl(epoll_fd_, EPOLL_CTL_MOD, it->second->fd, &event) != 0)
     {
         return fail_errno(step_modify, it->second->fd);
@@ -158,7 +171,7 @@
         return;
     }
     const auto keep = it->second;
-    if ((events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0)
+    if ((events & (keep->read_events | EPOLLERR | EPOLLHUP)) != 0)
     {
         keep->handlers.on_readable();
     }
--- a/packages/loop/tests/unit-socket_poller.cpp
+++ b/packages/loop/tests/unit-socket_poller.cpp
@@ -217,6 +217,44 @@
 }
 
 // Guards against links that stop while a callback waits in a nested loop.
+// Guards against unread bytes that hide the end of a connection, or keep the
+// loop busy until it.
+TEST_CASE("socket_poller: an end watch is called at the end of the connection, "
+          "not for unread bytes")
+{
+    for (const bool writes : {false, true})
+    {
+        INFO("unread bytes: " << writes);
+        event_loop loop;
+        socket_pair pair;
+        int calls = 0;
+        socket_watch_id id;
+        const auto watch =
+            loop.sockets().add_end_watch(pair.fds[0],
+                                         [&]
+                                         {
+                                             ++calls;
+                                             loop.sockets().remove(id);
+                                         });
+        REQUIRE(watch);
+        id = *watch;
+        if (writes)
+        {
+            pair.write_remote(100);
+        }
+        run_ready();
+        CHECK(calls == 0);
+        REQUIRE(loop.sockets().wait_writable(id, true));
+        REQUIRE(loop.sockets().wait_writable(id, false));
+        run_ready();
+        CHECK(calls == 0);
+        REQUIRE(::shutdown(pair.fds[1], SHUT_WR) == 0);
+        run_ready();
+        CHECK(calls == 1);
+        CHECK(loop.sockets().size() == 0);
+    }
+}
+
 TEST_CASE("socket_poller: a nested loop serves other sockets, timers and "
           "deferred calls")
 {
