An order that arrives late waits for a lease that ends in time

Callers could see two runs of one task. An order that was under way for 192 to 800 ms started under a lease that had been granted for other orders and can't be shortened. If the agent is paused then, the run may go on for up to 1,000 ms, beyond the 1,300 ms after which the entry's caller submits the job elsewhere. The same holds for a cancellation that arrived late and whose stop is lost: its lease counted from the stop, not from when its caller may have left.

Cause: the rule for the entry's last message bounded extensions, but not what had been granted before; and stops counted by the agent's own clock.

target_lease keeps until when all that was sent may last, and run_scheduler starts an order only if that is within the bound of its entry. The others wait and don't delay other entries; a newer message of the entry wakes the queue. Orders that were under way for less than 192 ms never wait, as no extension exceeds 1,000 ms. heard_times holds when the entries were heard; an unconfirmed stop counts from the message before its cancellation.

The simulation of the property test uses heard_times and on_start_sent of the product in place of its own copies. So the switches for two rules that agent_node lacked are gone.

--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -46,6 +46,9 @@
     /// called before the reports of runs that ended with the target
     std::function<void(const std::vector<lost_run>&)> report_loss;
     log_sink log;
+    /// whether orders of an entry may start now; the others wait in the queue.
+    /// Empty: all may
+    std::function<bool(order_source)> may_start = {};
 };
 
 /// @brief Settings of a run_scheduler.
--- a/packages/fleet/src/run_scheduler_queue.cpp
+++ b/packages/fleet/src/run_scheduler_queue.cpp
@@ -63,21 +63,29 @@
 
 void run_scheduler::start_next(time_point now)
 {
-    while (open_ && !queue_.empty())
+    auto next = queue_.begin();
+    while (open_ && next != queue_.end())
     {
-        const auto rank = *queue_.begin();
+        const auto rank = *next;
         const auto key = std::get<order_key>(rank);
         auto& r = orders_.at(key);
         if (now + duration(r.order.expected_us) + report_delivery_time >
             r.deadline)
         {
+            ++next;
             finish(key, run_outcome::past_deadline, now);
             continue;
         }
         if (rank_of(key, r, now) != rank)
         {
-            queue_.erase(queue_.begin());
+            queue_.erase(next);
             enqueue(key, r, now);
+            next = queue_.begin();
+            continue;
+        }
+        if (hooks_.may_start && !hooks_.may_start(key.first))
+        {
+            ++next;
             continue;
         }
         const bool must_wait = !left_runs_.empty() || isolated_runs_ > 0 ||
@@ -87,7 +95,7 @@
         {
             return;
         }
-        queue_.erase(queue_.begin());
+        next = queue_.erase(next);
         start_run(key, r, now);
     }
 }
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -6,6 +6,7 @@
 #include <agatebank/fleet/run_scheduler.hpp>
 #include <agatebank/node/announcement_filter.hpp>
 #include <agatebank/node/entry_links.hpp>
+#include <agatebank/node/heard_times.hpp>
 #include <agatebank/node/load_reporter.hpp>
 #include <agatebank/node/node_context.hpp>
 #include <agatebank/node/target_lease.hpp>
@@ -70,8 +71,6 @@
         std::vector<order_result> pending_results; ///< not yet sent
         /// since when the link is to be closed, once its orders have ended
         std::optional<time_point> closing_since;
-        /// when the entry sent its last message, by the own clock
-        time_point last_heard;
     };
 
     // links
@@ -82,10 +81,11 @@
     void on_message(link_id link, message&& m);
     void on_closed(link_id link, const failure& why);
     void note_heard(link_id link);
-    /// @brief When the entry that has been silent for longest sent its last
-    /// message, of those with orders here, or the oldest unconfirmed stop
-    /// began, whichever is earlier; empty without orders.
-    std::optional<time_point> oldest_heard();
+    /// @brief Whether an order of an entry may start under the lease that the
+    /// target has.
+    bool may_start(order_source from);
+    /// @brief Starts the orders that waited for a newer message of their entry.
+    void start_waiting();
     void on_evacuation_update(link_id link, const evacuation_update& update);
     /// @brief Logs orders that were under way for long.
     void note_delay(link_id link, const run_batch& batch) const;
@@ -129,8 +129,9 @@
     link_hub hub_;
     entry_links entry_links_;
     std::map<link_id, entry_link> entries_;
-    /// of closed links whose runs haven't ended yet, when the entry was heard
-    std::map<order_source, time_point> closed_links_;
+    heard_times heard_;
+    /// an order waits for a newer message of its entry
+    bool starts_wait_ = false;
     load_reporter load_reporter_;
     /// told to each entry whose link opens, which may have missed them
     crash_history recent_crashes_;
--- a/packages/node/include/agatebank/node/target_lease.hpp
+++ b/packages/node/include/agatebank/node/target_lease.hpp
@@ -31,7 +31,8 @@
 
     // modifiers
     /// @brief Records that an extension is about to be sent.
-    void on_extension_sent(time_point now);
+    /// @param extension time from @p now for which it lets runs go on
+    void on_extension_sent(duration extension, time_point now);
     /// @brief Records that a start is about to be sent. The target extends the
     /// lease to the end of its validity, if that is later.
     void on_start_sent(duration validity, time_point now);
@@ -57,6 +58,11 @@
     /// @return not positive if no run may go on
     duration extension(std::optional<time_point> oldest_heard,
                        time_point now) const;
+    /// @brief Whether a run may start for an entry. The target keeps the lease
+    /// that was granted before, also if the agent is paused right after the
+    /// start, so the lease must end in time for the callers of this entry.
+    /// @param heard when the entry sent its newest message
+    bool allows_start(time_point heard) const;
     /// @brief Whether the target has answered recently enough to accept work.
     bool is_connected(time_point now) const;
     /// @brief Whether the lease has expired and the target has killed all runs
@@ -65,11 +71,16 @@
     duration max_duration() const noexcept;
 
   private:
+    /// @brief Time after an entry's newest message by which its runs must have
+    /// ended, by the lease's own count.
+    duration longest_silence() const;
+
     lease_options options_;
     std::optional<target_time> clock_;
     time_point clock_at_;
     time_point last_answer_;
     time_point last_extension_sent_;
+    time_point granted_until_; ///< latest end of all that was sent
 };
 
 } // namespace agatebank
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -39,7 +39,11 @@
                   { queue_order_result(s, r); },
                   [this](const std::vector<lost_run>& lost)
                   { send_crash_reports(lost); },
-                  context_.log},
+                  context_.log,
+                  [this](order_source s)
+                  {
+                      return may_start(s);
+                  }},
                  {settings_.returns})
     , hub_({context_.loop, context_.clock, context_.auth, node_link_options(),
             []
@@ -51,6 +55,7 @@
             {
                 note_heard(l);
                 entry_links_.on_received(l);
+                start_waiting();
             },
             [this](link_id l, const failure& f)
             {
--- a/packages/node/src/agent_node_lease.cpp
+++ b/packages/node/src/agent_node_lease.cpp
@@ -51,7 +51,7 @@
     request.last_end_seen = last_end_seen_;
     const auto clock = lease_.clock(now);
     const bool may_extend = lease_.may_extend(now);
-    const auto extension = lease_.extension(oldest_heard(), now);
+    const auto extension = lease_.extension(heard_.oldest(scheduler_), now);
     if (may_extend && target_connected_)
     {
         const auto next = scheduler_.time_to_next_end(now);
@@ -65,7 +65,7 @@
     if (clock && may_extend && extension.count() > 0)
     {
         request.lease_until = add(*clock, extension);
-        lease_.on_extension_sent(now);
+        lease_.on_extension_sent(extension, now);
         runs_ended_ = false;
     }
     const auto incarnation = target_->profile.incarnation;
@@ -189,8 +189,8 @@
     const auto clock = lease_.clock(now);
     const auto incarnation = target_->profile.incarnation;
     // The target extends its lease with the time until which a start is valid.
-    const auto validity =
-        std::min(start_validity, lease_.extension(oldest_heard(), now));
+    const auto validity = std::min(
+        start_validity, lease_.extension(heard_.oldest(scheduler_), now));
     lease_.on_start_sent(validity, now);
     port_.start({id, payload, add(clock.value_or(target_time()), validity)},
                 [this, id, incarnation](start_answer a)
--- a/packages/node/src/agent_node_links.cpp
+++ b/packages/node/src/agent_node_links.cpp
@@ -86,6 +86,7 @@
                              "selected",
                              step_link, hub_.find(link)->peer()));
         entries_.erase(link);
+        heard_.on_closed(to_source(link));
         load_reporter_.remove_link(link);
         entry_links_.close(link);
     }
@@ -111,6 +112,7 @@
     }
     else if (const auto* cancel = std::get_if<cancel_orders>(&m))
     {
+        heard_.on_cancel(to_source(link), now);
         scheduler_.on_cancel(to_source(link), cancel->orders, now);
         schedule_flush();
     }
@@ -126,6 +128,7 @@
     {
         on_report_request(link, *request);
     }
+    start_waiting();
 }
 
 void agent_node::note_delay(link_id link, const run_batch& batch) const
@@ -191,12 +194,8 @@
 void agent_node::on_closed(link_id link, const failure& why)
 {
     context_.log(to_record(log_level::warning, why));
-    const auto it = entries_.find(link);
-    if (it != entries_.end())
-    {
-        closed_links_[to_source(link)] = it->second.last_heard;
-        entries_.erase(it);
-    }
+    entries_.erase(link);
+    heard_.on_closed(to_source(link));
     load_reporter_.remove_link(link);
     entry_links_.on_closed(link);
     scheduler_.on_source_lost(to_source(link), context_.loop.now());
@@ -205,35 +204,27 @@
 
 void agent_node::note_heard(link_id link)
 {
-    const auto it = entries_.find(link);
-    if (it != entries_.end())
+    if (entries_.count(link) != 0)
     {
-        it->second.last_heard = hub_.find(link)->last_heard();
+        heard_.on_heard(to_source(link), hub_.find(link)->last_heard());
     }
 }
 
-std::optional<time_point> agent_node::oldest_heard()
+bool agent_node::may_start(order_source from)
 {
-    std::erase_if(closed_links_, [this](const auto& it)
-                  { return !scheduler_.has_orders(it.first); });
-    // The caller of a run that is being stopped may have left.
-    auto out = scheduler_.oldest_stop();
-    const auto consider = [&out](time_point t)
-    {
-        out = std::min(t, out.value_or(t));
-    };
-    for (const auto& [link, entry] : entries_)
-    {
-        if (scheduler_.has_orders(to_source(link)))
-        {
-            consider(entry.last_heard);
-        }
-    }
-    for (const auto& [source, heard] : closed_links_)
+    const auto heard = heard_.newest(from);
+    const bool out = heard && lease_.allows_start(*heard);
+    starts_wait_ = starts_wait_ || !out;
+    return out;
+}
+
+void agent_node::start_waiting()
+{
+    if (std::exchange(starts_wait_, false))
     {
-        consider(heard);
+        scheduler_.tick(context_.loop.now());
+        schedule_flush();
     }
-    return out;
 }
 
 target_load agent_node::current_load() const
--- a/packages/node/src/target_lease.cpp
+++ b/packages/node/src/target_lease.cpp
@@ -23,15 +23,17 @@
 
 target_lease::target_lease(lease_options options) : options_(options) {}
 
-void target_lease::on_extension_sent(time_point now)
+void target_lease::on_extension_sent(duration extension, time_point now)
 {
     last_extension_sent_ = now;
+    granted_until_ = std::max(granted_until_, now + extension);
 }
 
 void target_lease::on_start_sent(duration validity, time_point now)
 {
     last_extension_sent_ =
         std::max(last_extension_sent_, now + validity - options_.max_duration);
+    granted_until_ = std::max(granted_until_, now + validity);
 }
 
 void target_lease::on_answer(target_time clock, time_point now)
@@ -71,9 +73,19 @@
     {
         return options_.max_duration;
     }
-    const auto longest = scale(caller_retry_delay - max_kill_time,
-                               1 / (1 + 2 * options_.clock_error));
-    return std::min(options_.max_duration, *oldest_heard + longest - now);
+    return std::min(options_.max_duration,
+                    *oldest_heard + longest_silence() - now);
+}
+
+duration target_lease::longest_silence() const
+{
+    return scale(caller_retry_delay - max_kill_time,
+                 1 / (1 + 2 * options_.clock_error));
+}
+
+bool target_lease::allows_start(time_point heard) const
+{
+    return granted_until_ <= heard + longest_silence();
 }
 
 bool target_lease::is_connected(time_point now) const
--- a/packages/node/tests/late_input_simulation.hpp
+++ b/packages/node/tests/late_input_simulation.hpp
@@ -518,6 +518,10 @@
                              processes_[node]->after(
                                  random_.between(ms(25), ms(300)),
                                  [this, node, e] { network_.dial(node, e); });
+                         },
+                         [this, a](simulated_link l)
+                         {
+                             agents_[a]->on_heartbeat(l);
                          }});
         targets_.push_back(std::make_unique<leased_target>(
             events_, random_, options_.target,
--- a/packages/node/tests/simulated_agent.hpp
+++ b/packages/node/tests/simulated_agent.hpp
@@ -4,6 +4,7 @@
 #include "simulated_network.hpp"
 #include <agatebank/core/duration_math.hpp>
 #include <agatebank/fleet/run_scheduler.hpp>
+#include <agatebank/node/heard_times.hpp>
 #include <agatebank/node/target_lease.hpp>
 
 #include <algorithm>
@@ -33,17 +34,13 @@
 {
     /// the lease ends a bounded time after the sending of the newest message
     bool bound_by_heard = true;
-    /// Not in agent_node: the bound of a run that is being stopped doesn't move
-    /// with later messages.
-    bool bound_stopped = true;
-    /// Not in agent_node: a start extends the lease at the target, so it counts
-    /// as an extension.
-    bool count_starts = true;
+    /// an order waits that arrives too late for the lease granted before
+    bool hold_late_orders = true;
 };
 
 /// @brief Does what agent_node does with orders, its links and its lease,
-/// around the real run_scheduler and target_lease. Calls to the target are
-/// lost or late.
+/// around the real run_scheduler, target_lease and heard_times. Calls to the
+/// target are lost or late.
 class simulated_agent
 {
   public:
@@ -74,6 +71,7 @@
     void on_opened(simulated_link link, std::size_t entry)
     {
         links_[link] = {entry, 0, {}};
+        note_heard(link);
         const auto load = current_load(links_[link]);
         network_.send(link, node_,
                       [this, link, entry, load]
@@ -83,34 +81,38 @@
 
     void on_closed(simulated_link link)
     {
-        if (links_.erase(link) != 0)
-        {
-            closed_links_[link] = network_.last_heard(link, node_);
-        }
-        stop_bound_ = network_.last_heard(link, node_);
+        links_.erase(link);
+        heard_.on_closed(order_source(link));
         scheduler_.on_source_lost(order_source(link), events_.now());
-        stop_bound_.reset();
     }
 
     void on_batch(simulated_link link, const run_batch& b)
     {
         if (const auto it = links_.find(link); it != links_.end())
         {
+            note_heard(link);
             for (const auto& o : b.orders)
             {
                 auto& last = it->second.last_order;
                 last = std::max(last, o.id.value());
             }
             scheduler_.on_batch(order_source(link), b, events_.now());
+            start_waiting();
         }
     }
 
     void on_cancel(simulated_link link, const std::vector<order_id>& ids)
     {
-        // The caller may have left right after the message before was sent.
-        stop_bound_ = network_.heard_before(link, node_);
+        note_heard(link);
+        heard_.on_cancel(order_source(link), events_.now());
         scheduler_.on_cancel(order_source(link), ids, events_.now());
-        stop_bound_.reset();
+        start_waiting();
+    }
+
+    void on_heartbeat(simulated_link link)
+    {
+        note_heard(link);
+        start_waiting();
     }
 
   private:
@@ -118,6 +120,7 @@
 
     static constexpr duration timer_period = ms(50);
     static constexpr duration list_wait = ms(250);
+    static constexpr duration shortest_list_wait = ms(50);
     static constexpr duration idle_list_wait = ms(400);
     static constexpr duration lease_retry_delay = ms(40);
     static constexpr duration start_validity = ms(500);
@@ -130,13 +133,6 @@
         target_load reported;
     };
 
-    struct stopped_run
-    {
-        time_point stopped; ///< when the stop was first requested
-        /// sending of the newest message that doesn't show the reason
-        time_point heard;
-    };
-
     run_scheduler_hooks scheduler_hooks()
     {
         run_scheduler_hooks h;
@@ -161,9 +157,39 @@
         };
         h.log = [](const log_record&) {
         };
+        h.may_start = [this](order_source s)
+        {
+            return may_start(s);
+        };
         return h;
     }
 
+    void note_heard(simulated_link link)
+    {
+        if (links_.count(link) != 0)
+        {
+            heard_.on_heard(order_source(link),
+                            network_.last_heard(link, node_));
+        }
+    }
+
+    bool may_start(order_source from)
+    {
+        const auto heard = heard_.newest(from);
+        const bool out =
+            !rules_.hold_late_orders || (heard && lease_.allows_start(*heard));
+        starts_wait_ = starts_wait_ || !out;
+        return out;
+    }
+
+    void start_waiting()
+    {
+        if (std::exchange(starts_wait_, false))
+        {
+            scheduler_.tick(events_.now());
+        }
+    }
+
     void on_timer()
     {
         const auto now = events_.now();
@@ -207,30 +233,7 @@
 
     std::optional<time_point> oldest_heard()
     {
-        std::erase_if(closed_links_,
-                      [this](const auto& it) {
-                          return !scheduler_.has_orders(order_source(it.first));
-                      });
-        std::optional<time_point> out;
-        const auto consider = [&out](time_point t)
-        {
-            out = std::min(t, out.value_or(t));
-        };
-        for (const auto& [link, it] : links_)
-        {
-            if (scheduler_.has_orders(order_source(link)))
-            {
-                consider(network_.last_heard(link, node_));
-            }
-        }
-        for (const auto& [link, heard] : closed_links_)
-        {
-            consider(heard);
-        }
-        for (const auto& [run, it] : stopped_runs_)
-        {
-            consider(it.heard);
-        }
+        const auto out = heard_.oldest(scheduler_);
         return rules_.bound_by_heard ? out : std::nullopt;
     }
 
@@ -247,18 +250,20 @@
         rq.last_end_seen = last_end_seen_;
         const auto clock = lease_.clock(now);
         const bool may_extend = lease_.may_extend(now);
+        const auto extension = lease_.extension(oldest_heard(), now);
         if (may_extend && target_connected_)
         {
             const auto next = scheduler_.time_to_next_end(now);
-            rq.wait = next ? list_wait : idle_list_wait;
+            rq.wait =
+                next ? std::clamp(extension / 4, shortest_list_wait, list_wait)
+                     : idle_list_wait;
             rq.expected_end = std::min(rq.wait, next.value_or(rq.wait));
         }
-        const auto extension = lease_.extension(oldest_heard(), now);
         if (clock && may_extend && extension.count() > 0)
         {
             rq.lease_until = add(*clock, extension);
             hooks_.note("extends the lease by " + to_ms_text(extension));
-            lease_.on_extension_sent(now);
+            lease_.on_extension_sent(extension, now);
             runs_ended_ = false;
         }
         call_lease(rq);
@@ -311,15 +316,6 @@
         {
             last_end_seen_ = std::max(last_end_seen_, it.position);
         }
-        std::erase_if(stopped_runs_,
-                      [&answer, sent](const auto& it)
-                      {
-                          return it.second.stopped < sent &&
-                                 std::none_of(answer.running.begin(),
-                                              answer.running.end(),
-                                              [&it](const active_run& r)
-                                              { return r.id == it.first; });
-                      });
         scheduler_.on_listing(answer, sent, now);
         update_acceptance();
         process_.after(ms(1), [this] { extend_lease(); });
@@ -333,11 +329,7 @@
         const auto now = events_.now();
         const auto validity =
             std::min(start_validity, lease_.extension(oldest_heard(), now));
-        if (rules_.count_starts)
-        {
-            lease_.on_extension_sent(now);
-            runs_ended_ = false;
-        }
+        lease_.on_start_sent(validity, now);
         const start_request rq{
             n, payload,
             add(lease_.clock(now).value_or(target_time()), validity)};
@@ -372,12 +364,6 @@
 
     void stop_run(const run_id& n)
     {
-        if (rules_.bound_stopped)
-        {
-            stopped_runs_.emplace(
-                n, stopped_run{events_.now(),
-                               stop_bound_.value_or(events_.now())});
-        }
         // The repetition of a lost call is not lost.
         if (random_.percent(10) && lost_stops_.insert(n).second)
         {
@@ -410,12 +396,9 @@
     run_scheduler scheduler_;
     target_lease lease_;
     std::map<simulated_link, entry_link> links_;
-    /// of closed links whose runs haven't ended yet, when the entry was heard
-    std::map<simulated_link, time_point> closed_links_;
-    /// runs that are being stopped
-    std::map<run_id, stopped_run> stopped_runs_;
-    /// when the entry was heard whose orders are being cancelled
-    std::optional<time_point> stop_bound_;
+    heard_times heard_;
+    /// an order waits for a newer message of its entry
+    bool starts_wait_ = false;
     std::set<run_id> lost_stops_; ///< runs with a stop request that was lost
     end_position last_end_seen_;
     bool target_connected_ = false;
--- a/packages/node/tests/simulated_network.hpp
+++ b/packages/node/tests/simulated_network.hpp
@@ -43,6 +43,7 @@
 {
     std::function<void(simulated_link, std::size_t peer)> on_opened;
     std::function<void(simulated_link, std::size_t peer)> on_closed;
+    std::function<void(simulated_link)> on_heartbeat = {};
 };
 
 /// @brief Links that deliver in order, with delays that grow and shrink by
@@ -134,12 +135,6 @@
         return links_.at(link).ends[side_of(link, node)].last_heard;
     }
 
-    /// @brief When the message was sent that was the newest one before.
-    time_point heard_before(simulated_link link, std::size_t node) const
-    {
-        return links_.at(link).ends[side_of(link, node)].heard_before;
-    }
-
     duration delay(std::size_t from, std::size_t to, time_point t)
     {
         auto& path = paths_[{from, to}];
@@ -192,7 +187,6 @@
         std::size_t node = 0;
         bool open = false;
         time_point last_heard;
-        time_point heard_before; ///< last_heard before it last changed
         time_point last_sent;
         time_point last_arrival; ///< of what it sent, at the peer
         delay_estimator delays;
@@ -297,7 +291,6 @@
                 auto& end = c.ends[side];
                 end.open = true;
                 end.last_heard = end.last_sent = events_.now();
-                end.heard_before = end.last_heard;
                 transmit(link, side,
                          [this, link, side] { receive_nonce(link, 1 - side); });
                 nodes_[node].owner.on_opened(link, c.ends[1 - side].node);
@@ -339,14 +332,16 @@
             return;
         }
         const auto heard = rules_.silence_since_sent ? now - late : now;
-        if (heard > end.last_heard)
-        {
-            end.heard_before = std::exchange(end.last_heard, heard);
-        }
+        end.last_heard = std::max(end.last_heard, heard);
+        const auto& on_heartbeat = nodes_[end.node].owner.on_heartbeat;
         if (body)
         {
             body();
         }
+        else if (on_heartbeat)
+        {
+            on_heartbeat(link);
+        }
     }
 
     void check(std::size_t node)
--- /dev/null
+++ b/packages/node/tests/unit-heard_times.cpp
@@ -0,0 +1,96 @@
+#include <agatebank/node/heard_times.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace agatebank;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point start{1h};
+const order_source entry(1);
+const order_source other_entry(2);
+
+struct fixture
+{
+    run_scheduler runs{{[](const run_id&, const std::string&) {},
+                        [](const run_id&) {},
+                        [](order_source, const order_result&) {},
+                        [](const std::vector<lost_run>&) {},
+                        [](const log_record&) {
+                        }}};
+    heard_times heard;
+
+    fixture()
+    {
+        runs.set_capacity({4000, 1000, 0}, start);
+        runs.set_accepting_orders(true, start);
+        heard.on_heard(entry, start);
+        heard.on_heard(other_entry, start);
+    }
+
+    void order(order_source from, time_point now)
+    {
+        run_batch b;
+        b.job = "job-" + std::to_string(from.value());
+        b.task_resources = {1000, 10, 0};
+        b.objective_us = b.useful_until_us = b.deadline_us =
+            duration(5s).count();
+        run_order o;
+        o.id = order_id(1);
+        o.expected_us = duration(60ms).count();
+        b.orders = {o};
+        runs.on_batch(from, b, now);
+    }
+};
+
+} // namespace
+
+// Guards against a lease that the entry of a run doesn't bound.
+TEST_CASE(
+    "heard_times: the entry with orders that was heard longest ago counts")
+{
+    fixture f;
+    CHECK_FALSE(f.heard.oldest(f.runs));
+    f.order(entry, start);
+    f.heard.on_heard(other_entry, start + 100ms);
+    CHECK(f.heard.oldest(f.runs) == start);
+    f.heard.on_heard(entry, start + 300ms);
+    CHECK(f.heard.oldest(f.runs) == start + 300ms);
+    f.order(other_entry, start + 300ms);
+    CHECK(f.heard.oldest(f.runs) == start + 100ms);
+    // An older message doesn't count.
+    f.heard.on_heard(other_entry, start + 50ms);
+    CHECK(f.heard.newest(other_entry) == start + 100ms);
+    // The runs of a closed link may go on.
+    f.heard.on_closed(other_entry);
+    CHECK(f.heard.oldest(f.runs) == start + 100ms);
+    CHECK_FALSE(f.heard.newest(other_entry));
+}
+
+// Guards against a run whose cancellation was under way for long and whose stop
+// is lost: its lease counted from the stop, not from when its caller left.
+TEST_CASE("heard_times: a stop that is not confirmed counts from the message "
+          "before its cancellation")
+{
+    fixture f;
+    f.order(entry, start);
+    // Sent together: the second one shows the cancellation's time.
+    f.heard.on_heard(entry, start + 200ms);
+    f.heard.on_heard(entry, start + 200ms);
+    f.heard.on_cancel(entry, start + 900ms);
+    f.runs.on_cancel(entry, {order_id(1)}, start + 900ms);
+    for (const auto later : {1s, 2s})
+    {
+        f.heard.on_heard(entry, start + later);
+        CHECK(f.heard.oldest(f.runs) == start);
+    }
+    // The run has ended with the lease.
+    f.runs.on_all_runs_ended(false, "test", start + 2s);
+    CHECK_FALSE(f.heard.oldest(f.runs));
+    f.order(other_entry, start + 2s);
+    CHECK(f.heard.oldest(f.runs) == start);
+    f.heard.on_heard(other_entry, start + 2s);
+    CHECK(f.heard.oldest(f.runs) == start + 2s);
+}
--- a/packages/node/tests/unit-late_input.cpp
+++ b/packages/node/tests/unit-late_input.cpp
@@ -111,8 +111,6 @@
 late_input_options corrected()
 {
     late_input_options out;
-    out.lease.count_starts = true;
-    out.lease.bound_stopped = true;
     out.lost_agent_grace = 1300ms;
     return out;
 }
@@ -237,7 +235,7 @@
              o.target.refuse_late_starts = false;
              o.late_call_percent = 30;
          }},
-        {"a stop makes an earlier start void", 40,
+        {"a stop makes an earlier start void", 120,
          [](auto& o)
          {
              o.target.stop_fences = false;
@@ -248,6 +246,13 @@
          {
              o.target.lease_ends = false;
          }},
+        {"an order waits that is late for the lease granted before", 60,
+         [](auto& o)
+         {
+             o.lease.hold_late_orders = false;
+             o.coincidence_percent = 60;
+             o.longest_pause = 790ms;
+         }},
         {"the lease is bounded by when the entry was heard", 100,
          [](auto& o)
          {
--- a/packages/node/tests/unit-target_lease.cpp
+++ b/packages/node/tests/unit-target_lease.cpp
@@ -38,7 +38,7 @@
     {
         CHECK(lease.may_extend(start + it.after) == it.may_extend);
     }
-    lease.on_extension_sent(start + 600ms);
+    lease.on_extension_sent(1s, start + 600ms);
     // A lease of 1 s lasts 1,020 ms on a target clock that is 2 % slow.
     CHECK_FALSE(lease.has_expired(start + 600ms + 1020ms));
     CHECK(lease.has_expired(start + 600ms + 1110ms));
@@ -85,14 +85,43 @@
 {
     target_lease lease({});
     lease.on_answer(target_time(5000), start);
-    lease.on_extension_sent(start);
+    lease.on_extension_sent(1s, start);
     lease.on_start_sent(500ms, start + 640ms);
     // Valid until 1,140 ms; a slow clock and the time to kill come on top.
     CHECK_FALSE(lease.has_expired(start + 1200ms));
     CHECK(lease.has_expired(start + 1300ms));
     // One whose validity ends before the lease changes nothing.
-    lease.on_extension_sent(start + 2s);
+    lease.on_extension_sent(1s, start + 2s);
     lease.on_start_sent(500ms, start + 2100ms);
     CHECK_FALSE(lease.has_expired(start + 3s));
     CHECK(lease.has_expired(start + 3110ms));
 }
+
+// Guards against runs that outlive the wait of their callers under a lease that
+// was granted before their order arrived late.
+TEST_CASE("target_lease: an entry's run starts only if the lease ends in time "
+          "for its callers")
+{
+    struct row
+    {
+        duration extension; ///< sent at the start
+        duration heard;     ///< sending of the entry's newest message
+        bool allowed;
+    };
+    const row rows[] = {{1000ms, 0ms, true},     {1000ms, -190ms, true},
+                        {1000ms, -200ms, false}, {1000ms, -800ms, false},
+                        {400ms, -790ms, true},   {400ms, -800ms, false},
+                        {0ms, -800ms, true}};
+    for (const auto& it : rows)
+    {
+        INFO(it.extension.count() << ", " << it.heard.count());
+        target_lease lease({});
+        lease.on_extension_sent(it.extension, start);
+        CHECK(lease.allows_start(start + it.heard) == it.allowed);
+        // A shorter extension doesn't shorten the lease that was granted.
+        lease.on_extension_sent(0ms, start);
+        CHECK(lease.allows_start(start + it.heard) == it.allowed);
+        lease.on_start_sent(500ms, start + 600ms);
+        CHECK_FALSE(lease.allows_start(start - 100ms));
+    }
+}
