--- a/packages/fleet/tests/unit-held_orders.cpp
+++ b/packages/fleet/tests/unit-held_orders.cpp
@@ -7,12 +7,18 @@
 using namespace agatebank;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+constexpr time_point start{1h};
+
+} // namespace
+
 // Guards against a run that its target's lease outlives, and against an entry
 // whose orders must wait delaying those of others.
 TEST_CASE("run_scheduler: orders of an entry that may not start wait, those of "
           "others pass")
 {
-    constexpr time_point start{1h};
     std::set<order_source> held{order_source(1)};
     std::vector<std::string> started;
     std::vector<order_result> ends;
