An end isn't reported while a copy of its start call may begin a run

Callers saw a task run twice at once when a target restarted under the same id.

Cause: the agent repeats a start call after 50 ms. The target restarts, lists the run as lapsed, and the agent reported that listed end at once (trace of the restarted target test: reported in the same millisecond as the listing, new order at the other target 0.3 ms later). A copy of the call that was under way was then carried out by the new incarnation, which knows neither run nor token.

Now an end other than `done` is held until the copies are answered and the same incarnation has listed its runs after that, until the new incarnation has answered a lease call with the raised token, or until 1,600 ms after the start. Copies that failed without an answer count if the target may have restarted. A call that was answered before it was repeated is not waited for.

The call with the raised token is sent at once with a new incarnation, not after the earlier lease call has ended. A start that is refused while another copy is open is stopped before it is returned. A run that the new incarnation lists is told to stop even if the earlier one had accepted a stop. Counters: ends held, holds expired.

The restarted target test: 8 of 8 runs failed before, 21 of 21 passed with this change beside other busy processes (load average about 20). Two tests of run_scheduler pass the whole listing instead of its list of runs; their checks are unchanged.

--- a/packages/core/include/agatebank/core/target_interface.hpp
+++ b/packages/core/include/agatebank/core/target_interface.hpp
@@ -63,6 +63,24 @@
     unknown     ///< no answer; the run may have started or may start later
 };
 
+/// @brief Whether copies of a start call may still be carried out, by the
+/// target or by its next incarnation under the same id, which knows neither the
+/// run nor the fencing token.
+enum class start_copies : uint8_t
+{
+    settled,    ///< each copy was answered or can't have been received
+    unanswered, ///< none is under way; one that may have been received failed
+    under_way   ///< one was sent and has neither been answered nor failed
+};
+
+/// @brief State of the copies of a start call.
+struct start_call_state
+{
+    start_copies copies = start_copies::settled;
+    /// when that became so; the clock's zero for a call that was not repeated
+    time_point since;
+};
+
 /// @brief An element of a target's list of active runs.
 struct active_run
 {
@@ -128,6 +146,8 @@
 {
     std::function<void(const start_request&, std::function<void(start_answer)>)>
         start;
+    /// tells of the copies of a run's start call; if empty, no call is repeated
+    std::function<start_call_state(const run_id&)> copies_of_start;
     /// the argument of the handler is whether the target accepted the stop
     std::function<void(const run_id&, std::function<void(bool)>)> stop;
     std::function<void(
--- a/packages/daemon/src/node_metrics.cpp
+++ b/packages/daemon/src/node_metrics.cpp
@@ -355,7 +355,13 @@
          "Queued orders returned as ending after their deadline.",
          &counts::infeasible},
         {"agatebank_starts_unanswered", "Starts without an answer.",
-         &counts::unanswered_starts}};
+         &counts::unanswered_starts},
+        {"agatebank_ends_held",
+         "Ends held until the copies of the start call are settled.",
+         &counts::held_ends},
+        {"agatebank_end_holds_expired",
+         "Held ends reported before the copies were settled.",
+         &counts::expired_holds}};
     const auto& scheduler = node.scheduler();
     add_count_gauges(metrics, scheduler.counts(), rows);
     metrics.add_gauge({"agatebank_runs", "Runs that hold room.", {}},
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -46,6 +46,8 @@
     /// called before the reports of runs that ended with the target
     std::function<void(const std::vector<lost_run>&)> report_loss;
     log_sink log;
+    /// see target_interface::copies_of_start
+    std::function<start_call_state(const run_id&)> copies_of_start = {};
 };
 
 /// @brief Settings of a run_scheduler.
@@ -69,6 +71,8 @@
     uint64_t unanswered_starts = 0;
     uint64_t target_losses = 0; ///< times that runs ended with the target
     uint64_t lost_runs = 0;     ///< runs that ended with the target
+    uint64_t held_ends = 0;     ///< ends not reported at once, see end_hold
+    uint64_t expired_holds = 0; ///< of these, reported without certainty
     /// queued orders that would have ended after their objective
     uint64_t returned_early = 0;
     uint64_t dropped_useless = 0; ///< queued orders without a useful answer
@@ -92,6 +96,10 @@
 /// certain that it never started. An order is reported as ended only then, so
 /// that its entry may place the task on another target at once without the
 /// task running twice at the same time.
+///
+/// An end other than done is held while a copy of the start call may begin a
+/// run at the target's next incarnation, which knows nothing of the end; see
+/// run_state::held. Orders whose calls are settled are not delayed.
 class run_scheduler
 {
   public:
@@ -121,9 +129,8 @@
     /// ended, as the resources that they hold are not known.
     /// Runs that are not listed ended with the previous incarnation. A listed
     /// run is a start request that the new incarnation carried out late; it is
-    /// stopped.
-    void on_new_incarnation(const std::vector<active_run>& running,
-                            time_point now);
+    /// stopped, or has ended. Later copies are refused for their fencing token.
+    void on_new_incarnation(const lease_answer& listing, time_point now);
 
     // orders
     void on_batch(order_source from, const run_batch& batch, time_point now);
@@ -155,6 +162,9 @@
     /// nothing if there is no run.
     std::optional<duration> time_to_next_end(time_point now) const;
     std::size_t running() const noexcept;
+    /// @brief Whether the end of some order is held. The target's lists should
+    /// then be requested soon, as they show whether it has restarted.
+    bool holds_ends() const noexcept;
     /// @brief Whether an entry has orders that have not ended.
     bool has_orders(order_source from) const;
     /// @brief When the run was told to stop that has been stopping for longest;
@@ -170,7 +180,17 @@
         queued,
         starting,
         running,
-        stopping
+        stopping,
+        held ///< ended, and not reported yet
+    };
+    /// Which copies of its start call an end is held for.
+    enum class end_hold : uint8_t
+    {
+        /// Those under way. The target is known to have ended the run, and
+        /// refuses copies that reach it unless it restarts before.
+        under_way,
+        /// Those that were not answered too. The target may have restarted.
+        unanswered
     };
     /// How the expected end of an order compares with its objective and with
     /// the time until which its result is useful to the caller.
@@ -203,12 +223,16 @@
         /// request was answered, or the run was first listed as running
         time_point last_exchange_at;
         time_point stop_began; ///< when the run was first told to stop
+        time_point held_since; ///< valid while held
+        end_hold hold = end_hold::under_way; ///< valid while held
+        /// the target refuses what was sent before its present incarnation
+        bool copies_fenced = false;
         bool stop_accepted = false;
         bool cold = false;         ///< the target was cold at its start
         bool known_to_run = false; ///< its start was accepted, or it was listed
         bool report_requested =
             true; ///< whether the entry still expects a report
-        /// to be reported once a stop has taken effect
+        /// to be reported once a stop has taken effect or a hold is over
         run_outcome outcome = run_outcome::stopped;
         duration expected_wait{}; ///< of an order that is returned
         int percent = 0;
@@ -255,6 +279,20 @@
     void cancel_order(const order_key& key, order_record& r,
                       run_outcome outcome, time_point now);
     void finish(const order_key& key, run_outcome outcome, time_point now);
+    /// @brief Ends an order as soon as no copy of its start call may begin a
+    /// run, at the latest max_end_hold after its start.
+    void finish_settled(const order_key& key, run_outcome outcome,
+                        end_hold hold, time_point now);
+    /// @brief Whether a copy of the start call may begin another run, or has.
+    /// The next incarnation accepts a copy as the earlier one does; only a
+    /// listing of the followed incarnation, requested after the answer, shows
+    /// that it was not the next one.
+    bool may_start_again(const order_record& r, end_hold hold) const;
+    /// @brief Reports the held ends for which the wait is over.
+    /// @param kept runs that are held on
+    void release_held(time_point now, const std::set<run_id>& kept = {});
+    /// @brief To be called before a held order leaves that state.
+    void leave_hold(const order_record& r);
     void finish_runs_except(const std::set<run_id>& kept, bool crashed,
                             const char* why, time_point now);
     void process_ended_runs(const std::vector<ended_run>& ended,
@@ -279,9 +317,11 @@
     std::set<queue_rank> queue_;
     std::map<run_id, order_key> started_runs_;
     uint32_t isolated_runs_ = 0; ///< of the started ones
+    std::size_t held_count_ = 0; ///< orders in the state held
     /// runs of unknown size, left at the target by a previous agent
     std::set<run_id> left_runs_;
     uint64_t listing_count_ = 0; ///< listings processed so far
+    time_point last_asked_at_;   ///< when the newest of them was requested
     std::unordered_map<std::string, uint32_t> last_run_numbers_;
     target_health_estimator health_;
     target_speed_estimator speed_;
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -169,6 +169,11 @@
         orders_.erase(key);
         return;
     }
+    if (r.state == run_state::held)
+    {
+        finish(key, r.outcome, now);
+        return;
+    }
     stop_run(r, outcome, now);
 }
 
@@ -210,6 +215,7 @@
                              time_point now)
 {
     r.outcome = outcome;
+    leave_hold(r);
     if (r.state == run_state::stopping)
     {
         return;
@@ -237,6 +243,23 @@
     {
         return; // already being stopped, or already listed as running
     }
+    if (answer != start_answer::accepted && answer != start_answer::unknown &&
+        may_start_again(r, end_hold::unanswered))
+    {
+        log(log_level::info, r,
+            "start request was refused, and a copy of it is not answered; "
+            "stopping the run");
+        if (answer == start_answer::no_capacity)
+        {
+            on_capacity_refusal(r, now);
+        }
+        else if (answer != start_answer::superseded)
+        {
+            health_.on_failed(now);
+        }
+        stop_run(r, run_outcome::not_run, now);
+        return;
+    }
     switch (answer)
     {
     case start_answer::accepted:
@@ -298,6 +321,7 @@
                                time_point now)
 {
     ++listing_count_;
+    last_asked_at_ = asked_at;
     process_ended_runs(listing.ended, now);
     process_active_runs(listing, asked_at, now);
     std::erase_if(left_runs_,
@@ -334,6 +358,11 @@
                                duration(r.order.expected_us));
         r.last_listed_in = listing_count_;
         r.known_to_run = true;
+        if (r.state == run_state::held)
+        {
+            // A copy of the start call was carried out after the end.
+            stop_run(r, run_outcome::stopped, now);
+        }
         if (r.state == run_state::starting)
         {
             r.state = run_state::running;
@@ -370,6 +399,7 @@
             hooks_.stop(id);
         }
     }
+    release_held(now);
     return_queued(now);
     start_next(now);
 }
@@ -426,6 +456,10 @@
     for (const auto& [id, key] : started_runs_)
     {
         const auto& r = orders_.at(key);
+        if (r.state == run_state::held)
+        {
+            continue;
+        }
         const auto left = std::max(
             duration(0), r.started + duration(r.order.expected_us) - now);
         out = out ? std::min(*out, left) : left;
--- a/packages/fleet/src/run_scheduler_ends.cpp
+++ b/packages/fleet/src/run_scheduler_ends.cpp
@@ -22,6 +22,12 @@
 /// Starts that are this close together may begin in another order at the
 /// target, as they are sent over several connections.
 constexpr duration start_resolution = 10ms;
+/// Longest time from a start until its end is reported although copies of the
+/// call are not settled. The last copy is sent after 100 ms and given up after
+/// another 400 ms. An incarnation that carries it out until then ends the run
+/// 1,100 ms later, unless its lease is extended: a lease of 1,000 ms by a clock
+/// that is 4 % slow, and 60 ms to kill the run.
+constexpr duration max_end_hold = 1600ms;
 
 } // namespace
 
@@ -30,30 +36,47 @@
 void run_scheduler::on_all_runs_ended(bool crashed, const char* why,
                                       time_point now)
 {
+    if (crashed)
+    {
+        last_asked_at_ = now; // what was accepted before doesn't run any more
+    }
     finish_runs_except({}, crashed, why, now);
     left_runs_.clear();
     last_run_numbers_.clear();
     health_.reset();
 }
 
-void run_scheduler::on_new_incarnation(const std::vector<active_run>& running,
+void run_scheduler::on_new_incarnation(const lease_answer& listing,
                                        time_point now)
 {
     std::set<run_id> listed;
     left_runs_.clear();
-    for (const auto& it : running)
+    for (const auto& [id, key] : started_runs_)
+    {
+        orders_.at(key).copies_fenced = true;
+    }
+    for (const auto& it : listing.ended)
+    {
+        listed.insert(it.id);
+    }
+    for (const auto& it : listing.running)
     {
         listed.insert(it.id);
         const auto known = started_runs_.find(it.id);
         if (known != started_runs_.end())
         {
-            stop_run(orders_.at(known->second), run_outcome::stopped, now);
+            // The new incarnation knows of no earlier stop request.
+            auto& r = orders_.at(known->second);
+            leave_hold(r);
+            r.state = run_state::running;
+            stop_run(r, run_outcome::stopped, now);
         }
         else
         {
             left_runs_.insert(it.id);
         }
     }
+    release_held(now, listed);
     finish_runs_except(listed, true, "the target has started a new incarnation",
                        now);
     health_.reset();
@@ -67,7 +90,12 @@
     std::vector<order_key> unlisted;
     for (const auto& [id, key] : started_runs_)
     {
-        if (kept.count(id) == 0)
+        auto& r = orders_.at(key);
+        if (r.state == run_state::held)
+        {
+            r.hold = end_hold::unanswered;
+        }
+        else if (kept.count(id) == 0)
         {
             unlisted.push_back(key);
         }
@@ -102,7 +130,7 @@
                 "; started " + to_ms_text(now - r.started) + " ago, attempt " +
                 std::to_string(r.order.attempt) + ", lost together with " +
                 std::to_string(unlisted.size() - 1) + " other runs");
-        finish(it, run_outcome::target_lost, now);
+        finish_settled(it, run_outcome::target_lost, end_hold::unanswered, now);
     }
 }
 
@@ -120,6 +148,10 @@
         }
         const auto key = it->second;
         const auto& r = orders_.at(key);
+        if (r.state == run_state::held && e.status != ended_run_status::done)
+        {
+            continue;
+        }
         switch (e.status)
         {
         case ended_run_status::done:
@@ -128,15 +160,19 @@
             break;
         case ended_run_status::failed:
             health_.on_failed(now);
-            finish(key, run_outcome::failed, now);
+            finish_settled(key, run_outcome::failed, end_hold::under_way, now);
             break;
         case ended_run_status::stopped:
-            finish(key,
-                   r.state == run_state::stopping &&
-                           r.outcome != run_outcome::not_run
-                       ? r.outcome
-                       : run_outcome::stopped,
-                   now);
+            // A target that restarts ends its runs without a stop request.
+            finish_settled(key,
+                           r.state == run_state::stopping &&
+                                   r.outcome != run_outcome::not_run
+                               ? r.outcome
+                               : run_outcome::stopped,
+                           r.state == run_state::stopping && r.stop_accepted
+                               ? end_hold::under_way
+                               : end_hold::unanswered,
+                           now);
             break;
         }
     }
@@ -189,11 +225,96 @@
         }
     }
     for (const auto& [key, outcome] : missing)
+    {
+        finish_settled(key, outcome,
+                       orders_.at(key).state == run_state::stopping
+                           ? end_hold::under_way
+                           : end_hold::unanswered,
+                       now);
+    }
+}
+
+// holds
+
+bool run_scheduler::may_start_again(const order_record& r, end_hold hold) const
+{
+    if (!hooks_.copies_of_start || r.copies_fenced)
+    {
+        return false;
+    }
+    const auto call = hooks_.copies_of_start(r.current_run);
+    return call.copies == start_copies::under_way ||
+           (call.copies == start_copies::unanswered &&
+            hold == end_hold::unanswered) ||
+           (call.since != time_point() && call.since >= last_asked_at_);
+}
+
+void run_scheduler::finish_settled(const order_key& key, run_outcome outcome,
+                                   end_hold hold, time_point now)
+{
+    auto& r = orders_.at(key);
+    if (!r.report_requested || now - r.started >= max_end_hold ||
+        !may_start_again(r, hold))
     {
         finish(key, outcome, now);
+        return;
+    }
+    ++counts_.held_ends;
+    ++held_count_;
+    r.state = run_state::held;
+    r.hold = hold;
+    r.outcome = outcome;
+    r.held_since = now;
+    log(log_level::info, r,
+        std::string("end of the run as ") + to_word(outcome) +
+            " is not reported yet, as a copy of its start call may still be "
+            "carried out; started " +
+            to_ms_text(now - r.started) + " ago");
+}
+
+void run_scheduler::leave_hold(const order_record& r)
+{
+    held_count_ -= r.state == run_state::held ? 1 : 0;
+}
+
+void run_scheduler::release_held(time_point now, const std::set<run_id>& kept)
+{
+    if (held_count_ == 0)
+    {
+        return;
+    }
+    std::vector<order_key> released;
+    for (const auto& [id, key] : started_runs_)
+    {
+        const auto& r = orders_.at(key);
+        if (r.state != run_state::held || kept.count(id) != 0)
+        {
+            continue;
+        }
+        const bool settled = !may_start_again(r, r.hold);
+        const bool expired = !settled && now - r.started >= max_end_hold;
+        if (settled || expired)
+        {
+            counts_.expired_holds += expired ? 1 : 0;
+            log(log_level::info, r,
+                "end of the run was held for " +
+                    to_ms_text(now - r.held_since) +
+                    (expired ? ", copies of its start call are not settled"
+                             : ""));
+            released.push_back(key);
+        }
+    }
+    for (const auto& it : released)
+    {
+        finish(it, orders_.at(it).outcome, now);
     }
 }
 
+bool run_scheduler::holds_ends() const noexcept
+{
+    return held_count_ != 0;
+}
+
 // reports
 
 void run_scheduler::finish(const order_key& key, run_outcome outcome,
@@ -210,8 +331,11 @@
     else
     {
         end.queued_us = (r.started - r.received).count();
-        end.run_us = (now - r.started).count();
+        end.run_us =
+            ((r.state == run_state::held ? r.held_since : now) - r.started)
+                .count();
         end.cold = r.cold;
+        leave_hold(r);
         release_resources(r);
     }
     switch (outcome)
--- a/packages/fleet/tests/unit-run_scheduler.cpp
+++ b/packages/fleet/tests/unit-run_scheduler.cpp
@@ -271,7 +271,7 @@
     f.order(1, "a");
     f.order(2, "b");
     f.accept_all();
-    f.scheduler.on_new_incarnation({{f.started[0], 0}}, f.now);
+    f.scheduler.on_new_incarnation({{}, {}, {{f.started[0], 0}}, {}}, f.now);
     REQUIRE(f.ends.size() == 1);
     CHECK(f.ends[0].id == order_id(2));
     REQUIRE(f.stopped.size() == 1);
@@ -349,7 +349,7 @@
 {
     scheduler_fixture f;
     const run_id left{"old.0.0.0", 1};
-    f.scheduler.on_new_incarnation({{left, 10}}, f.now);
+    f.scheduler.on_new_incarnation({{}, {}, {{left, 10}}, {}}, f.now);
     f.order(1, "a");
     CHECK(f.started.empty());
     f.list({{left, 20}}, {});
--- a/packages/http/include/agatebank/http/hedged_caller.hpp
+++ b/packages/http/include/agatebank/http/hedged_caller.hpp
@@ -4,6 +4,7 @@
 #include <agatebank/loop/timer_queue.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -17,6 +18,14 @@
     unsigned max_copies = 3; ///< maximum number sent, including the first
 };
 
+/// @brief What became of the copies of a call.
+struct hedge_outcome
+{
+    uint64_t copies = 0; ///< sent
+    /// whether each copy that may have been received was answered
+    bool all_answered = true;
+};
+
 /// @brief Sends hedged calls: while a call that may be repeated is unanswered,
 /// sends further copies of it over other connections, and uses the first answer
 /// (Dean and Barroso, The Tail at Scale, 2013). The remaining copies are not
@@ -37,9 +46,12 @@
     /// @brief Sends a call. @p done is called once: with the first answer, or
     /// with a failure when the peer is unreachable or no copy was answered. The
     /// call may have been received if any of its copies may have been.
+    /// @param settled called once, when no copy is under way any more, before
+    /// @p done if that is called then too
     /// @pre call.may_resend
     void send(const http_call& call, const hedge_options& options,
-              http_completion done);
+              http_completion done,
+              std::function<void(const hedge_outcome&)> settled = {});
 
   private:
     struct pending;
--- a/packages/http/src/hedged_caller.cpp
+++ b/packages/http/src/hedged_caller.cpp
@@ -10,9 +10,11 @@
     http_call call;
     hedge_options options;
     http_completion done; ///< empty after it has been called
+    std::function<void(const hedge_outcome&)> settled;
     timer_id timer;
     uint64_t last_copy = 0;
-    bool may_have_been_received = false;         ///< some copy
+    bool may_have_been_received = false; ///< some copy
+    bool all_answered = true; ///< of the copies that may have been received
     std::map<uint64_t, http_call_handle> copies; ///< not yet completed
 };
 
@@ -30,13 +32,15 @@
 }
 
 void hedged_caller::send(const http_call& call, const hedge_options& options,
-                         http_completion done)
+                         http_completion done,
+                         std::function<void(const hedge_outcome&)> settled)
 {
     const auto number = ++last_number_;
     auto& p = pending_[number];
     p.call = call;
     p.options = options;
     p.done = std::move(done);
+    p.settled = std::move(settled);
     send_copy(number);
 }
 
@@ -68,6 +72,7 @@
     const bool has_other_copy = p.timer != timer_id() || !p.copies.empty();
     p.may_have_been_received |=
         outcome || outcome.error().may_have_been_received || !p.copies.empty();
+    p.all_answered &= outcome || !outcome.error().may_have_been_received;
     // A peer that cannot be connected to would not receive another copy either.
     const bool final_failure =
         !outcome &&
@@ -79,22 +84,27 @@
         done = std::exchange(p.done, nullptr);
     }
     const bool may_have_been_received = p.may_have_been_received;
+    const hedge_outcome copies{p.last_copy, p.all_answered};
+    std::function<void(const hedge_outcome&)> settled;
     if (p.copies.empty() && p.timer == timer_id())
     {
+        settled = std::move(p.settled);
         pending_.erase(number);
     }
-    if (!done)
+    if (settled)
     {
-        return;
+        settled(copies);
     }
-    if (outcome)
+    if (done && outcome)
     {
         done(outcome);
-        return;
     }
-    auto error = outcome.error();
-    error.may_have_been_received = may_have_been_received;
-    done(tl::unexpected(std::move(error)));
+    else if (done)
+    {
+        auto error = outcome.error();
+        error.may_have_been_received = may_have_been_received;
+        done(tl::unexpected(std::move(error)));
+    }
 }
 
 } // namespace agatebank
--- a/packages/http/tests/unit-hedged_caller.cpp
+++ b/packages/http/tests/unit-hedged_caller.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -112,3 +113,32 @@
     CHECK(failed->reason.code == errc::peer_unreachable);
     CHECK(failed->may_have_been_received);
 }
+
+// Guards against a start call that is held for settled while its first copy may
+// still be carried out.
+TEST_CASE("hedged_caller: a call is settled when no copy is under way")
+{
+    struct row
+    {
+        unsigned answers_from;
+        bool all_answered;
+    };
+    const row rows[] = {{1, true}, {2, false}, {9, false}};
+    for (const auto& it : rows)
+    {
+        INFO("answers from call " << it.answers_from);
+        silent_server s(it.answers_from);
+        std::vector<hedge_outcome> settled;
+        std::size_t settled_before_done = 0;
+        s.caller.send(
+            s.call, {30ms, 3},
+            [&](const auto&) { settled_before_done = settled.size(); },
+            [&](const hedge_outcome& h) { settled.push_back(h); });
+        const auto stop = s.loop.after(700ms, [&s] { s.loop.quit(); });
+        s.loop.run();
+        REQUIRE(settled.size() == 1);
+        CHECK(settled[0].all_answered == it.all_answered);
+        CHECK(settled[0].copies == std::min(it.answers_from, 3U));
+        CHECK(settled_before_done == (it.answers_from == 2 ? 0 : 1));
+    }
+}
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -150,6 +150,7 @@
     time_point stop_began_;
     bool flush_pending_ = false;
     watch lease_timer_;
+    uint64_t last_lease_call_ = 0; ///< answers to earlier ones are ignored
     watch load_timer_;
     time_point load_timer_end_;
     watch timer_;
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -70,7 +70,7 @@
                   { queue_order_result(s, r); },
                   [this](const std::vector<lost_run>& lost)
                   { send_crash_reports(lost); },
-                  context_.log},
+                  context_.log, port_.copies_of_start},
                  {settings_.returns})
     , hub_({context_.loop, context_.clock, context_.auth, node_link_options(),
             []
@@ -260,7 +260,6 @@
                     std::to_string(announcement.profile.capacity.cpu_millis) +
                     " thousandths of a core",
                 step_target, announcement.profile.target));
-    const bool first = !target_;
     context_.observer.on_phase(phase_announcement);
     previous_target_drained_ = target_ && target_->draining;
     set_cold(announcement);
@@ -275,10 +274,8 @@
     ++fencing_token_;
     port_.set_target(announcement.profile.target, fencing_token_);
     send_hello_to_all();
-    if (first)
-    {
-        extend_lease();
-    }
+    // At once, as the target accepts delayed calls until it has seen the token.
+    extend_lease();
 }
 
 // lease
@@ -301,8 +298,9 @@
         const auto next = scheduler_.time_to_next_end(now);
         // A short lease is extended sooner.
         request.wait =
-            next ? std::clamp(extension / 4, shortest_list_wait, list_wait)
-                 : idle_list_wait;
+            scheduler_.holds_ends() ? shortest_list_wait
+            : next ? std::clamp(extension / 4, shortest_list_wait, list_wait)
+                   : idle_list_wait;
         request.expected_end =
             std::min(request.wait, next.value_or(request.wait));
     }
@@ -312,25 +310,25 @@
         lease_.on_extension_sent(now);
         runs_ended_ = false;
     }
-    const auto incarnation = target_->profile.incarnation;
-    port_.extend_lease(request,
-                       [this, now, incarnation](
-                           tl::expected<lease_answer, lease_failure> answer)
-                       {
-                           if (incarnation != target_->profile.incarnation)
-                           {
-                               schedule_lease(duration(0));
-                               return;
-                           }
-                           if (answer)
-                           {
-                               on_lease_answer(*answer, now);
-                           }
-                           else
-                           {
-                               on_lease_failure(answer.error());
-                           }
-                       });
+    lease_timer_.reset();
+    const auto call = ++last_lease_call_;
+    port_.extend_lease(
+        request,
+        [this, now, call](tl::expected<lease_answer, lease_failure> answer)
+        {
+            if (call != last_lease_call_)
+            {
+                return; // of an earlier incarnation
+            }
+            if (answer)
+            {
+                on_lease_answer(*answer, now);
+            }
+            else
+            {
+                on_lease_failure(answer.error());
+            }
+        });
 }
 
 void agent_node::on_lease_answer(const lease_answer& answer, time_point sent)
@@ -347,7 +345,10 @@
         {
             begin_incarnation(*held_back);
         }
-        schedule_lease(lease_retry_delay);
+        else
+        {
+            schedule_lease(lease_retry_delay);
+        }
         schedule_flush();
         return;
     }
@@ -365,7 +366,7 @@
     }
     if (std::exchange(first_list_pending_, false))
     {
-        scheduler_.on_new_incarnation(answer.running, now);
+        scheduler_.on_new_incarnation(answer, now);
         previous_target_drained_ = false;
     }
     scheduler_.on_listing(answer, sent, now);
@@ -397,6 +398,8 @@
         if (const auto held_back = announcements_.on_wrong_target(now))
         {
             begin_incarnation(*held_back);
+            update_acceptance();
+            return;
         }
         break;
     case lease_error::no_answer:
