--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -39,11 +39,8 @@
                   { queue_order_result(s, r); },
                   [this](const std::vector<lost_run>& lost)
                   { send_crash_reports(lost); },
-                  context_.log,
-                  [this](order_source s)
-                  {
-                      return may_start(s);
-                  }},
+                  context_.log, [this](order_source s) { return may_start(s); },
+                  port_.copies_of_start},
                  {settings_.returns})
     , hub_({context_.loop, context_.clock, context_.auth, node_link_options(),
             []
@@ -234,7 +231,6 @@
                     std::to_string(announcement.profile.capacity.cpu_millis) +
                     " thousandths of a core",
                 step_target, announcement.profile.target));
-    const bool first = !target_;
     context_.observer.on_phase(phase_announcement);
     previous_target_drained_ = target_ && target_->draining;
     set_cold(announcement);
@@ -249,10 +245,8 @@
     ++fencing_token_;
     port_.set_target(announcement.profile.target, fencing_token_);
     send_hello_to_all();
-    if (first)
-    {
-        extend_lease();
-    }
+    // At once, as the target accepts delayed calls until it has seen the token.
+    extend_lease();
 }
 
 // lookup
--- a/packages/node/src/agent_node_lease.cpp
+++ b/packages/node/src/agent_node_lease.cpp
@@ -57,8 +57,9 @@
         const auto next = scheduler_.time_to_next_end(now);
         // A short lease is extended sooner.
         request.wait =
-            next ? std::clamp(extension / 4, shortest_list_wait, list_wait)
-                 : idle_list_wait;
+            scheduler_.holds_ends() ? shortest_list_wait
+            : next ? std::clamp(extension / 4, shortest_list_wait, list_wait)
+                   : idle_list_wait;
         request.expected_end =
             std::min(request.wait, next.value_or(request.wait));
     }
@@ -68,25 +69,25 @@
         lease_.on_extension_sent(extension, now);
         runs_ended_ = false;
     }
-    const auto incarnation = target_->profile.incarnation;
-    port_.extend_lease(request,
-                       [this, now, incarnation](
-                           tl::expected<lease_answer, lease_failure> answer)
-                       {
-                           if (incarnation != target_->profile.incarnation)
-                           {
-                               schedule_lease(duration(0));
-                               return;
-                           }
-                           if (answer)
-                           {
-                               on_lease_answer(*answer, now);
-                           }
-                           else
-                           {
-                               on_lease_failure(answer.error());
-                           }
-                       });
+    lease_timer_.reset();
+    const auto call = ++last_lease_call_;
+    port_.extend_lease(
+        request,
+        [this, now, call](tl::expected<lease_answer, lease_failure> answer)
+        {
+            if (call != last_lease_call_)
+            {
+                return; // of an earlier incarnation
+            }
+            if (answer)
+            {
+                on_lease_answer(*answer, now);
+            }
+            else
+            {
+                on_lease_failure(answer.error());
+            }
+        });
 }
 
 void agent_node::on_lease_answer(const lease_answer& answer, time_point sent)
@@ -103,7 +104,10 @@
         {
             begin_incarnation(*held_back);
         }
-        schedule_lease(lease_retry_delay);
+        else
+        {
+            schedule_lease(lease_retry_delay);
+        }
         schedule_flush();
         return;
     }
@@ -121,7 +125,7 @@
     }
     if (std::exchange(first_list_pending_, false))
     {
-        scheduler_.on_new_incarnation(answer.running, now);
+        scheduler_.on_new_incarnation(answer, now);
         previous_target_drained_ = false;
     }
     scheduler_.on_listing(answer, sent, now);
@@ -153,6 +157,8 @@
         if (const auto held_back = announcements_.on_wrong_target(now))
         {
             begin_incarnation(*held_back);
+            update_acceptance();
+            return;
         }
         break;
     case lease_error::no_answer:
