run_scheduler: not run only when every copy of the start was refused

Callers saw, by the users' report REFUSED, a task that started although its job had been answered 503. Reading showed one way to it: an order whose start call had no answer was reported as not run as soon as the target had accepted the stop and did not list the run, also when the time for which an end is held was over. A target that restarts under its id knows of neither the stop nor the token, and may carry out the call seconds later. The entry took the report for a proof and answered 503. That the report came this way is not shown.

Cause: the outcome not_run meant both "may be placed elsewhere" and "never runs". Now finish() reports a started order as stopped unless the start was not accepted, the run was not listed, the call had an answer, and each copy of it was refused or can't have been received. A single call that is refused still is not run.

Not run: a job in a process cluster. Late copies may still begin a run after a report as stopped, so two runs of a task at once are not ruled out by this.

--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -119,8 +119,8 @@
     /// new orders are returned to their entries as not run.
     void set_accepting_orders(bool open, time_point now);
     /// @brief Stops the runs whose start the target has not yet answered, as a
-    /// copy of the start request might be sent later. A run that proves not to
-    /// have started is returned as not run.
+    /// copy of the start request might be sent later. A run is returned as not
+    /// run if all copies of its start call were answered with a refusal.
     void withdraw_starts(time_point now);
     /// @brief Ends all runs, which are known to have ended at the target: its
     /// lease has expired, or nothing listens at its address any more.
@@ -233,6 +233,7 @@
         bool stop_accepted = false;
         bool cold = false;         ///< the target was cold at its start
         bool known_to_run = false; ///< its start was accepted, or it was listed
+        bool start_unanswered = false; ///< the start call had no answer
         bool report_requested =
             true; ///< whether the entry still expects a report
         /// to be reported once a stop has taken effect or a hold is over
@@ -291,6 +292,11 @@
     /// listing of the followed incarnation, requested after the answer, shows
     /// that it was not the next one.
     bool may_start_again(const order_record& r, end_hold hold) const;
+    /// @brief Whether the run of a started order may have begun, or may still
+    /// begin at the target's next incarnation: true unless each copy of its
+    /// start call was refused or can't have been received. Such an order is not
+    /// reported as not run, as its job would then be refused.
+    bool may_have_run(const order_record& r) const;
     /// @brief Reports the held ends for which the wait is over.
     /// @param kept runs that are held on
     void release_held(time_point now, const std::set<run_id>& kept = {});
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -192,6 +192,7 @@
     r.current_run.run = last;
     r.state = run_state::starting;
     r.known_to_run = false;
+    r.start_unanswered = false;
     r.cold = now < cold_until_;
     r.started = now;
     r.progressed_at = now;
@@ -239,6 +240,8 @@
     }
     const auto key = it->second;
     auto& r = orders_.at(key);
+    r.known_to_run |= answer == start_answer::accepted;
+    r.start_unanswered |= answer == start_answer::unknown;
     if (r.state != run_state::starting)
     {
         return; // already being stopped, or already listed as running
@@ -264,7 +267,6 @@
     {
     case start_answer::accepted:
         r.state = run_state::running;
-        r.known_to_run = true;
         r.last_exchange_at = now;
         if (refusal_ && now >= refusal_->until)
         {
--- a/packages/fleet/src/run_scheduler_ends.cpp
+++ b/packages/fleet/src/run_scheduler_ends.cpp
@@ -249,6 +249,14 @@
            (call.since != time_point() && call.since >= last_asked_at_);
 }
 
+bool run_scheduler::may_have_run(const order_record& r) const
+{
+    return r.known_to_run || r.start_unanswered ||
+           (hooks_.copies_of_start &&
+            hooks_.copies_of_start(r.current_run).copies !=
+                start_copies::settled);
+}
+
 void run_scheduler::finish_settled(const order_key& key, run_outcome outcome,
                                    end_hold hold, time_point now)
 {
@@ -322,6 +330,11 @@
 {
     const auto it = orders_.find(key);
     const auto& r = it->second;
+    if (outcome == run_outcome::not_run && r.state != run_state::queued &&
+        may_have_run(r))
+    {
+        outcome = run_outcome::stopped;
+    }
     order_result end{r.order.id, outcome, 0, 0, r.expected_wait.count()};
     if (r.state == run_state::queued)
     {
--- a/packages/fleet/tests/unit-run_scheduler_holds.cpp
+++ b/packages/fleet/tests/unit-run_scheduler_holds.cpp
@@ -279,3 +279,84 @@
         CHECK(f.reported == run_outcome::not_run);
     }
 }
+
+// Guards against a job that is refused as not run, and a call to start its task
+// that had no answer and is carried out by the target's next incarnation.
+TEST_CASE("run_scheduler: a stopped start is reported as not run only if each "
+          "copy of its call was refused")
+{
+    struct row
+    {
+        const char* name;
+        std::optional<start_answer> answer; ///< none: withdrawn
+        start_copies copies;                ///< after it
+        run_outcome outcome;
+    };
+    const row rows[] = {
+        {"no answer", start_answer::unknown, start_copies::unanswered,
+         run_outcome::stopped},
+        {"no answer, forgotten by the client", start_answer::unknown,
+         start_copies::settled, run_outcome::stopped},
+        {"withdrawn, no answer",
+         {},
+         start_copies::unanswered,
+         run_outcome::stopped},
+        {"withdrawn, refused", {}, start_copies::settled, run_outcome::not_run},
+        {"refused, a copy had no answer", start_answer::refused,
+         start_copies::unanswered, run_outcome::stopped},
+        {"no room, a copy had no answer", start_answer::no_capacity,
+         start_copies::unanswered, run_outcome::stopped},
+        {"refused", start_answer::refused, start_copies::settled,
+         run_outcome::not_run},
+        {"no room", start_answer::no_capacity, start_copies::settled,
+         run_outcome::not_run},
+        {"late", start_answer::expired, start_copies::settled,
+         run_outcome::not_run}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        hold_fixture f;
+        f.copies = it.copies;
+        if (it.answer)
+        {
+            f.answer(*it.answer);
+        }
+        else
+        {
+            f.scheduler.withdraw_starts(f.now);
+        }
+        if (!f.reported)
+        {
+            f.scheduler.on_stop_answer(*f.run, true, f.now);
+            f.list(false);
+        }
+        CHECK(f.reported == it.outcome);
+    }
+}
+
+TEST_CASE("run_scheduler: a start that was accepted after its withdrawal is "
+          "not reported as not run")
+{
+    hold_fixture f;
+    f.scheduler.withdraw_starts(f.now);
+    f.answer(start_answer::accepted);
+    f.scheduler.on_stop_answer(*f.run, true, f.now);
+    f.list(false);
+    CHECK(f.reported == run_outcome::stopped);
+}
+
+// Guards against a job that is refused as not run when the time for which its
+// order is held is over, although a call may be carried out seconds later.
+TEST_CASE("run_scheduler: an order whose hold expires is not reported as not "
+          "run")
+{
+    hold_fixture f;
+    f.copies = start_copies::under_way;
+    f.scheduler.withdraw_starts(f.now);
+    f.scheduler.on_stop_answer(*f.run, true, f.now);
+    f.list(false);
+    REQUIRE_FALSE(f.reported);
+    f.pass(1600ms);
+    CHECK(f.reported == run_outcome::stopped);
+    CHECK(f.scheduler.counts().expired_holds == 1);
+}
