run_scheduler: an end listed for a held order shows that it has run

A held order skipped listed ends other than done, so one whose start had been withdrawn was reported as not run although the target's next incarnation had carried out a copy of the call, which had failed before the agent's first list. Its job could be refused (503) after a start. Found by reading.

A listed end now marks the order as known to have run. An order that was held while the target restarted is never reported as not run: the first call to the new incarnation names the position of the earlier one's last end, so that an end of the new one may be forgotten before it was listed.

--- a/packages/fleet/src/run_scheduler_ends.cpp
+++ b/packages/fleet/src/run_scheduler_ends.cpp
@@ -147,7 +147,8 @@
             continue;
         }
         const auto key = it->second;
-        const auto& r = orders_.at(key);
+        auto& r = orders_.at(key);
+        r.known_to_run = true;
         if (r.state == run_state::held && e.status != ended_run_status::done)
         {
             continue;
@@ -251,7 +252,9 @@
 
 bool run_scheduler::may_have_run(const order_record& r) const
 {
-    return r.known_to_run || r.start_unanswered ||
+    // A copy that the new incarnation carried out before it saw the token may
+    // have ended, and been forgotten, before the first list.
+    return r.known_to_run || r.start_unanswered || r.copies_fenced ||
            (hooks_.copies_of_start &&
             hooks_.copies_of_start(r.current_run).copies !=
                 start_copies::settled);
--- a/packages/fleet/tests/unit-run_scheduler_holds.cpp
+++ b/packages/fleet/tests/unit-run_scheduler_holds.cpp
@@ -121,6 +121,14 @@
     f.list(false, ended_run_status::stopped);
 }
 
+// The run is missing in the list, as it has not begun.
+void stop_and_list_nothing(hold_fixture& f)
+{
+    f.scheduler.withdraw_starts(f.now);
+    f.scheduler.on_stop_answer(*f.run, true, f.now);
+    f.list(false);
+}
+
 } // namespace
 
 // Guards against a second run of a task: a copy of the start call begins one at
@@ -352,11 +360,48 @@
 {
     hold_fixture f;
     f.copies = start_copies::under_way;
-    f.scheduler.withdraw_starts(f.now);
-    f.scheduler.on_stop_answer(*f.run, true, f.now);
-    f.list(false);
+    stop_and_list_nothing(f);
     REQUIRE_FALSE(f.reported);
     f.pass(1600ms);
     CHECK(f.reported == run_outcome::stopped);
     CHECK(f.scheduler.counts().expired_holds == 1);
 }
+
+// Guards against a job that is refused as not run although the target's next
+// incarnation has carried out a copy of the start call. A run that has ended
+// before the agent's first list may be missing there, as the position of the
+// earlier incarnation's last end makes the target forget it.
+TEST_CASE("run_scheduler: an order that is held while its target restarts is "
+          "not reported as not run")
+{
+    const std::optional<ended_run_status> rows[] = {
+        ended_run_status::failed, ended_run_status::stopped, {}};
+    for (const auto& it : rows)
+    {
+        INFO("listed end: " << (it ? static_cast<int>(*it) : -1));
+        hold_fixture f;
+        f.copies = start_copies::under_way;
+        stop_and_list_nothing(f);
+        REQUIRE_FALSE(f.reported);
+        f.copies = start_copies::settled;
+        f.copies_since = f.now;
+        const auto lists = f.lists(false, it);
+        f.scheduler.on_new_incarnation(lists, f.now);
+        f.scheduler.on_listing(lists, f.now, f.now);
+        CHECK(f.reported == run_outcome::stopped);
+    }
+}
+
+// The same list again, as answers may overtake each other.
+TEST_CASE("run_scheduler: a held order whose end is listed late is not "
+          "reported as not run")
+{
+    hold_fixture f;
+    f.copies = start_copies::under_way;
+    stop_and_list_nothing(f);
+    REQUIRE_FALSE(f.reported);
+    list_failed(f);
+    f.copies = start_copies::settled;
+    f.pass(50ms);
+    CHECK(f.reported == run_outcome::stopped);
+}
