run_scheduler: keep the run numbers of held runs

When all runs of a target had ended, the agent forgot all run numbers, also those of orders whose end was held. A new order of such a task got the same run id and took the place of the held one: answers to the old call applied to the new run, and the held order was never reported, so its job had no answer.

The numbers of started runs, held ones among them, are kept.

Test, fleet_tests "run_scheduler: a run number is not used again ...": without the change the second order gets number 1 again, one run is counted in place of two, and the first order has no report; it passes with it.

--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -277,6 +277,9 @@
     /// resources, or to a smaller one.
     bool was_refused(const resources& use, time_point now) const;
     void on_capacity_refusal(const order_record& r, time_point now);
+    /// @brief Forgets the run numbers of tasks without a started run. A number
+    /// in use again would make two orders share one run.
+    void forget_run_numbers();
     void start_run(const order_key& key, order_record& r, time_point now);
     void release_resources(const order_record& r);
     void stop_run(order_record& r, run_outcome outcome, time_point now);
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -179,12 +179,22 @@
 
 // starts
 
+void run_scheduler::forget_run_numbers()
+{
+    last_run_numbers_.clear();
+    for (const auto& [id, key] : started_runs_)
+    {
+        auto& last = last_run_numbers_[id.task];
+        last = std::max(last, id.run);
+    }
+}
+
 void run_scheduler::start_run(const order_key& key, order_record& r,
                               time_point now)
 {
     if (last_run_numbers_.size() > max_tracked_run_numbers)
     {
-        last_run_numbers_.clear();
+        forget_run_numbers();
     }
     r.current_run.task = to_task_name(r.job, r.order);
     auto& last = last_run_numbers_[r.current_run.task];
--- a/packages/fleet/src/run_scheduler_ends.cpp
+++ b/packages/fleet/src/run_scheduler_ends.cpp
@@ -42,7 +42,7 @@
     }
     finish_runs_except({}, crashed, why, now);
     left_runs_.clear();
-    last_run_numbers_.clear();
+    forget_run_numbers();
     health_.reset();
 }
 
--- a/packages/fleet/tests/unit-run_scheduler_holds.cpp
+++ b/packages/fleet/tests/unit-run_scheduler_holds.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -23,6 +24,7 @@
     int stops = 0;
     int losses = 0;
     std::optional<run_outcome> reported;
+    std::map<order_id, run_outcome> reports;
     time_point now = start;
     run_scheduler scheduler;
 
@@ -30,7 +32,10 @@
         : scheduler({[this](const run_id& id, const std::string&) { run = id; },
                      [this](const run_id&) { ++stops; },
                      [this](order_source, const order_result& e)
-                     { reported = e.outcome; },
+                     {
+                         reported = e.outcome;
+                         reports[e.id] = e.outcome;
+                     },
                      [this](const std::vector<lost_run>&) { ++losses; },
                      [](const log_record&) {},
                      {},
@@ -40,6 +45,12 @@
                      }})
     {
         scheduler.set_capacity({1000, 1000, 0}, now);
+        order(order_id(1));
+    }
+
+    // No further order starts, so that the run is the only one.
+    void order(order_id id)
+    {
         scheduler.set_accepting_orders(true, now);
         run_batch b;
         b.job = "a";
@@ -49,11 +60,10 @@
         b.useful_until_us = duration(600ms).count();
         b.deadline_us = duration(2s).count();
         run_order o;
-        o.id = order_id(1);
+        o.id = id;
         o.expected_us = duration(400ms).count();
         b.orders = {o};
         scheduler.on_batch(entry, b, now);
-        // No further order starts, so that the run is the only one.
         scheduler.set_accepting_orders(false, now);
     }
 
@@ -405,3 +415,28 @@
     f.pass(50ms);
     CHECK(f.reported == run_outcome::stopped);
 }
+
+// Guards against two orders of a task with one run id: the second takes the
+// place of the held one, which is then never reported, so that its job has no
+// answer.
+TEST_CASE("run_scheduler: a run number is not used again while the end of its "
+          "run is held")
+{
+    hold_fixture f;
+    f.answer(start_answer::accepted);
+    f.copies = start_copies::under_way;
+    lose(f);
+    REQUIRE(f.scheduler.holds_ends());
+    const auto held = *f.run;
+    f.scheduler.set_capacity({2000, 2000, 0}, f.now);
+    f.order(order_id(2));
+    CHECK(f.run->run > held.run);
+    CHECK(f.scheduler.running() == 2);
+    f.answer(start_answer::accepted);
+    f.copies = start_copies::settled;
+    f.pass(50ms);
+    CHECK(f.reports.count(order_id(1)) == 1);
+    list_done(f);
+    CHECK(f.reports.count(order_id(2)) == 1);
+    CHECK(f.scheduler.running() == 0);
+}
