--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -179,12 +179,22 @@
 
 // starts
 
+void run_scheduler::forget_run_numbers()
+{
+    last_run_numbers_.clear();
+    for (const auto& [id, key] : started_runs_)
+    {
+        auto& last = last_run_numbers_[id.task];
+        last = std::max(last, id.run);
+    }
+}
+
 void run_scheduler::start_run(const order_key& key, order_record& r,
                               time_point now)
 {
     if (last_run_numbers_.size() > max_tracked_run_numbers)
     {
-        last_run_numbers_.clear();
+        forget_run_numbers();
     }
     r.current_run.task = to_task_name(r.job, r.order);
     auto& last = last_run_numbers_[r.current_run.task];
@@ -192,6 +202,7 @@
     r.current_run.run = last;
     r.state = run_state::starting;
     r.known_to_run = false;
+    r.start_unanswered = false;
     r.cold = now < cold_until_;
     r.started = now;
     r.progressed_at = now;
@@ -239,6 +250,8 @@
     }
     const auto key = it->second;
     auto& r = orders_.at(key);
+    r.known_to_run |= answer == start_answer::accepted;
+    r.start_unanswered |= answer == start_answer::unknown;
     if (r.state != run_state::starting)
     {
         return; // already being stopped, or already listed as running
@@ -264,7 +277,6 @@
     {
     case start_answer::accepted:
         r.state = run_state::running;
-        r.known_to_run = true;
         r.last_exchange_at = now;
         if (refusal_ && now >= refusal_->until)
         {
--- a/packages/fleet/src/run_scheduler_ends.cpp
+++ b/packages/fleet/src/run_scheduler_ends.cpp
@@ -42,7 +42,7 @@
     }
     finish_runs_except({}, crashed, why, now);
     left_runs_.clear();
-    last_run_numbers_.clear();
+    forget_run_numbers();
     health_.reset();
 }
 
@@ -147,7 +147,8 @@
             continue;
         }
         const auto key = it->second;
-        const auto& r = orders_.at(key);
+        auto& r = orders_.at(key);
+        r.known_to_run = true;
         if (r.state == run_state::held && e.status != ended_run_status::done)
         {
             continue;
@@ -249,6 +250,16 @@
            (call.since != time_point() && call.since >= last_asked_at_);
 }
 
+bool run_scheduler::may_have_run(const order_record& r) const
+{
+    // A copy that the new incarnation carried out before it saw the token may
+    // have ended, and been forgotten, before the first list.
+    return r.known_to_run || r.start_unanswered || r.copies_fenced ||
+           (hooks_.copies_of_start &&
+            hooks_.copies_of_start(r.current_run).copies !=
+                start_copies::settled);
+}
+
 void run_scheduler::finish_settled(const order_key& key, run_outcome outcome,
                                    end_hold hold, time_point now)
 {
@@ -322,6 +333,11 @@
 {
     const auto it = orders_.find(key);
     const auto& r = it->second;
+    if (outcome == run_outcome::not_run && r.state != run_state::queued &&
+        may_have_run(r))
+    {
+        outcome = run_outcome::stopped;
+    }
     order_result end{r.order.id, outcome, 0, 0, r.expected_wait.count()};
     if (r.state == run_state::queued)
     {
--- a/packages/fleet/tests/unit-run_scheduler_holds.cpp
+++ b/packages/fleet/tests/unit-run_scheduler_holds.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -23,6 +24,7 @@
     int stops = 0;
     int losses = 0;
     std::optional<run_outcome> reported;
+    std::map<order_id, run_outcome> reports;
     time_point now = start;
     run_scheduler scheduler;
 
@@ -30,7 +32,10 @@
         : scheduler({[this](const run_id& id, const std::string&) { run = id; },
                      [this](const run_id&) { ++stops; },
                      [this](order_source, const order_result& e)
-                     { reported = e.outcome; },
+                     {
+                         reported = e.outcome;
+                         reports[e.id] = e.outcome;
+                     },
                      [this](const std::vector<lost_run>&) { ++losses; },
                      [](const log_record&) {},
                      {},
@@ -40,6 +45,12 @@
                      }})
     {
         scheduler.set_capacity({1000, 1000, 0}, now);
+        order(order_id(1));
+    }
+
+    // No further order starts, so that the run is the only one.
+    void order(order_id id)
+    {
         scheduler.set_accepting_orders(true, now);
         run_batch b;
         b.job = "a";
@@ -49,11 +60,10 @@
         b.useful_until_us = duration(600ms).count();
         b.deadline_us = duration(2s).count();
         run_order o;
-        o.id = order_id(1);
+        o.id = id;
         o.expected_us = duration(400ms).count();
         b.orders = {o};
         scheduler.on_batch(entry, b, now);
-        // No further order starts, so that the run is the only one.
         scheduler.set_accepting_orders(false, now);
     }
 
@@ -121,6 +131,14 @@
     f.list(false, ended_run_status::stopped);
 }
 
+// The run is missing in the list, as it has not begun.
+void stop_and_list_nothing(hold_fixture& f)
+{
+    f.scheduler.withdraw_starts(f.now);
+    f.scheduler.on_stop_answer(*f.run, true, f.now);
+    f.list(false);
+}
+
 } // namespace
 
 // Guards against a second run of a task: a copy of the start call begins one at
@@ -279,3 +297,146 @@
         CHECK(f.reported == run_outcome::not_run);
     }
 }
+
+// Guards against a job that is refused as not run, and a call to start its task
+// that had no answer and is carried out by the target's next incarnation.
+TEST_CASE("run_scheduler: a stopped start is reported as not run only if each "
+          "copy of its call was refused")
+{
+    struct row
+    {
+        const char* name;
+        std::optional<start_answer> answer; ///< none: withdrawn
+        start_copies copies;                ///< after it
+        run_outcome outcome;
+    };
+    const row rows[] = {
+        {"no answer", start_answer::unknown, start_copies::unanswered,
+         run_outcome::stopped},
+        {"no answer, forgotten by the client", start_answer::unknown,
+         start_copies::settled, run_outcome::stopped},
+        {"withdrawn, no answer",
+         {},
+         start_copies::unanswered,
+         run_outcome::stopped},
+        {"withdrawn, refused", {}, start_copies::settled, run_outcome::not_run},
+        {"refused, a copy had no answer", start_answer::refused,
+         start_copies::unanswered, run_outcome::stopped},
+        {"no room, a copy had no answer", start_answer::no_capacity,
+         start_copies::unanswered, run_outcome::stopped},
+        {"refused", start_answer::refused, start_copies::settled,
+         run_outcome::not_run},
+        {"no room", start_answer::no_capacity, start_copies::settled,
+         run_outcome::not_run},
+        {"late", start_answer::expired, start_copies::settled,
+         run_outcome::not_run}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        hold_fixture f;
+        f.copies = it.copies;
+        if (it.answer)
+        {
+            f.answer(*it.answer);
+        }
+        else
+        {
+            f.scheduler.withdraw_starts(f.now);
+        }
+        if (!f.reported)
+        {
+            f.scheduler.on_stop_answer(*f.run, true, f.now);
+            f.list(false);
+        }
+        CHECK(f.reported == it.outcome);
+    }
+}
+
+TEST_CASE("run_scheduler: a start that was accepted after its withdrawal is "
+          "not reported as not run")
+{
+    hold_fixture f;
+    f.scheduler.withdraw_starts(f.now);
+    f.answer(start_answer::accepted);
+    f.scheduler.on_stop_answer(*f.run, true, f.now);
+    f.list(false);
+    CHECK(f.reported == run_outcome::stopped);
+}
+
+// Guards against a job that is refused as not run when the time for which its
+// order is held is over, although a call may be carried out seconds later.
+TEST_CASE("run_scheduler: an order whose hold expires is not reported as not "
+          "run")
+{
+    hold_fixture f;
+    f.copies = start_copies::under_way;
+    stop_and_list_nothing(f);
+    REQUIRE_FALSE(f.reported);
+    f.pass(1600ms);
+    CHECK(f.reported == run_outcome::stopped);
+    CHECK(f.scheduler.counts().expired_holds == 1);
+}
+
+// Guards against a job that is refused as not run although the target's next
+// incarnation has carried out a copy of the start call. A run that has ended
+// before the agent's first list may be missing there, as the position of the
+// earlier incarnation's last end makes the target forget it.
+TEST_CASE("run_scheduler: an order that is held while its target restarts is "
+          "not reported as not run")
+{
+    const std::optional<ended_run_status> rows[] = {
+        ended_run_status::failed, ended_run_status::stopped, {}};
+    for (const auto& it : rows)
+    {
+        INFO("listed end: " << (it ? static_cast<int>(*it) : -1));
+        hold_fixture f;
+        f.copies = start_copies::under_way;
+        stop_and_list_nothing(f);
+        REQUIRE_FALSE(f.reported);
+        f.copies = start_copies::settled;
+        f.copies_since = f.now;
+        const auto lists = f.lists(false, it);
+        f.scheduler.on_new_incarnation(lists, f.now);
+        f.scheduler.on_listing(lists, f.now, f.now);
+        CHECK(f.reported == run_outcome::stopped);
+    }
+}
+
+// The same list again, as answers may overtake each other.
+TEST_CASE("run_scheduler: a held order whose end is listed late is not "
+          "reported as not run")
+{
+    hold_fixture f;
+    f.copies = start_copies::under_way;
+    stop_and_list_nothing(f);
+    REQUIRE_FALSE(f.reported);
+    list_failed(f);
+    f.copies = start_copies::settled;
+    f.pass(50ms);
+    CHECK(f.reported == run_outcome::stopped);
+}
+
+// Guards against two orders of a task with one run id: the second takes the
+// place of the held one, which is then never reported, so that its job has no
+// answer.
+TEST_CASE("run_scheduler: a run number is not used again while the end of its "
+          "run is held")
+{
+    hold_fixture f;
+    f.answer(start_answer::accepted);
+    f.copies = start_copies::under_way;
+    lose(f);
+    REQUIRE(f.scheduler.holds_ends());
+    const auto held = *f.run;
+    f.scheduler.set_capacity({2000, 2000, 0}, f.now);
+    f.order(order_id(2));
+    CHECK(f.run->run > held.run);
+    CHECK(f.scheduler.running() == 2);
+    f.answer(start_answer::accepted);
+    f.copies = start_copies::settled;
+    f.pass(50ms);
+    CHECK(f.reports.count(order_id(1)) == 1);
+    list_done(f);
+    CHECK(f.reports.count(order_id(2)) == 1);
+    CHECK(f.scheduler.running() == 0);
+}
