Entry: an older request that is read late doesn't replace a newer one

A caller that waited got no answer: a request of its job that had been under way longer was read after its newer one, took its place, and the end of the older connection cancelled the job. The newer request was neither answered nor noticed any more.

Cause: entry_node::serve took the request that was read last for the newest one, and dropped the other one's answer.

waiting_callers keeps the requests that wait for jobs, out of entry_node. Of two requests for one running job, that on the connection accepted earlier is the older one, if both are the first of their connections; else that read earlier. The older one is answered as abandoned (504) at once and changes nothing, so no caller that has stayed is left without an answer, also where the order is not known: it submits the job again. The time of acceptance is taken from http_request::since_accepted.

Open: connections that are accepted in another order than their callers opened them, as on a path that is slow from the handshake on; requests of a relayed job (relaying is off).

--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -8,6 +8,7 @@
 #include <agatebank/node/entry_links.hpp>
 #include <agatebank/node/node_context.hpp>
 #include <agatebank/node/report_requester.hpp>
+#include <agatebank/node/waiting_callers.hpp>
 #include <agatebank/wire/link_hub.hpp>
 
 #include <functional>
@@ -16,7 +17,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace agatebank
@@ -58,8 +58,6 @@
 class entry_node
 {
   public:
-    using answer = job_answer;
-
     // construction
     entry_node(node_context context, entry_node_settings settings,
                entry_node_hooks hooks);
@@ -96,12 +94,13 @@
 
     // jobs
     /// @brief Submits a job. If a job with this id already runs here, it
-    /// continues and its answer goes to this caller instead of the earlier one.
-    /// @param number identifies the request in @ref abandon
-    /// @param done called once with the outcome, unless the request is
-    /// abandoned or a later caller submits the same id
-    void submit(uint64_t number, job_submission arrival, answer done);
-    /// @brief The caller of a request has disconnected: cancels its job.
+    /// continues, and its answer goes to one of the two requests; see
+    /// waiting_callers::attach.
+    /// @param caller called once with the outcome, unless its request is
+    /// abandoned
+    void submit(job_caller caller, job_submission arrival);
+    /// @brief The caller of a request has disconnected: cancels its job, if the
+    /// job's answer would go to this request.
     void abandon(uint64_t number);
     /// @brief Cancels a running job. @return whether there was one
     bool cancel(const std::string& job_id);
@@ -119,12 +118,6 @@
     const job_relay& relay() const noexcept;
 
   private:
-    struct waiting_caller
-    {
-        uint64_t number = 0;
-        answer done;
-    };
-
     // links
     void on_message(link_id link, message&& m);
     void on_heartbeat(link_id link, const heartbeat& beat);
@@ -147,10 +140,10 @@
 
     // jobs
     /// @brief Serves a job at this entry.
-    void serve(uint64_t number, job_submission arrival, answer done);
+    void serve(job_caller caller, job_submission arrival);
     /// @brief Relays a new job if this entry exceeds its processor time.
     /// @return whether it was relayed
-    bool try_relay(uint64_t number, job_submission& arrival, answer& done);
+    bool try_relay(job_caller& caller, job_submission& arrival);
     void cancel_request(uint64_t number, const char* why);
     job_relay_hooks relay_hooks();
     void on_finish(job_key key, const job_outcome& outcome);
@@ -179,8 +172,7 @@
     job_relay relay_;
     std::map<link_id, agent_incarnation> agents_;
     std::map<agent_incarnation, link_id> agent_links_;
-    std::map<job_key, waiting_caller> callers_;
-    std::unordered_map<uint64_t, job_key> job_by_request_;
+    waiting_callers callers_;
     watch timer_;
     time_point last_timer_;
     bool ready_reported_ = false;
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -226,49 +226,36 @@
         discovery_window(settings_.announcement_period), deadline);
 }
 
-void entry_node::submit(uint64_t number, job_submission arrival, answer done)
+void entry_node::submit(job_caller caller, job_submission arrival)
 {
-    if (relay_.attach(arrival.id, number, done) ||
-        try_relay(number, arrival, done))
+    if (relay_.attach(arrival.id, caller.request, caller.done) ||
+        try_relay(caller, arrival))
     {
         return;
     }
-    serve(number, std::move(arrival), std::move(done));
+    serve(std::move(caller), std::move(arrival));
 }
 
-void entry_node::serve(uint64_t number, job_submission arrival, answer done)
+void entry_node::serve(job_caller caller, job_submission arrival)
 {
     if (const auto running = scheduler_.find(arrival.id))
     {
-        auto& caller = callers_[*running];
-        job_by_request_.erase(caller.number);
-        const auto earlier =
-            std::exchange(caller, waiting_caller{number, std::move(done)});
-        job_by_request_[number] = *running;
-        if (job_relay::is_relay_request(earlier.number))
-        {
-            // The entry that relayed the job earlier waits for its outcome.
-            earlier.done({job_result::abandoned, {}});
-        }
+        callers_.attach(*running, std::move(caller));
         return;
     }
     const job_key key(++last_key_);
-    callers_[key] = {number, std::move(done)};
-    job_by_request_[number] = key;
+    callers_.add(key, std::move(caller));
     scheduler_.admit(key, std::move(arrival), context_.loop.now());
 }
 
 void entry_node::on_finish(job_key key, const job_outcome& outcome)
 {
-    const auto it = callers_.find(key);
-    if (it == callers_.end())
+    const auto caller = callers_.take(key);
+    if (!caller)
     {
         return;
     }
-    const auto caller = std::move(it->second);
-    callers_.erase(it);
-    job_by_request_.erase(caller.number);
-    caller.done(outcome);
+    caller->done(outcome);
     if (outcome.result == job_result::succeeded)
     {
         context_.observer.on_phase(phase_answer);
@@ -285,15 +272,10 @@
 
 void entry_node::cancel_request(uint64_t number, const char* why)
 {
-    const auto it = job_by_request_.find(number);
-    if (it == job_by_request_.end())
+    if (const auto key = callers_.remove(number))
     {
-        return;
+        scheduler_.cancel(*key, why, context_.loop.now());
     }
-    const auto key = it->second;
-    job_by_request_.erase(it);
-    callers_.erase(key);
-    scheduler_.cancel(key, why, context_.loop.now());
 }
 
 bool entry_node::cancel(const std::string& job_id)
--- a/packages/node/src/entry_node_relay.cpp
+++ b/packages/node/src/entry_node_relay.cpp
@@ -43,8 +43,7 @@
 
 // jobs
 
-bool entry_node::try_relay(uint64_t number, job_submission& arrival,
-                           answer& done)
+bool entry_node::try_relay(job_caller& caller, job_submission& arrival)
 {
     if (!settings_.relay || !loads_.own().over() || scheduler_.find(arrival.id))
     {
@@ -85,7 +84,8 @@
     record.submission = arrival.id;
     context_.log(record);
     loads_.count_relay(*chosen);
-    relay_.relay(*chosen, number, std::move(arrival), std::move(done), now);
+    relay_.relay(*chosen, caller.request, std::move(arrival),
+                 std::move(caller.done), now);
     return true;
 }
 
@@ -108,9 +108,9 @@
     {
         return settings_.relay && ready() && !loads_.own().over();
     };
-    out.serve = [this](uint64_t number, job_submission s, answer done)
+    out.serve = [this](uint64_t number, job_submission s, job_answer done)
     {
-        serve(number, std::move(s), std::move(done));
+        serve({number, std::nullopt, std::move(done)}, std::move(s));
     };
     out.abandon = [this](uint64_t number, const char* why)
     {
--- a/tests/platform/unit-late_input.cpp
+++ b/tests/platform/unit-late_input.cpp
@@ -252,3 +252,28 @@
     CHECK(c.entry_log(0, "job cancelled").find("000000000000000a") !=
           std::string::npos);
 }
+
+// Guards against a caller without an answer: its older request is read after
+// its newer one, takes the newer one's place, and its end cancels the job.
+TEST_CASE("late input: an older request that is read after a newer one of its "
+          "job changes nothing")
+{
+    cluster_plan plan{1, 1, 1s};
+    plan.estimate = plan.run_time;
+    node_cluster c(plan);
+    REQUIRE(c.wait_ready());
+    tcp_relay network({"127.0.3.1", 0}, c.callers(0));
+    network.hold_to_upstream(true);
+    const auto older =
+        c.submit_to({"127.0.3.1", network.port()}, "000000000000000a");
+    run_for(c.loop, 200ms);
+    const auto newer = c.submit(0, "000000000000000a", 1);
+    REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 1; }));
+    network.hold_to_upstream(false);
+    run_for(c.loop, 100ms);
+    CHECK(c.job(older).status == 504);
+    c.disconnect(older);
+    REQUIRE(c.wait_ended(newer));
+    CHECK(c.job(newer).status == 200);
+    CHECK(c.ledger.starts["000000000000000a.0.0.0"] == 1);
+}
