Late-input simulation: callers and their requests in a file of their own

What callers decide (submit, leave, submit again) and the state of their requests is simulated_callers.hpp now; the simulation connects it to the entries. No behaviour changes: a line of the trace about a caller that leaves now stands before the pause it causes.

--- a/packages/node/tests/late_input_simulation.hpp
+++ b/packages/node/tests/late_input_simulation.hpp
@@ -5,7 +5,7 @@
 #include "leased_target.hpp"
 #include "run_ledger.hpp"
 #include "simulated_agent.hpp"
-#include "simulated_jobs.hpp"
+#include "simulated_callers.hpp"
 #include "simulated_network.hpp"
 #include "simulated_relay.hpp"
 #include <agatebank/fleet/job_relay.hpp>
@@ -31,6 +31,8 @@
         , random_(seed)
         , events_(start_time)
         , network_(events_, random_, options.link, start_time + faults_end)
+        , callers_(events_, random_, trace_, runs_,
+                   options.longest_request_wait, caller_hooks())
     {
         for (std::size_t e = 0; e < entry_count; ++e)
         {
@@ -55,12 +57,7 @@
 
     void run(std::size_t jobs)
     {
-        callers_.resize(jobs);
-        for (std::size_t i = 0; i < jobs; ++i)
-        {
-            events_.at(random_.between(ms(0), ms(14000)),
-                       [this, i] { submit(i); });
-        }
+        callers_.begin(jobs);
         for (std::size_t i = 0; i < processes_.size(); ++i)
         {
             plan_pauses(i);
@@ -68,16 +65,12 @@
         do
         {
             events_.run(events_.now() + ms(1000));
-            unanswered = std::count_if(callers_.begin(), callers_.end(),
-                                       [](const simulated_caller& it)
-                                       { return !it.answered; });
+            unanswered = callers_.unanswered();
         } while (unanswered != 0 &&
                  events_.now() < start_time + simulated_time);
     }
 
-    int false_not_run = 0;
     std::ptrdiff_t unanswered = 0;
-    int left = 0;         ///< times that a caller left
     int dropped_left = 0; ///< requests read after their caller had left
     int relayed = 0;
 
@@ -86,6 +79,11 @@
         return network_;
     }
 
+    const simulated_callers& callers() const noexcept
+    {
+        return callers_;
+    }
+
     const run_ledger& runs() const noexcept
     {
         return runs_;
@@ -104,10 +102,8 @@
     static constexpr std::size_t agent_count = 3;
     static constexpr duration faults_end = ms(18000);
     static constexpr duration simulated_time = ms(60000);
-    static constexpr duration caller_retry_delay = ms(1300);
     static constexpr duration entry_timer_period = ms(40);
     static constexpr duration max_pause = ms(800);
-    static constexpr int max_submissions = 4;
 
     struct waiting_caller
     {
@@ -189,89 +185,31 @@
 
     // callers
 
-    void submit(std::size_t i)
-    {
-        auto& c = callers_[i];
-        if (c.submissions++ == 0)
-        {
-            c.job = random_job(random_, i);
-        }
-        c.job.plan.payload = std::to_string(c.submissions);
-        const auto number = ++last_number_;
-        const auto e = random_.below(entry_count);
-        requests_[number] = {i, e};
-        const auto wait =
-            random_.percent(20)
-                ? random_.between(ms(0), options_.longest_request_wait)
-                : random_.between(ms(1), ms(4));
-        note(c.job.id, "submission " + c.job.plan.payload + " is sent to " +
-                           late_input_trace::name_of(e) +
-                           ", where it waits for " +
-                           std::to_string(wait / ms(1)) + " ms");
-        processes_[e]->receive_after(wait, [this, number] { read(number); });
-        if (c.submissions < max_submissions && random_.percent(60))
-        {
-            events_.at(random_.between(ms(0), ms(2500)),
-                       [this, number] { leave(number); });
-        }
-    }
-
-    void leave(uint64_t number)
-    {
-        auto& rq = requests_.at(number);
-        if (rq.answered)
-        {
-            return;
-        }
-        rq.left = true;
-        ++left;
-        disturb(rq.entry);
-        note(callers_[rq.caller].job.id,
-             "the caller leaves " + late_input_trace::name_of(rq.entry));
-        if (rq.read)
-        {
-            notice_end(number, duration(0));
-        }
-        retry(rq.caller);
-    }
-
-    void retry(std::size_t i)
+    simulated_caller_hooks caller_hooks()
     {
-        events_.at(caller_retry_delay, [this, i] { submit(i); });
+        return {[this](uint64_t number, std::size_t e, duration wait) {
+                    processes_[e]->receive_after(wait, [this, number]
+                                                 { read(number); });
+                },
+                [this](uint64_t number)
+                {
+                    const auto& rq = callers_.request(number);
+                    disturb(rq.entry);
+                    if (rq.read)
+                    {
+                        notice_end(number, duration(0));
+                    }
+                }};
     }
 
     void notice_end(uint64_t number, duration next_turn)
     {
-        const auto e = requests_.at(number).entry;
+        const auto e = callers_.request(number).entry;
         processes_[e]->receive_after(
             options_.notice_leaving ? next_turn : duration(ms(1000)),
             [this, e, number] { abandon(e, number); });
     }
 
-    void answer(uint64_t number, const job_outcome& o)
-    {
-        auto& rq = requests_.at(number);
-        auto& c = callers_[rq.caller];
-        if (rq.left || std::exchange(rq.answered, true))
-        {
-            return;
-        }
-        note(c.job.id, "the caller is answered: " +
-                           std::to_string(static_cast<int>(o.result)));
-        if (o.result == job_result::not_run && c.submissions == 1 &&
-            runs_.has_started(c.job.id))
-        {
-            ++false_not_run;
-        }
-        if (o.result == job_result::abandoned &&
-            c.submissions < max_submissions)
-        {
-            retry(rq.caller);
-            return;
-        }
-        c.answered = true;
-    }
-
     // entries
 
     void add_entry(std::size_t e)
@@ -364,8 +302,8 @@
 
     void read(uint64_t number)
     {
-        auto& rq = requests_.at(number);
-        const auto& job = callers_[rq.caller].job;
+        auto& rq = callers_.request(number);
+        const auto& job = callers_.job(number);
         note(job.id, late_input_trace::name_of(rq.entry) +
                          " reads submission " + job.plan.payload);
         if (rq.left && options_.drop_if_left)
@@ -387,7 +325,7 @@
         auto& it = entries_[e];
         job_answer done = [this, number](const job_outcome& o)
         {
-            answer(number, o);
+            callers_.answer(number, o);
         };
         if (it.relay->attach(job.id, number, done))
         {
@@ -590,14 +528,12 @@
     random_choice random_;
     event_queue events_;
     simulated_network network_;
+    run_ledger runs_;
+    simulated_callers callers_;
     std::vector<std::unique_ptr<simulated_process>> processes_;
     std::vector<entry_state> entries_;
     std::vector<std::unique_ptr<leased_target>> targets_;
     std::vector<std::unique_ptr<simulated_agent>> agents_;
-    std::vector<simulated_caller> callers_;
-    std::map<uint64_t, simulated_request> requests_;
-    run_ledger runs_;
-    uint64_t last_number_ = 0;
     uint64_t last_key_ = 0;
 };
 
--- a/packages/node/tests/unit-late_input.cpp
+++ b/packages/node/tests/unit-late_input.cpp
@@ -40,10 +40,10 @@
         const auto& overlaps = s.runs().overlaps();
         out.overlaps += overlaps.size();
         out.seeds_with_overlap += overlaps.empty() ? 0 : 1;
-        out.false_not_run += s.false_not_run;
+        out.false_not_run += s.callers().false_not_run;
         out.unanswered += s.unanswered;
         out.starts += s.runs().starts();
-        out.left += s.left;
+        out.left += s.callers().left;
         out.dropped_left += s.dropped_left;
         out.relayed += s.relayed;
         out.silent_links += s.network().silent;
