Property tests: a refused job has no start, before or after

Callers could get a false "not run" that the tests did not count: they counted a refusal only at a job's first submission and only if the job had started before the answer. A start that came after the refusal, or after the refusal of a later submission, passed.

refusal_record (tools/harness, for the simulations and the soak) counts - jobs all of whose submissions were refused and that have a start at any time, - starts of a job that was refused and not submitted again, - apart, and not checked: refusals of a later submission of a job that had started for an earlier one. Both simulations check the first two. These replace false_not_run, which is the part of the first one whose start precedes the answer of a first submission.

--- a/packages/fleet/tests/cluster_simulation.hpp
+++ b/packages/fleet/tests/cluster_simulation.hpp
@@ -4,6 +4,7 @@
 #include <agatebank/fleet/job_relay.hpp>
 #include <agatebank/fleet/job_scheduler.hpp>
 #include <agatebank/fleet/run_scheduler.hpp>
+#include <agatebank/harness/refusal_record.hpp>
 
 #include <algorithm>
 #include <map>
@@ -87,7 +88,7 @@
 
     int overlaps = 0;
     int starts_over_capacity = 0;
-    int false_not_run = 0;
+    refusal_record refusals;
     int answers = 0;
     int relayed = 0;       ///< jobs
     int relays_lost = 0;   ///< relayed jobs whose link was lost
@@ -231,15 +232,16 @@
     // A caller submits a job, for the first time or again.
     void submit_again(int e, const job_submission& a, bool again)
     {
+        refusals.submit(a.id);
         const auto number = ++last_number_;
         const auto answered = std::make_shared<bool>(false);
         job_answer done = [this, a, again, answered](const job_outcome& o)
         {
             *answered = true;
-            false_not_run += o.result == job_result::not_run && !again &&
-                                     started_jobs_.count(a.id) != 0
-                                 ? 1
-                                 : 0;
+            if (o.result == job_result::not_run)
+            {
+                refusals.refuse(a.id);
+            }
             if (with_relays_ && o.result == job_result::abandoned && !again)
             {
                 retry(a);
@@ -519,7 +521,7 @@
             overlaps += model.running.count(n.task) != 0 ? 1 : 0;
         }
         t.running[n.task] = n.run;
-        started_jobs_[n.task.substr(0, n.task.find('.'))] = true;
+        refusals.start(n.task.substr(0, n.task.find('.')));
         const auto status = happens_with_percent(10) ? ended_run_status::failed
                                                      : ended_run_status::done;
         // With relays, runs last longer than a caller waits before it submits
@@ -569,7 +571,6 @@
     std::map<std::pair<int, int>, int> links_;
     int last_connection_ = 0;
     std::map<int, target_model> targets_;
-    std::map<std::string, bool> started_jobs_;
     std::vector<std::unique_ptr<run_scheduler>> agents_;
     std::vector<std::unique_ptr<job_scheduler>> entries_;
 
--- a/packages/node/tests/late_input_simulation.hpp
+++ b/packages/node/tests/late_input_simulation.hpp
@@ -31,8 +31,8 @@
         , random_(seed)
         , events_(start_time)
         , network_(events_, random_, options.link, start_time + faults_end)
-        , callers_(events_, random_, trace_, runs_,
-                   options.longest_request_wait, caller_hooks())
+        , callers_(events_, random_, trace_, options.longest_request_wait,
+                   caller_hooks())
     {
         for (std::size_t e = 0; e < entry_count; ++e)
         {
@@ -507,6 +507,7 @@
     void on_run_start(std::size_t a, const run_id& n,
                       const std::string& submission)
     {
+        callers_.on_run_start(job_of(n.task));
         const bool overlap = runs_.start(a, n, submission, events_.now());
         events_.at(random_.between(ms(0), ms(50)),
                    [this, a] { disturb(entry_count + a); });
--- a/packages/node/tests/run_ledger.hpp
+++ b/packages/node/tests/run_ledger.hpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -27,7 +26,6 @@
                const std::string& submission, time_point now)
     {
         ++starts_;
-        started_jobs_.insert(job_of(n.task));
         running_[n.task][target] = {now, submission};
         return running_[n.task].size() > 1;
     }
@@ -55,11 +53,6 @@
         return starts_;
     }
 
-    bool has_started(const std::string& job) const
-    {
-        return started_jobs_.count(job) != 0;
-    }
-
   private:
     struct active_task
     {
@@ -68,7 +61,6 @@
     };
 
     std::map<std::string, std::map<std::size_t, active_task>> running_;
-    std::set<std::string> started_jobs_;
     std::vector<run_overlap> overlaps_;
     int starts_ = 0;
 };
--- a/packages/node/tests/simulated_callers.hpp
+++ b/packages/node/tests/simulated_callers.hpp
@@ -3,6 +3,7 @@
 #include "late_input_trace.hpp"
 #include "simulated_jobs.hpp"
 #include "simulated_process.hpp"
+#include <agatebank/harness/refusal_record.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -30,13 +31,11 @@
 {
   public:
     simulated_callers(event_queue& events, random_choice& random,
-                      late_input_trace& trace, const run_ledger& runs,
-                      duration longest_request_wait,
+                      late_input_trace& trace, duration longest_request_wait,
                       simulated_caller_hooks hooks)
         : events_(events)
         , random_(random)
         , trace_(trace)
-        , runs_(runs)
         , longest_request_wait_(longest_request_wait)
         , hooks_(std::move(hooks))
     {
@@ -62,10 +61,9 @@
         }
         note(c.job.id, "the caller is answered: " +
                            std::to_string(static_cast<int>(o.result)));
-        if (o.result == job_result::not_run && c.submissions == 1 &&
-            runs_.has_started(c.job.id))
+        if (o.result == job_result::not_run && refusals_.refuse(c.job.id))
         {
-            ++false_not_run;
+            note(c.job.id, "REFUSED AFTER A START");
         }
         if (o.result == job_result::abandoned &&
             c.submissions < max_submissions)
@@ -76,6 +74,19 @@
         c.answered = true;
     }
 
+    void on_run_start(const std::string& job)
+    {
+        if (refusals_.start(job))
+        {
+            note(job, "STARTED AFTER A REFUSAL");
+        }
+    }
+
+    refusal_counts refusals() const
+    {
+        return refusals_.counts();
+    }
+
     simulated_request& request(uint64_t number)
     {
         return requests_.at(number);
@@ -93,7 +104,6 @@
     }
 
     int left = 0; ///< times that a caller left
-    int false_not_run = 0;
 
   private:
     using ms = std::chrono::milliseconds;
@@ -113,6 +123,7 @@
         {
             c.job = random_job(random_, i);
         }
+        refusals_.submit(c.job.id);
         c.job.plan.payload = std::to_string(c.submissions);
         const auto number = ++last_number_;
         const auto e = random_.below(late_input_trace::entry_count);
@@ -155,7 +166,7 @@
     event_queue& events_;
     random_choice& random_;
     late_input_trace& trace_;
-    const run_ledger& runs_;
+    refusal_record refusals_;
     duration longest_request_wait_;
     simulated_caller_hooks hooks_;
     std::vector<simulated_caller> callers_;
--- a/packages/node/tests/unit-late_input.cpp
+++ b/packages/node/tests/unit-late_input.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <functional>
+#include <iostream>
 #include <optional>
 
 using namespace agatebank;
@@ -19,14 +20,15 @@
 {
     std::size_t overlaps = 0;
     int seeds_with_overlap = 0;
-    int false_not_run = 0;
+    refusal_counts refusals;
     std::ptrdiff_t unanswered = 0;
     int starts = 0;
     int left = 0;
     int dropped_left = 0;
     int relayed = 0;
     uint64_t silent_links = 0;
-    std::optional<uint64_t> overlap_seed; ///< the first one
+    std::optional<uint64_t> overlap_seed;       ///< the first one
+    std::optional<uint64_t> false_refusal_seed; ///< the first one
 };
 
 totals play(const late_input_options& options, uint64_t seeds,
@@ -40,7 +42,13 @@
         const auto& overlaps = s.runs().overlaps();
         out.overlaps += overlaps.size();
         out.seeds_with_overlap += overlaps.empty() ? 0 : 1;
-        out.false_not_run += s.callers().false_not_run;
+        const auto refusals = s.callers().refusals();
+        out.refusals += refusals;
+        if (refusals.refused_jobs_started + refusals.starts_after_refusal > 0 &&
+            !out.false_refusal_seed)
+        {
+            out.false_refusal_seed = seed;
+        }
         out.unanswered += s.unanswered;
         out.starts += s.runs().starts();
         out.left += s.callers().left;
@@ -116,6 +124,19 @@
     return out;
 }
 
+void check_refusals(const char* name, uint64_t seeds, const totals& t)
+{
+    const auto& n = t.refusals;
+    INFO("first seed " << t.false_refusal_seed.value_or(0));
+    std::cout << "late input: " << name << ": " << n.refusals << " refusals, "
+              << n.refusals_after_start
+              << " of these after a start for an earlier submission\n";
+    CHECK(n.refused_jobs_started == 0);
+    CHECK(n.starts_after_refusal == 0);
+    // Refusals are frequent enough to be tested.
+    CHECK(n.refusals > 20 * seeds);
+}
+
 void check_no_overlap(const row& r, late_input_options options)
 {
     r.set(options);
@@ -123,13 +144,15 @@
     INFO(r.name << ": " << t.seeds_with_overlap << " of " << r.seeds
                 << " seeds; " << trace_overlap(options, t));
     CHECK(t.overlaps == 0);
+    check_refusals(r.name, r.seeds, t);
 }
 
 } // namespace
 
 // Guards against a false "not run" and a caller without an answer when
 // requests, messages and timers are handled late and callers submit their jobs
-// again.
+// again. A refusal is false if all submissions were refused and a task starts
+// before or after, or if a task starts after the refusal.
 TEST_CASE("late input: 'not run' is never false and every caller that stays is "
           "answered")
 {
@@ -139,7 +162,7 @@
         late_input_options options;
         it.set(options);
         const auto t = play(options, 20);
-        CHECK(t.false_not_run == 0);
+        check_refusals(it.name, 20, t);
         CHECK(t.unanswered == 0);
         // The faults are frequent enough to be tested.
         CHECK(t.starts > 1000);
@@ -292,3 +315,29 @@
         CHECK(play(options, it.seeds).overlaps > 0);
     }
 }
+
+// Guards against a simulation that doesn't reach the cases in which a job is
+// started after it was refused: its caller has left another entry before, which
+// reads the request, or learns that the caller has left, after the refusal.
+TEST_CASE("late input: each rule prevents starts of refused jobs")
+{
+    const row rows[] = {
+        {"a job whose caller has left is not started", 20,
+         [](auto& o)
+         {
+             o.drop_if_left = false;
+         }},
+        {"a caller that leaves is noticed in the next turn", 60,
+         [](auto& o)
+         {
+             o.notice_leaving = false;
+         }},
+    };
+    for (const auto& it : rows)
+    {
+        INFO("off: " << it.name);
+        late_input_options options;
+        it.set(options);
+        CHECK(play(options, it.seeds).refusals.starts_after_refusal > 0);
+    }
+}
