Fault soak: a refused job has no start at any of its submissions

The soak counted a start of a refused job only if the job had been submitted once. A start after the refusal of a later submission passed. refusal_record replaces that check by a stricter one: no job all of whose submissions were refused (503 or 429) has a start, and no task starts after a refusal until the job is submitted again. The summary gives the number of refusals of a later submission after a start for an earlier one, which is not checked.

--- a/tests/platform/soak_callers.cpp
+++ b/tests/platform/soak_callers.cpp
@@ -25,6 +25,7 @@
 constexpr duration shortest_stall = 100ms; ///< that is recorded
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_too_many = 429;
 constexpr unsigned status_not_run = 503;
 constexpr unsigned status_no_result = 504;
 
@@ -184,6 +185,7 @@
 {
     auto& j = jobs_.at(id);
     ++j.submissions;
+    refusals_.submit(id);
     j.entry = entry;
     j.submitted = cluster_.loop.now();
     j.waiting = true;
@@ -260,16 +262,13 @@
         return;
     }
     j.open = false;
-    if (status == status_not_run && j.submissions == 1)
+    const bool refused = status == status_not_run || status == status_too_many;
+    if (refused && refusals_.refuse(id))
     {
-        j.refused = true;
-        if (j.starts != 0)
-        {
-            trace_.fail(id, "was answered 503 after " +
-                                std::to_string(j.starts) + " starts");
-        }
+        trace_.fail(id, "was refused after " + std::to_string(j.starts) +
+                            " starts");
     }
-    else if (status != status_ok && status != status_not_run)
+    if (status != status_ok && status != status_not_run)
     {
         trace_.fail(id, "was answered " + std::to_string(status));
     }
@@ -371,9 +370,9 @@
         return;
     }
     ++j->second.starts;
-    if (j->second.refused)
+    if (refusals_.start(id))
     {
-        trace_.fail(id, "was started after it was answered 503");
+        trace_.fail(id, "was started after it was refused");
     }
 }
 
@@ -421,6 +420,8 @@
     {
         out += ", " + name + ": " + std::to_string(n);
     }
+    out += ", refused after a start for an earlier submission: " +
+           std::to_string(refusals_.counts().refusals_after_start);
     return out + ", longest stall of the test process " +
            to_text(longest_stall_);
 }
--- a/tests/platform/soak_callers.hpp
+++ b/tests/platform/soak_callers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node_cluster.hpp"
+#include <agatebank/harness/refusal_record.hpp>
 
 #include <map>
 #include <random>
@@ -74,7 +75,6 @@
         time_point submitted;
         bool waiting = false; ///< for an answer
         bool open = true;     ///< waits or will be submitted again
-        bool refused = false; ///< 503 at its only submission
         bool forgotten = false;
         http_call_handle call;
         timer_id leave; ///< or submits again
@@ -110,6 +110,7 @@
     timer_id next_job_;
     std::vector<std::vector<interval>> blocked_; ///< by entry
     std::map<std::string, soak_job> jobs_;
+    refusal_record refusals_;
     std::map<std::string, std::size_t> outcomes_;
     std::size_t overlaps_ = 0;
     int over_capacity_ = 0;
