Judge: a start after "not run" needs a submission in between

The judge accepted the start of a refused submission if the caller submitted it again at any time, so also after the start. Now the later request has to be sent before the start. This only adds breaches.

Measured: `judge*` fails in one of its three rows without the change and passes with it. The other process tests were not run.

--- a/tools/harness/include/agatebank/harness/judge.hpp
+++ b/tools/harness/include/agatebank/harness/judge.hpp
@@ -40,7 +40,9 @@
                       std::vector<std::string>& out) const;
     void check_not_run(const recorded_reply& s, const ledger& starts,
                        std::vector<std::string>& out) const;
-    bool was_resubmitted(const recorded_reply& s) const;
+    /// @brief Whether a reply came after @p s to a request that was sent before
+    /// a time of the system monotonic clock.
+    bool was_resubmitted(const recorded_reply& s, int64_t before_us) const;
 
     std::vector<recorded_reply> replies_;
 };
--- a/tools/harness/src/judge.cpp
+++ b/tools/harness/src/judge.cpp
@@ -72,7 +72,7 @@
 }
 
 // A start contradicts a "not-run" reply if it precedes the reply, or if the
-// submission was not sent again after it.
+// submission was not sent again between the reply and the start.
 void judge::check_not_run(const recorded_reply& s, const ledger& starts,
                           std::vector<std::string>& out) const
 {
@@ -80,12 +80,11 @@
     {
         return;
     }
-    const bool resubmitted = was_resubmitted(s);
     for (const auto& t : s.job.tasks)
     {
         for (const auto at_us : starts.times_of(t.echo))
         {
-            if (at_us < s.reply.got_us || !resubmitted)
+            if (at_us < s.reply.got_us || !was_resubmitted(s, at_us))
             {
                 out.push_back(s.submission + ": \"not run\" (" + s.reply.code +
                               ") but " + t.echo + " ran");
@@ -94,13 +93,14 @@
     }
 }
 
-bool judge::was_resubmitted(const recorded_reply& s) const
+bool judge::was_resubmitted(const recorded_reply& s, int64_t before_us) const
 {
     return std::any_of(replies_.begin(), replies_.end(),
                        [&](const recorded_reply& other)
                        {
                            return other.submission == s.submission &&
-                                  other.reply.got_us > s.reply.got_us;
+                                  other.reply.got_us > s.reply.got_us &&
+                                  other.reply.sent_us <= before_us;
                        });
 }
 
