Agent: limit the lease of the settings by the wait of callers

What callers could see, with longest_lease_ms above 1,192: the first order for an idle target waits until the lease granted meanwhile ends in time for its callers, and unknown runs go on for as long as the lease.

Cause: without orders the lease was extended by the whole setting. The rule for orders that are late for the lease granted before keeps runs of orders safe already (target_lease::allows_start), at the price of that wait. It doesn't cover runs that belong to no order, nor the time after which an agent counts runs as over, which grew with the setting.

Change: target_lease limits the setting to 1,042 ms, the 1,192 ms that a lease may last after the newest message of an entry, less 150 ms for the delay of an order that is to start at once. The default of 1,000 ms and lower settings are unchanged.

--- a/packages/node/include/agatebank/node/target_lease.hpp
+++ b/packages/node/include/agatebank/node/target_lease.hpp
@@ -11,6 +11,8 @@
 /// @brief Limits of the leases that a target grants.
 struct lease_options
 {
+    /// Of an extension. A target_lease limits it further, so that the lease
+    /// ends before the callers of a lost entry submit their jobs again.
     duration max_duration = std::chrono::milliseconds(1000);
     /// the target's clock may run slow by up to this share
     double clock_error = 0.02;
--- a/packages/node/src/target_lease.cpp
+++ b/packages/node/src/target_lease.cpp
@@ -19,9 +19,17 @@
 /// which an entry tells its agents, unless it is silent.
 constexpr duration caller_retry_delay = std::chrono::milliseconds(1300);
 
+/// Orders that were under way for up to this long start at once, whatever lease
+/// was granted before.
+constexpr duration unhindered_order_delay = std::chrono::milliseconds(150);
+
 } // namespace
 
-target_lease::target_lease(lease_options options) : options_(options) {}
+target_lease::target_lease(lease_options options) : options_(options)
+{
+    options_.max_duration = std::min(
+        options_.max_duration, longest_silence() - unhindered_order_delay);
+}
 
 void target_lease::on_extension_sent(duration extension, time_point now)
 {
--- a/packages/node/tests/unit-target_lease.cpp
+++ b/packages/node/tests/unit-target_lease.cpp
@@ -125,3 +125,32 @@
         CHECK_FALSE(lease.allows_start(start - 100ms));
     }
 }
+
+// Guards against a setting that lets a target run on for longer than callers
+// wait, and makes each order wait whose target was idle: the lease granted
+// meanwhile would end too late for it.
+TEST_CASE("target_lease: a longer lease in the settings is limited by the wait "
+          "of callers")
+{
+    struct row
+    {
+        duration setting;
+        duration longest_extension;
+    };
+    for (const auto& it : {row{400ms, 400ms}, row{1000ms, 1000ms},
+                           row{1500ms, 1192ms}, row{60s, 1192ms}})
+    {
+        INFO(it.setting.count());
+        target_lease lease({it.setting, 0.02});
+        lease.on_answer(target_time(5000), start);
+        const auto extension = lease.extension({}, start);
+        CHECK(extension >= std::min<duration>(it.setting, 1s));
+        CHECK(extension <= it.longest_extension);
+        CHECK(lease.extension(start, start) == extension);
+        lease.on_extension_sent(extension, start);
+        // An order that was under way for 100 ms starts at once.
+        CHECK(lease.allows_start(start - 100ms));
+        CHECK_FALSE(lease.has_expired(start + extension));
+        CHECK(lease.has_expired(start + 1300ms));
+    }
+}
