Ingress: a late request isn't refused as not run while its job runs here

A caller was told 503, which says that the job never runs, for a request that was read over 800 ms after its connection was accepted (error 318), or after its caller had left, although the same job was running at this entry from another request, and tasks of it could start after that.

Cause: the ingress refused by itself, before it asked whether the job is here.

It now asks entry_node::may_have_run: the job runs or is relayed, or ended here in the last 5 s after tasks may have run. Then the answer is 504, which makes the caller submit the job again 1.3 s later; the job that runs is not touched. Otherwise the answer is 503 as before. Cost: one look-up in two maps for a request that is late.

Open: a request that waits in the ingress for the first configuration doesn't count as running yet, and other refusals by the ingress itself (malformed, no route, no configuration) don't ask.

--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -105,6 +105,9 @@
     /// @brief Cancels a running job. @return whether there was one
     bool cancel(const std::string& job_id);
     bool is_running(const std::string& job_id) const;
+    /// @brief Whether a task of a job may have run here in the last seconds or
+    /// may still run, so that a request for it can't be refused as not run.
+    bool may_have_run(const std::string& job_id) const;
 
     // lookup
     /// @brief Whether the load balancer should route callers to this entry.
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -295,6 +295,12 @@
     return scheduler_.find(job_id).has_value() || relay_.is_relayed(job_id);
 }
 
+bool entry_node::may_have_run(const std::string& job_id) const
+{
+    return relay_.is_relayed(job_id) ||
+           scheduler_.may_have_run(job_id, context_.loop.now());
+}
+
 // lookup
 
 bool entry_node::ready() const
--- a/tests/platform/unit-late_input.cpp
+++ b/tests/platform/unit-late_input.cpp
@@ -277,3 +277,31 @@
     CHECK(c.job(newer).status == 200);
     CHECK(c.ledger.starts["000000000000000a.0.0.0"] == 1);
 }
+
+// Guards against "not run" for a job that runs: a request that was under way
+// for too long is refused although a newer one of the same job is served here.
+TEST_CASE("late input: a request that is refused as late is answered as not "
+          "run only if its job isn't running here")
+{
+    for (const bool is_running : {false, true})
+    {
+        INFO("the job is running: " << is_running);
+        cluster_plan plan{1, 1, 2s};
+        plan.estimate = plan.run_time;
+        node_cluster c(plan);
+        REQUIRE(c.wait_ready());
+        tcp_relay network({"127.0.3.1", 0}, c.callers(0));
+        network.hold_to_upstream(true);
+        const auto late =
+            c.submit_to({"127.0.3.1", network.port()}, "000000000000000a");
+        run_for(c.loop, 900ms);
+        const auto newer = c.submit(
+            0, is_running ? "000000000000000a" : "000000000000000b", 1);
+        REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 1; }));
+        network.hold_to_upstream(false);
+        REQUIRE(c.wait_ended(late));
+        CHECK(c.job(late).status == (is_running ? 504 : 503));
+        CHECK_FALSE(c.job(newer).ended);
+        CHECK(c.entry_metric(0, "agatebank_jobs_read_late") == 1);
+    }
+}
