Test: a job that is answered 503 has no start

Without the rule that a refused start with a copy out is stopped, the order was queued again after the refusal of the copy, ended as past its deadline, and the job was answered 503, while the target began the run.

--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -67,7 +67,7 @@
                            handle(handler, json::parse(rq.body), r);
                        });
     };
-    add("/v1/run-start", &target_stand_in::start);
+    add("/v1/run-start", &target_stand_in::start_or_refuse);
     add("/v1/run-stop", &target_stand_in::stop);
     add("/v1/hold", &target_stand_in::extend_and_list);
     if (!server_->listen())
@@ -102,6 +102,14 @@
     call_delay_ = delay;
 }
 
+void target_stand_in::set_refuses_repeated_starts(duration first_delay,
+                                                  unsigned status)
+{
+    first_start_delay_ = first_delay;
+    repeated_start_status_ = status;
+    called_tasks_.clear();
+}
+
 void target_stand_in::set_mode(target_mode mode)
 {
     mode_ = mode;
@@ -259,6 +267,24 @@
     return false;
 }
 
+void target_stand_in::start_or_refuse(const json& body,
+                                      const http_responder& respond)
+{
+    if (repeated_start_status_ == 0)
+    {
+        start(body, respond);
+        return;
+    }
+    if (!called_tasks_.insert(body.at("task").get<std::string>()).second)
+    {
+        respond(json_response(repeated_start_status_,
+                              {{"clockMs", clock_ms()}, {"reason", "room"}}));
+        return;
+    }
+    timers_.schedule(first_start_delay_,
+                     [this, body, respond] { start(body, respond); });
+}
+
 void target_stand_in::start(const json& body, const http_responder& respond)
 {
     const auto task = body.at("task").get<std::string>();
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -88,6 +88,10 @@
     /// read, by the next incarnation if the target has restarted meanwhile. A
     /// crash discards them.
     void set_call_delay(duration delay);
+    /// @brief From now on, the first call to start a task is carried out this
+    /// long after it was read, and later ones are refused at once.
+    /// @param status 409 for lack of room, or 503
+    void set_refuses_repeated_starts(duration first_delay, unsigned status);
     /// @brief Announces itself with another period, first after an offset.
     void set_announcement_period(duration period, duration offset);
     /// @brief Sets the failure domain that is announced, "z1" unless set.
@@ -144,6 +148,10 @@
     duration run_time_of(const nlohmann::json& start) const;
     void begin_incarnation();
     void announce();
+    /// @brief Carries out a start call, or what replaces it, see
+    /// set_refuses_repeated_starts.
+    void start_or_refuse(const nlohmann::json& body,
+                         const http_responder& respond);
     void start(const nlohmann::json& body, const http_responder& respond);
     void stop(const nlohmann::json& body, const http_responder& respond);
     /// @brief Extends the lease and answers with the lists, after a run has
@@ -167,6 +175,9 @@
     std::string agent_address_;
     duration run_time_;
     duration call_delay_{};
+    duration first_start_delay_{};       ///< unused while the status is 0
+    unsigned repeated_start_status_ = 0; ///< 0: later calls aren't refused
+    std::set<std::string> called_tasks_; ///< while they are
     http_server_options listen_options_;
     std::unique_ptr<http_server> server_; ///< null while the target is away
     http_client client_;
