agent: raise the token at the first answer of a new incarnation

A target that restarts under its id names its new incarnation in answers before its announcement arrives. Until then the agent went on with the old fencing token, which the new incarnation accepts, so calls to start runs that were under way could begin runs for up to an announcement period. The agent also named the position of the earlier incarnation's last end, so ends of the new one could be forgotten without having been listed.

At the first answer of another incarnation the agent now raises the token, names no end as seen, and calls at once. It does so once for each incarnation.

--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -143,7 +143,9 @@
     evacuation_state evacuation_;
     uint64_t fencing_token_ = 0;
     uint64_t fencing_token_step_ = 0;
-    end_position last_end_seen_;    ///< last run end received
+    end_position last_end_seen_; ///< last run end received
+    /// latest one that answered before its announcement
+    std::optional<target_incarnation> unannounced_;
     bool target_connected_ = false; ///< the last lease call succeeded
     bool runs_ended_ = true; ///< false from an extension until it expires
     bool first_list_pending_ = true; ///< of the present incarnation
--- a/packages/node/src/agent_node_lease.cpp
+++ b/packages/node/src/agent_node_lease.cpp
@@ -104,6 +104,14 @@
         {
             begin_incarnation(*held_back);
         }
+        else if (std::exchange(unannounced_, answer.incarnation) !=
+                 answer.incarnation)
+        {
+            // It knows no token yet, and would accept calls from before.
+            last_end_seen_ = {};
+            port_.set_target(target_->profile.target, ++fencing_token_);
+            extend_lease();
+        }
         else
         {
             schedule_lease(lease_retry_delay);
--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -145,10 +145,10 @@
     guards_capacity_ = false;
 }
 
-void target_stand_in::restart()
+void target_stand_in::restart(bool announced)
 {
     end_all("lapsed");
-    begin_incarnation();
+    begin_incarnation(announced);
 }
 
 void target_stand_in::crash(duration away)
@@ -174,7 +174,7 @@
                      });
 }
 
-void target_stand_in::begin_incarnation()
+void target_stand_in::begin_incarnation(bool announced)
 {
     unseen_ends_.clear();
     ended_runs_.clear();
@@ -184,7 +184,10 @@
     sequence_ = 0;
     born_ms_ += 5000;
     incarnation_began_ = loop_.now();
-    announce();
+    if (announced)
+    {
+        announce();
+    }
 }
 
 // lookup
@@ -199,6 +202,11 @@
     return runs_.size();
 }
 
+uint64_t target_stand_in::fencing_token() const noexcept
+{
+    return fencing_token_;
+}
+
 bool target_stand_in::is_away() const noexcept
 {
     return !server_;
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -100,7 +100,8 @@
     /// it is asked to. Runs go on.
     void set_unguarded_capacity(std::size_t tasks);
     /// @brief Ends all runs and starts a new incarnation with the same id.
-    void restart();
+    /// @param announced at once; else with the next regular announcement
+    void restart(bool announced = true);
     /// @brief Ends without a word: no run is reported, connections break and
     /// are refused. A new incarnation with another id starts @p away later.
     void crash(duration away);
@@ -109,6 +110,8 @@
     std::string address() const;
     std::size_t running() const noexcept;
     int starts() const noexcept;
+    /// @brief Highest fencing token that the incarnation has seen.
+    uint64_t fencing_token() const noexcept;
     /// @brief Whether the target has crashed and is not back.
     bool is_away() const noexcept;
 
@@ -146,7 +149,7 @@
     void tell(const std::string& task, const run_record& run,
               const std::string& event) const;
     duration run_time_of(const nlohmann::json& start) const;
-    void begin_incarnation();
+    void begin_incarnation(bool announced = true);
     void announce();
     /// @brief Carries out a start call, or what replaces it, see
     /// set_refuses_repeated_starts.
--- a/tests/platform/unit-restarted_target.cpp
+++ b/tests/platform/unit-restarted_target.cpp
@@ -53,3 +53,22 @@
         run_for(c.loop, 500ms);
     }
 }
+
+// Guards against calls to start a run that are under way while a target
+// restarts under the same id: until the agent raises its token, the new
+// incarnation accepts them, and it may be announced seconds later.
+TEST_CASE("restarted target: an incarnation that is not announced yet gets a "
+          "raised token")
+{
+    node_cluster c({1, 1});
+    REQUIRE(c.wait_ready());
+    auto& target = *c.targets[0];
+    // One announcement, so that the next one comes long after the restart.
+    target.set_announcement_period(60s, 0s);
+    run_for(c.loop, 200ms);
+    const auto before = target.fencing_token();
+    REQUIRE(before != 0);
+    target.restart(false);
+    CHECK(
+        run_until(c.loop, 2s, [&] { return target.fencing_token() > before; }));
+}
