--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -67,7 +67,7 @@
                            handle(handler, json::parse(rq.body), r);
                        });
     };
-    add("/v1/run-start", &target_stand_in::start);
+    add("/v1/run-start", &target_stand_in::start_or_refuse);
     add("/v1/run-stop", &target_stand_in::stop);
     add("/v1/hold", &target_stand_in::extend_and_list);
     if (!server_->listen())
@@ -107,6 +107,14 @@
     loses_stops_ = loses;
 }
 
+void target_stand_in::set_refuses_repeated_starts(duration first_delay,
+                                                  unsigned status)
+{
+    first_start_delay_ = first_delay;
+    repeated_start_status_ = status;
+    called_tasks_.clear();
+}
+
 void target_stand_in::set_mode(target_mode mode)
 {
     mode_ = mode;
@@ -142,10 +150,10 @@
     guards_capacity_ = false;
 }
 
-void target_stand_in::restart()
+void target_stand_in::restart(bool announced)
 {
     end_all("lapsed");
-    begin_incarnation();
+    begin_incarnation(announced);
 }
 
 void target_stand_in::crash(duration away)
@@ -171,7 +179,7 @@
                      });
 }
 
-void target_stand_in::begin_incarnation()
+void target_stand_in::begin_incarnation(bool announced)
 {
     unseen_ends_.clear();
     ended_runs_.clear();
@@ -181,7 +189,10 @@
     sequence_ = 0;
     born_ms_ += 5000;
     incarnation_began_ = loop_.now();
-    announce();
+    if (announced)
+    {
+        announce();
+    }
 }
 
 // lookup
@@ -196,6 +207,11 @@
     return runs_.size();
 }
 
+uint64_t target_stand_in::fencing_token() const noexcept
+{
+    return fencing_token_;
+}
+
 bool target_stand_in::is_away() const noexcept
 {
     return !server_;
@@ -264,6 +280,24 @@
     return false;
 }
 
+void target_stand_in::start_or_refuse(const json& body,
+                                      const http_responder& respond)
+{
+    if (repeated_start_status_ == 0)
+    {
+        start(body, respond);
+        return;
+    }
+    if (!called_tasks_.insert(body.at("task").get<std::string>()).second)
+    {
+        respond(json_response(repeated_start_status_,
+                              {{"clockMs", clock_ms()}, {"reason", "room"}}));
+        return;
+    }
+    timers_.schedule(first_start_delay_,
+                     [this, body, respond] { start(body, respond); });
+}
+
 void target_stand_in::start(const json& body, const http_responder& respond)
 {
     const auto task = body.at("task").get<std::string>();
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -91,6 +91,10 @@
     /// @brief Sets whether calls to stop a run are lost: neither carried out
     /// nor answered.
     void set_loses_stops(bool loses);
+    /// @brief From now on, the first call to start a task is carried out this
+    /// long after it was read, and later ones are refused at once.
+    /// @param status 409 for lack of room, or 503
+    void set_refuses_repeated_starts(duration first_delay, unsigned status);
     /// @brief Announces itself with another period, first after an offset.
     void set_announcement_period(duration period, duration offset);
     /// @brief Sets the failure domain that is announced, "z1" unless set.
@@ -99,7 +103,8 @@
     /// it is asked to. Runs go on.
     void set_unguarded_capacity(std::size_t tasks);
     /// @brief Ends all runs and starts a new incarnation with the same id.
-    void restart();
+    /// @param announced at once; else with the next regular announcement
+    void restart(bool announced = true);
     /// @brief Ends without a word: no run is reported, connections break and
     /// are refused. A new incarnation with another id starts @p away later.
     void crash(duration away);
@@ -108,6 +113,8 @@
     std::string address() const;
     std::size_t running() const noexcept;
     int starts() const noexcept;
+    /// @brief Highest fencing token that the incarnation has seen.
+    uint64_t fencing_token() const noexcept;
     /// @brief Whether the target has crashed and is not back.
     bool is_away() const noexcept;
 
@@ -145,8 +152,12 @@
     void tell(const std::string& task, const run_record& run,
               const std::string& event) const;
     duration run_time_of(const nlohmann::json& start) const;
-    void begin_incarnation();
+    void begin_incarnation(bool announced = true);
     void announce();
+    /// @brief Carries out a start call, or what replaces it, see
+    /// set_refuses_repeated_starts.
+    void start_or_refuse(const nlohmann::json& body,
+                         const http_responder& respond);
     void start(const nlohmann::json& body, const http_responder& respond);
     void stop(const nlohmann::json& body, const http_responder& respond);
     /// @brief Extends the lease and answers with the lists, after a run has
@@ -170,6 +181,9 @@
     std::string agent_address_;
     duration run_time_;
     duration call_delay_{};
+    duration first_start_delay_{};       ///< unused while the status is 0
+    unsigned repeated_start_status_ = 0; ///< 0: later calls aren't refused
+    std::set<std::string> called_tasks_; ///< while they are
     http_server_options listen_options_;
     std::unique_ptr<http_server> server_; ///< null while the target is away
     http_client client_;
