Test: a start whose kept connection broke is a copy without an answer

What was feared: a start is read from a kept connection that then breaks, libsoup writes it again, the second writing is refused, and the call counts as one settled copy. The agent would report the order as not run, and the first writing would begin a run later.

SOUP_MESSAGE_IDEMPOTENT lets a POST use a kept connection, but a POST isn't written again when it breaks, unlike a GET or a PUT; the calls to a target are POSTs. Such a start fails as "may have been received", the hedged caller sends its next copy, and the call ends with all_answered = false, so that the run is stopped before its end is reported. So no code is changed; the doc comment of may_resend claimed otherwise.

Evidence: a raw peer that reads the second request of a kept connection and breaks it. POST: 2 requests read, closed or reset, and the call fails as maybe received. PUT: 3 requests read, closed or reset, and answered. A connection that was closed while idle costs no try.

--- a/packages/http/include/agatebank/http/http_client.hpp
+++ b/packages/http/include/agatebank/http/http_client.hpp
@@ -22,9 +22,9 @@
     std::string content_type = "application/json";
     std::string body;
     duration timeout = std::chrono::seconds(5);
-    /// Allows the HTTP library to reuse a persistent connection, and to send
-    /// the request again when that connection breaks. Must be false for
-    /// requests that may take effect only once.
+    /// Allows the HTTP library to reuse a persistent connection, and to send a
+    /// GET or PUT, but no POST, again when that connection breaks. Must
+    /// be false for requests that may take effect only once.
     bool may_resend = false;
 };
 
--- a/packages/http/tests/unit-hedged_caller.cpp
+++ b/packages/http/tests/unit-hedged_caller.cpp
@@ -1,3 +1,4 @@
+#include "raw_peer.hpp"
 #include <agatebank/http/hedged_caller.hpp>
 #include <agatebank/http/http_server.hpp>
 
@@ -142,3 +143,51 @@
         CHECK(settled_before_done == (it.answers_from == 2 ? 0 : 1));
     }
 }
+
+// Guards against a start call that is held for settled, as it was refused,
+// although it had been read before from a kept connection that broke.
+TEST_CASE("hedged_caller: a copy whose connection broke has no answer")
+{
+    event_loop loop;
+    timer_queue timers(loop);
+    http_client client(loop);
+    hedged_caller caller(timers, client);
+    int requests = 0;
+    raw_listener peer(
+        [&](raw_connection& c)
+        {
+            if (c.ended())
+            {
+                return;
+            }
+            if (++requests == 2)
+            {
+                c.close();
+                return;
+            }
+            c.send("HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n");
+        });
+    http_call call;
+    call.method = "POST";
+    call.url = "http://127.0.0.1:" + std::to_string(peer.port()) + "/";
+    call.may_resend = true;
+    std::vector<hedge_outcome> settled;
+    for (int i = 0; i < 2; ++i)
+    {
+        caller.send(
+            call, {30ms, 3},
+            [](const auto& r)
+            {
+                REQUIRE(r);
+                CHECK(r->status == 503);
+            },
+            [&](const hedge_outcome& h) { settled.push_back(h); });
+        const auto stop = loop.after(200ms, [&loop] { loop.quit(); });
+        loop.run();
+    }
+    REQUIRE(settled.size() == 2);
+    CHECK(requests == 3);
+    CHECK(settled[0].all_answered);
+    CHECK(settled[1].copies == 2);
+    CHECK_FALSE(settled[1].all_answered);
+}
--- a/packages/http/tests/unit-http_client.cpp
+++ b/packages/http/tests/unit-http_client.cpp
@@ -340,3 +340,81 @@
     CHECK(requests == 2);
     CHECK(got->error().may_have_been_received);
 }
+
+// Guards against a start that is reported as not run, because its answer was a
+// refusal, although it had been read before from a connection that broke.
+// libsoup sends a request again only if its method is idempotent by HTTP, also
+// with SOUP_MESSAGE_IDEMPOTENT; a start is a POST.
+TEST_CASE("http_client: only a request whose method is idempotent is sent "
+          "again after its connection broke")
+{
+    struct row
+    {
+        const char* name;
+        const char* method;
+        bool reads; ///< the second request is read before the connection breaks
+        bool abort;
+        int requests; ///< that the peer reads
+        bool answered;
+    };
+    const row rows[] = {
+        {"POST, closed when read", "POST", true, false, 2, false},
+        {"POST, reset when read", "POST", true, true, 2, false},
+        {"POST, closed while idle", "POST", false, false, 2, true},
+        {"POST, reset while idle", "POST", false, true, 2, true},
+        {"PUT, closed when read", "PUT", true, false, 3, true},
+        {"PUT, reset when read", "PUT", true, true, 3, true}};
+    for (const auto& row : rows)
+    {
+        SECTION(row.name)
+        {
+            event_loop loop;
+            http_client client(loop);
+            int requests = 0;
+            raw_listener peer(
+                [&](raw_connection& c)
+                {
+                    if (c.ended())
+                    {
+                        return;
+                    }
+                    ++requests;
+                    if (requests == 2 && row.reads)
+                    {
+                        c.close(row.abort);
+                        return;
+                    }
+                    c.send(complete_answer);
+                    if (!row.reads)
+                    {
+                        c.close(row.abort);
+                    }
+                });
+            http_call rq;
+            rq.method = row.method;
+            rq.url = "http://127.0.0.1:" + std::to_string(peer.port()) + "/";
+            rq.may_resend = true;
+            std::vector<outcome> got;
+            for (int i = 0; i < 2; ++i)
+            {
+                watch settled;
+                const auto handle = client.send(
+                    rq,
+                    [&](const outcome& o)
+                    {
+                        got.push_back(o);
+                        settled = loop.after(settle_time, [&] { loop.quit(); });
+                    });
+                loop.run();
+            }
+            REQUIRE(got.size() == 2);
+            REQUIRE(got[0]);
+            CHECK(requests == row.requests);
+            REQUIRE(got[1].has_value() == row.answered);
+            if (!row.answered)
+            {
+                CHECK(got[1].error().may_have_been_received);
+            }
+        }
+    }
+}
--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -259,8 +259,37 @@
     return false;
 }
 
+bool target_stand_in::handled_as_broken(const json& body,
+                                        const http_responder& respond)
+{
+    if (ledger_.broken_start)
+    {
+        timers_.schedule(*std::exchange(ledger_.broken_start, std::nullopt),
+                         [this, body] { start(body, [](const auto&) {}); });
+        refuses_next_start_ = true;
+        // Not from within the server's callback.
+        timers_.schedule(duration(0),
+                         [this]
+                         {
+                             server_.reset();
+                             open_server();
+                         });
+        return true;
+    }
+    if (std::exchange(refuses_next_start_, false))
+    {
+        respond(json_response(503, json::object()));
+        return true;
+    }
+    return false;
+}
+
 void target_stand_in::start(const json& body, const http_responder& respond)
 {
+    if (handled_as_broken(body, respond))
+    {
+        return;
+    }
     const auto task = body.at("task").get<std::string>();
     const auto run = body.at("run").get<uint32_t>();
     const auto refuse = [&](const char* why)
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -44,6 +45,10 @@
 
     std::map<std::string, int> running; ///< number of runs now, by task
     std::map<std::string, int> starts;  ///< number of starts, by task
+    /// If set, the next start breaks its target's connections when it is read,
+    /// and is carried out this long after. The target refuses the start after
+    /// it with 503.
+    std::optional<duration> broken_start;
     int overlaps = 0;      ///< starts of a task that was running on some target
     int over_capacity = 0; ///< starts beyond a target's capacity
     std::map<std::string, int> crashes; ///< targets that crashed, by task
@@ -139,6 +144,10 @@
                 const http_responder& respond);
     /// @brief Records a start in the ledger.
     void record_start(const std::string& task, uint32_t run);
+    /// @brief Handles a start as run_ledger::broken_start says. @return whether
+    /// it was so
+    bool handled_as_broken(const nlohmann::json& body,
+                           const http_responder& respond);
     void tell(const std::string& task, const run_record& run,
               const std::string& event) const;
     duration run_time_of(const nlohmann::json& start) const;
@@ -167,6 +176,7 @@
     std::string agent_address_;
     duration run_time_;
     duration call_delay_{};
+    bool refuses_next_start_ = false;
     http_server_options listen_options_;
     std::unique_ptr<http_server> server_; ///< null while the target is away
     http_client client_;
