http_client: only a refused connection shows that nothing listens

What callers saw: an agent that was short of descriptors gave up all runs of its target as lost, at once, and their entries placed the tasks elsewhere while the runs went on.

Cause: each error of a connect, also a local one (EMFILE, no route), became errc::peer_unreachable, which the lease of a target takes as proof that the target has ended.

Change: only a refused connection is errc::peer_unreachable; the others are errc::target_unreachable, which a lease call takes for no answer: the runs are kept until their lease has expired. A start that met such an error still counts as refused, as it was never written. The hedged caller now sends further copies after a local error. A connect that times out was errc::target_timeout before, and not received; that stays.

--- a/packages/http/include/agatebank/http/hedged_caller.hpp
+++ b/packages/http/include/agatebank/http/hedged_caller.hpp
@@ -44,8 +44,9 @@
 
     // calls
     /// @brief Sends a call. @p done is called once: with the first answer, or
-    /// with a failure when the peer is unreachable or no copy was answered. The
-    /// call may have been received if any of its copies may have been.
+    /// with a failure when the peer refuses the connection or no copy was
+    /// answered. The call may have been received if any of its copies may have
+    /// been.
     /// @param settled called once, when no copy is under way any more, before
     /// @p done if that is called then too
     /// @pre call.may_resend
--- a/packages/http/include/agatebank/http/http_client.hpp
+++ b/packages/http/include/agatebank/http/http_client.hpp
@@ -28,9 +28,11 @@
     bool may_resend = false;
 };
 
-/// @brief A failed call and whether the request may have reached the peer. It
-/// may have also if the reason is errc::peer_unreachable: the peer can end
-/// after an earlier try was sent.
+/// @brief A failed call and whether the request may have reached the peer. The
+/// reason is errc::peer_unreachable if the peer refused the connection, so that
+/// nothing listens there, and errc::target_unreachable if it could not be
+/// opened for another cause. The request may have been received nevertheless:
+/// the peer can end after an earlier try was sent.
 struct http_failure
 {
     failure reason;
--- a/packages/http/src/hedged_caller.cpp
+++ b/packages/http/src/hedged_caller.cpp
@@ -73,7 +73,7 @@
     p.may_have_been_received |=
         outcome || outcome.error().may_have_been_received || !p.copies.empty();
     p.all_answered &= outcome || !outcome.error().may_have_been_received;
-    // A peer that cannot be connected to would not receive another copy either.
+    // A peer that refuses connections would not receive another copy either.
     const bool final_failure =
         !outcome &&
         (!has_other_copy || outcome.error().reason.code ==
--- a/packages/http/src/http_client.cpp
+++ b/packages/http/src/http_client.cpp
@@ -63,6 +63,16 @@
     static_cast<pending_call*>(data)->written = true;
 }
 
+// Only a refusal shows that nothing listens there. Other errors, such as a lack
+// of descriptors or routes, say nothing about the peer.
+errc to_connect_error(const GError* error)
+{
+    return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ==
+                   TRUE
+               ? errc::peer_unreachable
+               : errc::target_unreachable;
+}
+
 http_failure make_failure(const pending_call& p, const GError* error)
 {
     // No connect events are emitted for a call on a reused connection.
@@ -74,7 +84,7 @@
     }
     else if (never_connected)
     {
-        code = errc::peer_unreachable;
+        code = to_connect_error(error);
     }
     return {{make_error_code(code), step_call, p.peer,
              error == nullptr ? "" : error->message},
