http_server: a request whose client can't be watched is refused

What callers saw: a job whose caller had left ran on, and beside the one that the caller submitted at another entry.

Cause: if the end of the client's connection couldn't be added to the epoll set, there was a warning, and the request was served.

Change: such a request is answered with 503, not-run, before its handler is called, and a warning names it. Servers without a callback for clients that leave serve it as before. A request whose message has no socket any more is refused likewise.

--- a/packages/http/include/agatebank/http/http_server.hpp
+++ b/packages/http/include/agatebank/http/http_server.hpp
@@ -66,7 +66,8 @@
     void set_fallback_handler(http_handler handler);
     /// @brief Sets the callback that receives the id of a request whose
     /// client closed its connection before the response. It is called at most
-    /// once per request.
+    /// once per request. A request whose connection can't be watched is
+    /// answered with 503 and is not handled.
     void on_abandoned(std::function<void(uint64_t)> handler);
 
     // lifetime
--- a/packages/http/src/http_exchange.cpp
+++ b/packages/http/src/http_exchange.cpp
@@ -7,6 +7,13 @@
 namespace agatebank
 {
 
+namespace
+{
+
+constexpr const char* step_watch = "http.watch";
+
+} // namespace
+
 http_exchange::http_exchange(SoupServerMessage* message, socket_poller& sockets,
                              uint64_t request_id)
     : message_(share_object(message))
@@ -26,14 +33,18 @@
     g_signal_handler_disconnect(message_.get(), disconnected_handler_);
 }
 
-bool http_exchange::watch_peer(std::function<void(uint64_t)> abandoned)
+result<bool> http_exchange::watch_peer(std::function<void(uint64_t)> abandoned)
 {
-    GSocket* socket = soup_server_message_get_socket(message_.get());
-    if (!abandoned || socket == nullptr)
+    if (!abandoned)
     {
         return false;
     }
-    abandoned_ = std::move(abandoned);
+    GSocket* socket = soup_server_message_get_socket(message_.get());
+    if (socket == nullptr)
+    {
+        return fail(errc::peer_closed, step_watch, {},
+                    "the connection has no socket");
+    }
     const int fd = g_socket_get_fd(socket);
     const auto id = sockets_.add_end_watch(fd,
                                            [this]
@@ -43,13 +54,10 @@
                                            });
     if (!id)
     {
-        // The end of the job is unaffected: its answer is not delivered.
-        g_warning("%s", id.error().to_string().c_str());
-    }
-    else
-    {
-        peer_watch_ = *id;
+        return tl::unexpected(id.error());
     }
+    peer_watch_ = *id;
+    abandoned_ = std::move(abandoned);
     return look_at_peer(fd) == peer_state::closed;
 }
 
--- a/packages/http/src/http_exchange.hpp
+++ b/packages/http/src/http_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <agatebank/core/result.hpp>
 #include <agatebank/http/http_message.hpp>
 #include <agatebank/loop/object_ptr.hpp>
 #include <agatebank/loop/socket_poller.hpp>
@@ -29,8 +30,9 @@
     /// @brief Calls a function with the id of the request when the client
     /// closes its connection before the response. libsoup does not detect that
     /// while the message is paused.
-    /// @return whether the client has closed it already
-    bool watch_peer(std::function<void(uint64_t)> abandoned);
+    /// @return whether the client has closed it already, or why it can't be
+    /// watched; nothing is called then
+    result<bool> watch_peer(std::function<void(uint64_t)> abandoned);
     /// @brief Sends the response. Does nothing after the first call, or if the
     /// client has disconnected.
     void answer(const http_response& response);
--- a/packages/http/src/http_server.cpp
+++ b/packages/http/src/http_server.cpp
@@ -18,6 +18,7 @@
 constexpr const char* accepted_key = "agatebank-accepted";
 constexpr const char* step_listen = "http.listen";
 constexpr const char* step_receive = "http.receive";
+constexpr unsigned status_unavailable = 503;
 
 struct body_buffer
 {
@@ -343,7 +344,23 @@
     request.request_id = ++self->last_request_id_;
     auto ex = std::make_shared<http_exchange>(message, self->loop_.sockets(),
                                               request.request_id);
-    request.client_left = ex->watch_peer(self->abandoned_);
+    const auto left = ex->watch_peer(self->abandoned_);
+    if (!left)
+    {
+        // Its client's leaving would never be noticed.
+        g_warning("request %s %s refused: %s", request.method.c_str(), path,
+                  left.error().to_string().c_str());
+        auto refusal = problem_response(
+            status_unavailable,
+            {make_error_code(errc::not_ready), step_receive, request.peer,
+             "the end of the connection can't be watched: " +
+                 left.error().to_string()},
+            execution_status::not_run);
+        refusal.headers.push_back({"Retry-After", "1"});
+        ex->answer(refusal);
+        return;
+    }
+    request.client_left = *left;
     request.since_accepted = since_accepted(message, self->loop_.now());
     self->dispatch(ex, std::move(request));
 }
--- a/packages/http/tests/raw_peer.hpp
+++ b/packages/http/tests/raw_peer.hpp
@@ -57,6 +57,13 @@
     }
 
     // lookup
+    uint16_t local_port() const
+    {
+        const object_ptr<GSocketAddress> address(
+            g_socket_connection_get_local_address(connection_.get(), nullptr));
+        return g_inet_socket_address_get_port(
+            G_INET_SOCKET_ADDRESS(address.get()));
+    }
     const std::string& received() const
     {
         return received_;
