--- a/packages/http/include/agatebank/http/http_client.hpp
+++ b/packages/http/include/agatebank/http/http_client.hpp
@@ -22,15 +22,17 @@
     std::string content_type = "application/json";
     std::string body;
     duration timeout = std::chrono::seconds(5);
-    /// Allows the HTTP library to reuse a persistent connection, and to send
-    /// the request again when that connection breaks. Must be false for
-    /// requests that may take effect only once.
+    /// Allows the HTTP library to reuse a persistent connection, and to send a
+    /// GET or PUT, but no POST, again when that connection breaks. Must
+    /// be false for requests that may take effect only once.
     bool may_resend = false;
 };
 
-/// @brief A failed call and whether the request may have reached the peer. It
-/// may have also if the reason is errc::peer_unreachable: the peer can end
-/// after an earlier try was sent.
+/// @brief A failed call and whether the request may have reached the peer. The
+/// reason is errc::peer_unreachable if the peer refused the connection, so that
+/// nothing listens there, and errc::target_unreachable if it could not be
+/// opened for another cause. The request may have been received nevertheless:
+/// the peer can end after an earlier try was sent.
 struct http_failure
 {
     failure reason;
