Wire: split frames and the peer's clock from tcp_link

The nonces, tags and positions of frames are now in frame_codec, the readings of the peer's clock, the round trip and the delays in peer_clock. No change of behaviour.

--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -1,5 +1,6 @@
 #include <agatebank/core/duration_math.hpp>
-#include <agatebank/wire/delay_estimator.hpp>
+#include <agatebank/wire/frame_codec.hpp>
+#include <agatebank/wire/peer_clock.hpp>
 #include <agatebank/wire/tcp_link.hpp>
 
 #include <algorithm>
@@ -19,47 +20,9 @@
 constexpr const char* step_read = "link.read";
 constexpr const char* step_write = "link.write";
 constexpr const char* step_silence = "link.silence";
-constexpr std::size_t nonce_bytes = 16;
-constexpr std::size_t length_bytes = 4;
 constexpr std::size_t clock_bytes = 8;
 constexpr std::size_t read_chunk_bytes = 64U << 10U;
 
-std::string random_nonce()
-{
-    std::string out(nonce_bytes, '\0');
-    for (auto& c : out)
-    {
-        c = static_cast<char>(g_random_int() & 0xffU);
-    }
-    return out;
-}
-
-std::string encode_number(uint64_t n, std::size_t bytes)
-{
-    std::string out(bytes, '\0');
-    for (std::size_t i = 0; i < bytes; ++i)
-    {
-        out[i] = static_cast<char>((n >> (8 * i)) & 0xffU);
-    }
-    return out;
-}
-
-std::string encode_uint32(std::size_t n)
-{
-    return encode_number(n, length_bytes);
-}
-
-uint64_t decode_number(std::string_view bytes)
-{
-    uint64_t n = 0;
-    for (std::size_t i = 0; i < bytes.size(); ++i)
-    {
-        n |= static_cast<uint64_t>(static_cast<unsigned char>(bytes[i]))
-             << (8 * i);
-    }
-    return n;
-}
-
 std::string peer_address(GSocketConnection* connection)
 {
     const object_ptr<GSocketAddress> address(
@@ -99,10 +62,7 @@
     link_handlers handlers;
     std::string peer;
     link_traffic traffic;
-    std::string local_nonce = random_nonce();
-    std::string remote_nonce;
-    uint64_t frames_sent = 0;
-    uint64_t frames_received = 0;
+    frame_codec frames;
     std::string receive_buffer;
     std::string send_buffer;
     std::size_t send_offset = 0;
@@ -111,20 +71,18 @@
     time_point last_heartbeat;
     time_point last_message_sent;
     time_point last_received;
-    /// When the peer sent what was received last, by the own clock.
-    time_point last_heard;
-    int64_t remote_clock_us = 0;
-    time_point remote_clock_read_at;
-    bool has_remote_clock = false;
-    duration min_round_trip{};
-    delay_estimator delays;
+    peer_clock remote_clock;
     socket_watch_id socket_watch;
     bool awaits_writable = false;
     watch timer;
 
     state(const link_context& c, object_ptr<GSocketConnection> conn,
           link_handlers h)
-        : context(c), connection(std::move(conn)), handlers(std::move(h))
+        : context(c)
+        , connection(std::move(conn))
+        , handlers(std::move(h))
+        , frames(context.auth)
+        , remote_clock(context.loop.now())
     {
     }
 
@@ -140,8 +98,8 @@
         peer = peer_address(connection.get());
         g_socket_set_blocking(socket(), FALSE);
         g_socket_set_option(socket(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-        last_received = last_heard = context.loop.now();
-        send_buffer = local_nonce;
+        last_received = context.loop.now();
+        send_buffer = frames.local_nonce();
         if (const auto watched = watch_socket(); !watched)
         {
             // The owner doesn't know the link yet.
@@ -242,7 +200,7 @@
         last_message_sent = read_until;
         // The tag covers the remote nonce, so payloads are held back until the
         // nonce has been received.
-        if (remote_nonce.empty() && context.auth.enabled())
+        if (!frames.has_remote_nonce() && context.auth.enabled())
         {
             untagged_payloads.push_back(std::move(payload));
             return;
@@ -254,12 +212,7 @@
 
     void append_frame(std::string_view payload)
     {
-        const auto tag = context.auth.tag(
-            remote_nonce + local_nonce + encode_uint32(frames_sent), payload);
-        ++frames_sent;
-        send_buffer += encode_uint32(tag.size() + payload.size());
-        send_buffer += tag;
-        send_buffer += payload;
+        send_buffer += frames.encode(payload);
         schedule_flush();
     }
 
@@ -374,45 +327,45 @@
         if (receive_buffer.size() >= read_chunk_bytes)
         {
             // A frame this long may take longer than the silence timeout.
-            last_heard = now;
+            remote_clock.set_heard(now);
         }
     }
 
     void process_frames()
     {
         std::size_t at = 0;
-        if (remote_nonce.empty())
+        if (!frames.has_remote_nonce())
         {
             if (receive_buffer.size() < nonce_bytes)
             {
                 return;
             }
-            remote_nonce = receive_buffer.substr(0, nonce_bytes);
+            frames.set_remote_nonce(receive_buffer.substr(0, nonce_bytes));
             at = nonce_bytes;
-            last_heard = context.loop.now();
+            remote_clock.set_heard(context.loop.now());
             for (const auto& payload : std::exchange(untagged_payloads, {}))
             {
                 append_frame(payload);
             }
         }
-        while (open && receive_buffer.size() - at >= length_bytes)
+        while (open && receive_buffer.size() - at >= frame_length_bytes)
         {
-            const auto n = decode_number(
-                std::string_view(receive_buffer).substr(at, length_bytes));
+            const auto n = decode_number(std::string_view(receive_buffer)
+                                             .substr(at, frame_length_bytes));
             if (n > context.options.max_frame_bytes ||
                 n < context.auth.tag_bytes())
             {
                 close(errc::message_too_large, step_read);
                 return;
             }
-            if (receive_buffer.size() - at - length_bytes < n)
+            if (receive_buffer.size() - at - frame_length_bytes < n)
             {
                 break;
             }
             // Copied, because a handler may extend or release the buffer.
             const std::string frame =
-                receive_buffer.substr(at + length_bytes, n);
-            at += length_bytes + n;
+                receive_buffer.substr(at + frame_length_bytes, n);
+            at += frame_length_bytes + n;
             process_frame(frame);
         }
         receive_buffer.erase(0, at);
@@ -420,16 +373,13 @@
 
     void process_frame(std::string_view frame)
     {
-        const auto tag = frame.substr(0, context.auth.tag_bytes());
-        const auto payload = frame.substr(tag.size());
-        const auto position = encode_uint32(frames_received);
-        ++frames_received;
-        if (!context.auth.verify(local_nonce + remote_nonce + position, payload,
-                                 tag))
+        const auto decoded = frames.decode(frame);
+        if (!decoded)
         {
             close(errc::message_unauthentic, step_read);
             return;
         }
+        const auto payload = *decoded;
         if (payload.size() < clock_bytes)
         {
             close(errc::message_malformed, step_read,
@@ -437,7 +387,7 @@
             return;
         }
         const auto now = context.loop.now();
-        const auto delay = delays.observe(
+        const auto delay = remote_clock.on_frame(
             static_cast<int64_t>(decode_number(payload.substr(0, clock_bytes))),
             now);
         // A long frame takes long in itself, and has no orders.
@@ -448,7 +398,7 @@
                   "a message was under way for " + to_ms_text(delay));
             return;
         }
-        last_heard = std::max(last_heard, now - delay);
+        remote_clock.set_heard(now - delay);
         auto m = decode_message(payload.substr(clock_bytes));
         if (!m)
         {
@@ -476,18 +426,7 @@
 
     void process_heartbeat(const heartbeat& beat)
     {
-        const auto now = context.loop.now();
-        remote_clock_us = beat.clock_us;
-        remote_clock_read_at = now;
-        has_remote_clock = true;
-        if (beat.echo_us != 0)
-        {
-            const duration round_trip(to_us(now) - beat.echo_us -
-                                      beat.echo_delay_us);
-            min_round_trip = min_round_trip.count() == 0
-                                 ? round_trip
-                                 : std::min(min_round_trip, round_trip);
-        }
+        remote_clock.on_heartbeat(beat, context.loop.now());
         const auto on_heartbeat = handlers.on_heartbeat;
         if (on_heartbeat)
         {
@@ -497,14 +436,7 @@
 
     void send_heartbeat()
     {
-        const auto now = context.loop.now();
-        heartbeat beat;
-        beat.clock_us = to_us(now);
-        if (has_remote_clock)
-        {
-            beat.echo_us = remote_clock_us;
-            beat.echo_delay_us = (now - remote_clock_read_at).count();
-        }
+        auto beat = remote_clock.next_heartbeat(context.loop.now());
         beat.version = context.current_version();
         send(beat);
     }
@@ -522,7 +454,7 @@
             close(errc::peer_silent, step_silence);
             return;
         }
-        if (now - last_heard > context.options.silence_timeout)
+        if (now - remote_clock.last_heard() > context.options.silence_timeout)
         {
             // What waits in the socket is read before the deferred call.
             context.loop.defer(
@@ -550,7 +482,7 @@
         {
             return;
         }
-        const auto silent = context.loop.now() - last_heard;
+        const auto silent = context.loop.now() - remote_clock.last_heard();
         if (silent > context.options.silence_timeout)
         {
             close(errc::peer_silent, step_silence,
@@ -597,27 +529,22 @@
 
 duration tcp_link::delay() const noexcept
 {
-    return state_->delays.last();
+    return state_->remote_clock.delay();
 }
 
 time_point tcp_link::last_heard() const noexcept
 {
-    return state_->last_heard;
+    return state_->remote_clock.last_heard();
 }
 
 duration tcp_link::round_trip() const noexcept
 {
-    return state_->min_round_trip;
+    return state_->remote_clock.round_trip();
 }
 
 std::optional<int64_t> tcp_link::peer_clock_us(time_point now) const
 {
-    if (!state_->has_remote_clock)
-    {
-        return std::nullopt;
-    }
-    return state_->remote_clock_us +
-           (now - state_->remote_clock_read_at).count();
+    return state_->remote_clock.reading_us(now);
 }
 
 } // namespace agatebank
