Wire: refuse late orders of any length

What callers saw: nothing yet; read in review. An order whose payload makes its frame 64 KiB or longer was delivered however late it was, so its task could start after its caller had submitted the job to another entry.

Cause: frames of 64 KiB and more were exempt from the bound on delays, as transferring them takes long in itself, on the assumption that they carry no orders. Each read of a part of such a frame also counted as heard, so the lease of a target was extended for an entry whose last message was old.

The message is now decoded first, and one that starts or cancels runs is refused if it is late, whatever its length. Other long messages are delivered as before. Parts of a long frame keep the link open, but don't count as heard.

--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -570,6 +570,18 @@
                  crash_reports, entry_load, relayed_job, relayed_outcome,
                  relay_cancel, evacuation_update, report_request>;
 
+/// @brief Returns whether a message starts or cancels runs. Handled late, it
+/// would do so after others have acted on the silence of its sender.
+inline bool carries_orders(const message& m) noexcept
+{
+    return std::holds_alternative<run_batch>(m) ||
+           std::holds_alternative<cancel_orders>(m) ||
+           std::holds_alternative<relayed_job>(m) ||
+           std::holds_alternative<relay_cancel>(m) ||
+           std::holds_alternative<start_orders>(m) ||
+           std::holds_alternative<cancel_starts>(m);
+}
+
 /// @brief Datagram that an entry sends periodically to the other entries. May
 /// be lost.
 struct entry_announcement
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -71,6 +71,8 @@
     time_point last_heartbeat;
     time_point last_message_sent;
     time_point last_received;
+    /// When bytes of an incomplete long frame were received last.
+    time_point last_long_read;
     peer_clock remote_clock;
     socket_watch_id socket_watch;
     bool awaits_writable = false;
@@ -327,7 +329,7 @@
         if (receive_buffer.size() >= read_chunk_bytes)
         {
             // A frame this long may take longer than the silence timeout.
-            remote_clock.set_heard(now);
+            last_long_read = now;
         }
     }
 
@@ -390,21 +392,21 @@
         const auto delay = remote_clock.on_frame(
             static_cast<int64_t>(decode_number(payload.substr(0, clock_bytes))),
             now);
-        // A long frame takes long in itself, and has no orders.
+        auto m = decode_message(payload.substr(clock_bytes));
+        if (!m)
+        {
+            close(errc::message_malformed, step_read, m.error().detail);
+            return;
+        }
+        // A long frame takes long in itself.
         if (delay > context.options.silence_timeout &&
-            frame.size() < read_chunk_bytes)
+            (frame.size() < read_chunk_bytes || carries_orders(m->body)))
         {
             close(errc::peer_silent, step_silence,
                   "a message was under way for " + to_ms_text(delay));
             return;
         }
         remote_clock.set_heard(now - delay);
-        auto m = decode_message(payload.substr(clock_bytes));
-        if (!m)
-        {
-            close(errc::message_malformed, step_read, m.error().detail);
-            return;
-        }
         context.clock.receive(m->stamp);
         ++traffic.messages_received;
         auto& kind = traffic.kinds[m->body.index()];
@@ -422,7 +424,13 @@
         }
     }
 
-    // heartbeats
+    // heartbeats and silence
+
+    duration silence() const
+    {
+        return context.loop.now() -
+               std::max(remote_clock.last_heard(), last_long_read);
+    }
 
     void process_heartbeat(const heartbeat& beat)
     {
@@ -454,7 +462,7 @@
             close(errc::peer_silent, step_silence);
             return;
         }
-        if (now - remote_clock.last_heard() > context.options.silence_timeout)
+        if (silence() > context.options.silence_timeout)
         {
             // What waits in the socket is read before the deferred call.
             context.loop.defer(
@@ -482,7 +490,7 @@
         {
             return;
         }
-        const auto silent = context.loop.now() - remote_clock.last_heard();
+        const auto silent = silence();
         if (silent > context.options.silence_timeout)
         {
             close(errc::peer_silent, step_silence,
