Wire: bound the clock difference of a link from below

Delays counted from the fastest message, so on a link opened while its path was slow, the delay before counted as none.

A delay now counts from the greatest lower bound of the clocks' difference: what the peer reads was read after the dial, and after the heartbeat that it echoes was sent (by the echo's time of handling, not by the time in frames, which may be before a pause). Links begin with a heartbeat, answer the first two at once, and send one a second when in use. Until the first round trip a link without orders closes only when nothing arrives, so a peer that needs 700 ms until its first frame keeps it.

Process tests not run.

--- a/packages/wire/tests/unit-tcp_link_delays.cpp
+++ b/packages/wire/tests/unit-tcp_link_delays.cpp
@@ -107,3 +107,96 @@
     accepted.run(50ms);
     CHECK(accepted.link->last_heard() == opened);
 }
+
+// Guards against an order that is taken for fresh since its link was opened
+// while the path was slow, so that no message was faster.
+TEST_CASE("tcp_link: a late order is refused on a link that was slow from its "
+          "first message")
+{
+    struct row
+    {
+        const char* name;
+        duration first_delay;
+        duration order_delay;
+        bool refused;
+    };
+    const row rows[] = {{"fast", 1ms, 1ms, false},
+                        {"slow", 500ms, 700ms, false},
+                        {"late", 500ms, 1000ms, true}};
+    for (const auto& it : rows)
+    {
+        INFO(it.name);
+        event_loop loop;
+        const auto dialed = loop.now();
+        raw_peer peer(dialed);
+        peer.run(it.first_delay);
+        peer.write_nonce();
+        peer.write_heartbeat(dialed);
+        peer.run(20ms);
+        CHECK(peer.link->last_heard() < dialed + 20ms);
+        peer.run(it.order_delay - it.first_delay);
+        peer.write_message(order(1), peer.loop.now() - it.order_delay);
+        peer.run(20ms);
+        CHECK(peer.closed.has_value() == it.refused);
+        CHECK(peer.delivered == (it.refused ? 0 : 1));
+    }
+}
+
+// Guards against a link to a busy entry that is closed again and again: the
+// entry needs long until its first message and until its answer, which looks
+// like a slow network until the round trip shows that it isn't.
+TEST_CASE("tcp_link: a peer that is busy when the link is opened keeps it")
+{
+    struct row
+    {
+        duration until_first;
+        duration until_answer;
+    };
+    const row rows[] = {{700ms, 1ms}, {700ms, 700ms}, {400ms, 500ms}};
+    for (const auto& it : rows)
+    {
+        event_loop loop;
+        const auto dialed = loop.now();
+        raw_peer peer(dialed);
+        peer.run(it.until_first);
+        peer.write_nonce();
+        peer.write_heartbeat(peer.loop.now());
+        peer.write_message(document(1), peer.loop.now());
+        peer.run(it.until_answer);
+        peer.write_message(document(1), peer.loop.now());
+        // The link has sent a heartbeat just before.
+        const auto echoed = peer.loop.now();
+        peer.write_heartbeat(echoed, echoed);
+        peer.run(20ms);
+        const auto sent = peer.loop.now();
+        peer.write_message(order(1), sent);
+        peer.run(20ms);
+        CHECK_FALSE(peer.closed);
+        CHECK(peer.delivered == 3);
+        CHECK(peer.link->last_heard() > sent - 50ms);
+    }
+}
+
+// Guards against the exception for busy peers: once an order was delivered, its
+// runs must end when its entry falls silent.
+TEST_CASE("tcp_link: after an order, silence counts from sending also without "
+          "a round trip")
+{
+    event_loop loop;
+    raw_peer peer(loop.now());
+    peer.write_nonce();
+    peer.write_heartbeat(peer.loop.now());
+    peer.run(20ms);
+    const auto sent = peer.loop.now();
+    peer.write_message(order(1), sent);
+    for (int i = 0; i < 6; ++i)
+    {
+        peer.run(200ms);
+        if (!peer.closed)
+        {
+            peer.write_message(document(1), sent);
+        }
+    }
+    CHECK(peer.delivered > 1);
+    CHECK(peer.closed == make_error_code(errc::peer_silent));
+}
