--- a/packages/node/src/agent_node_links.cpp
+++ b/packages/node/src/agent_node_links.cpp
@@ -37,6 +37,7 @@
 void agent_node::on_opened(link_id link)
 {
     entries_[link] = {};
+    note_heard(link);
     load_reporter_.add_link(link);
     hub_.set_class(link, link_class::entry);
     context_.observer.on_phase(phase_link);
--- a/packages/node/tests/simulated_agent.hpp
+++ b/packages/node/tests/simulated_agent.hpp
@@ -71,6 +71,7 @@
     void on_opened(simulated_link link, std::size_t entry)
     {
         links_[link] = {entry, 0, {}};
+        note_heard(link);
         const auto load = current_load(links_[link]);
         network_.send(link, node_,
                       [this, link, entry, load]
--- a/packages/wire/include/agatebank/wire/peer_clock.hpp
+++ b/packages/wire/include/agatebank/wire/peer_clock.hpp
@@ -15,21 +15,17 @@
 {
   public:
     // construction
-    /// @param opened when the link was opened
-    /// @param dialed when this process began to dial, which counts as heard
-    /// until the first message; empty if it accepted the connection
-    explicit peer_clock(time_point opened,
-                        std::optional<time_point> dialed = {});
+    /// @param since counts as heard until the first message
+    explicit peer_clock(time_point since);
 
     // modifiers
-    /// @brief Records a heartbeat, before its @ref on_frame. Readings that
-    /// can't be right are ignored.
-    /// @return whether it is to be answered at once by another heartbeat
-    bool on_heartbeat(const heartbeat& beat, time_point now);
-    /// @brief Records a message. @return how long it was under way, or longer
-    /// while no round trip has been measured
+    /// @brief Records a message. @return how long it was under way
     /// @param sent_us reading of the peer's clock that the message carries
     duration on_frame(int64_t sent_us, time_point now);
+    /// @brief Records a heartbeat, after its @ref on_frame.
+    void on_heartbeat(const heartbeat& beat, time_point now);
+    /// @brief Counts what the peer sent as sent at @p t, at least.
+    void set_heard(time_point t);
 
     // lookup
     /// @brief A heartbeat that is sent now, without a configuration version.
@@ -38,8 +34,6 @@
     duration delay() const noexcept;
     /// @brief When the peer sent what was received last, by the own clock.
     time_point last_heard() const noexcept;
-    /// @brief Whether a round trip has been measured.
-    bool is_measured() const noexcept;
     /// @brief Smallest round trip measured; zero before the first measurement.
     duration round_trip() const noexcept;
     /// @brief Estimate of the peer's clock at @p now, in microseconds. Empty
@@ -47,19 +41,12 @@
     std::optional<int64_t> reading_us(time_point now) const;
 
   private:
-    void on_echo(const heartbeat& beat, time_point now);
-    void bound_by_dial(int64_t reading_us, time_point now);
-
-    time_point opened_;
-    /// Until the first reading of the peer's clock.
-    std::optional<time_point> dialed_;
     time_point last_heard_;
-    bool has_frames_ = false; ///< received
     delay_estimator delays_;
     int64_t remote_us_ = 0;
     time_point remote_read_at_;
-    unsigned heartbeats_ = 0; ///< received
-    std::optional<duration> min_round_trip_;
+    bool has_reading_ = false;
+    duration min_round_trip_{};
 };
 
 } // namespace agatebank
--- a/packages/wire/include/agatebank/wire/tcp_link.hpp
+++ b/packages/wire/include/agatebank/wire/tcp_link.hpp
@@ -24,7 +24,7 @@
     std::size_t max_frame_bytes = 16U << 20U;
     std::size_t max_queued_bytes = 64U << 20U;
     /// If true, a heartbeat is sent only if nothing else was sent within the
-    /// heartbeat period, or if the last heartbeat was sent a second ago.
+    /// heartbeat period.
     bool heartbeat_only_when_idle = false;
     /// If false, the link has no timer and its owner calls
     /// @ref tcp_link::on_heartbeat_timer, so that many links can share one
@@ -60,13 +60,10 @@
 /// random nonce. Each frame then consists of a length of 4 bytes, a tag, a
 /// reading of the sender's clock of 8 bytes and a message; tags also cover the
 /// nonces of both sides and the frame's position in the stream, so that a frame
-/// cannot be replayed. The link begins with a heartbeat, answers the first ones
-/// of its peer at once, and sends one in each heartbeat period. It closes when
-/// nothing has been received that was sent within the silence timeout, and
-/// delivers nothing that was under way for longer: others may have acted on the
-/// silence by then. Until a round trip has been measured, a busy peer can't be
-/// told from a slow network, so without orders received the link then closes
-/// only when nothing arrives.
+/// cannot be replayed. The link sends a heartbeat in each heartbeat period. It
+/// closes when nothing has been received that was sent within the silence
+/// timeout, and delivers nothing that was under way for longer: others may have
+/// acted on the silence by then.
 class tcp_link
 {
   public:
@@ -92,10 +89,9 @@
     /// @brief Address and port of the peer.
     const std::string& peer() const noexcept;
     const link_traffic& traffic() const noexcept;
-    /// @brief How long the last message was under way: on the network, and
-    /// until each process had time for it. It counts from the beginning of the
-    /// sender's iteration of its event loop, and is longer than the real delay
-    /// by up to the shortest time under way of what was sent to the peer.
+    /// @brief How long the last message was under way beyond the fastest recent
+    /// one: on the network, and until each process had time for it. It counts
+    /// from the beginning of the sender's iteration of its event loop.
     duration delay() const noexcept;
     /// @brief When the peer sent what was received last, by the own clock;
     /// before the first message, when the link was dialed or accepted.
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -22,9 +22,6 @@
 constexpr const char* step_silence = "link.silence";
 constexpr std::size_t clock_bytes = 8;
 constexpr std::size_t read_chunk_bytes = 64U << 10U;
-/// A link in use sends heartbeats in this period, as a round trip measured on a
-/// busy link is longer than the usual one.
-constexpr duration busy_heartbeat_period = std::chrono::seconds(1);
 
 std::string peer_address(GSocketConnection* connection)
 {
@@ -55,8 +52,7 @@
     const auto last = options.heartbeat_only_when_idle
                           ? std::max(last_heartbeat, last_message)
                           : last_heartbeat;
-    return now - last >= options.heartbeat_period ||
-           now - last_heartbeat >= busy_heartbeat_period;
+    return now - last >= options.heartbeat_period;
 }
 
 struct tcp_link::state : std::enable_shared_from_this<tcp_link::state>
@@ -77,7 +73,6 @@
     time_point last_received;
     /// When bytes of an incomplete long frame were received last.
     time_point last_long_read;
-    bool has_orders = false; ///< received
     peer_clock remote_clock;
     socket_watch_id socket_watch;
     bool awaits_writable = false;
@@ -89,7 +84,7 @@
         , connection(std::move(conn))
         , handlers(std::move(h))
         , frames(context.auth)
-        , remote_clock(context.loop.now(), dialed)
+        , remote_clock(dialed.value_or(context.loop.now()))
     {
     }
 
@@ -125,7 +120,6 @@
             timer = context.loop.every(context.options.heartbeat_period / 2,
                                        [this] { check_heartbeat(); });
         }
-        send_heartbeat();
         schedule_flush();
     }
 
@@ -393,35 +387,33 @@
                   "frame without a clock reading");
             return;
         }
+        const auto now = context.loop.now();
+        const auto delay = remote_clock.on_frame(
+            static_cast<int64_t>(decode_number(payload.substr(0, clock_bytes))),
+            now);
         auto m = decode_message(payload.substr(clock_bytes));
         if (!m)
         {
             close(errc::message_malformed, step_read, m.error().detail);
             return;
         }
-        const auto now = context.loop.now();
-        const auto* beat = std::get_if<heartbeat>(&m->body);
-        const bool answer =
-            beat != nullptr && remote_clock.on_heartbeat(*beat, now);
-        const auto delay = remote_clock.on_frame(
-            static_cast<int64_t>(decode_number(payload.substr(0, clock_bytes))),
-            now);
+        // A long frame takes long in itself.
         if (delay > context.options.silence_timeout &&
-            is_refused_late(m->body, frame.size()))
+            (frame.size() < read_chunk_bytes || carries_orders(m->body)))
         {
             close(errc::peer_silent, step_silence,
                   "a message was under way for " + to_ms_text(delay));
             return;
         }
-        has_orders = has_orders || carries_orders(m->body);
+        remote_clock.set_heard(now - delay);
         context.clock.receive(m->stamp);
         ++traffic.messages_received;
         auto& kind = traffic.kinds[m->body.index()];
         ++kind.messages_received;
         kind.bytes_received += payload.size();
-        if (beat)
+        if (const auto* beat = std::get_if<heartbeat>(&m->body))
         {
-            process_heartbeat(*beat, answer);
+            process_heartbeat(*beat);
             return;
         }
         const auto on_message = handlers.on_message;
@@ -433,33 +425,15 @@
 
     // heartbeats and silence
 
-    // A long frame takes long in itself. Other messages than orders are
-    // harmless before the first round trip, see silence().
-    bool is_refused_late(const message& m, std::size_t frame_bytes) const
-    {
-        return carries_orders(m) ||
-               (remote_clock.is_measured() && frame_bytes < read_chunk_bytes);
-    }
-
-    // Before the first round trip, a peer that was busy when the link was
-    // opened looks like one behind a slow network, and without orders nothing
-    // depends on its silence.
     duration silence() const
     {
-        if (!remote_clock.is_measured() && !has_orders)
-        {
-            return context.loop.now() - last_received;
-        }
         return context.loop.now() -
                std::max(remote_clock.last_heard(), last_long_read);
     }
 
-    void process_heartbeat(const heartbeat& beat, bool answer)
+    void process_heartbeat(const heartbeat& beat)
     {
-        if (answer)
-        {
-            send_heartbeat();
-        }
+        remote_clock.on_heartbeat(beat, context.loop.now());
         const auto on_heartbeat = handlers.on_heartbeat;
         if (on_heartbeat)
         {
@@ -469,7 +443,6 @@
 
     void send_heartbeat()
     {
-        last_heartbeat = context.loop.iteration_began();
         auto beat = remote_clock.next_heartbeat(context.loop.now());
         beat.version = context.current_version();
         send(beat);
@@ -504,6 +477,7 @@
         if (is_heartbeat_due(context.options, read_until, last_heartbeat,
                              last_message_sent))
         {
+            last_heartbeat = read_until;
             send_heartbeat();
         }
     }
