--- a/packages/loop/include/agatebank/loop/timer_queue.hpp
+++ b/packages/loop/include/agatebank/loop/timer_queue.hpp
@@ -35,10 +35,6 @@
     // capacity
     std::size_t size() const noexcept;
 
-    // lookup
-    /// @brief The process clock.
-    time_point now() const;
-
   private:
     using schedule_map = std::multimap<time_point, timer_id>;
     struct timer
--- a/packages/loop/src/timer_queue.cpp
+++ b/packages/loop/src/timer_queue.cpp
@@ -57,9 +57,4 @@
     arm_source();
 }
 
-time_point timer_queue::now() const
-{
-    return loop_.now();
-}
-
 } // namespace agatebank
--- a/packages/node/src/entry_links.cpp
+++ b/packages/node/src/entry_links.cpp
@@ -161,8 +161,7 @@
 {
     const auto address = addresses_[position];
     auto& p = peers_.at(address);
-    const auto link =
-        hub_.add(std::move(connection), dialer_.dialed_at(position));
+    const auto link = hub_.add(std::move(connection));
     p.dialing = false;
     p.link = link;
     linked_[link] = address;
--- a/packages/node/tests/simulated_network.hpp
+++ b/packages/node/tests/simulated_network.hpp
@@ -90,7 +90,6 @@
         auto& c = links_[link];
         c.ends[0].node = from;
         c.ends[1].node = to;
-        c.ends[0].last_heard = events_.now();
         events_.at(out, [this, link] { accept(link, 1); });
         events_.at(round_trip, [this, link] { accept(link, 0); });
     }
@@ -284,20 +283,28 @@
     void accept(simulated_link link, std::size_t side)
     {
         const auto node = links_.at(link).ends[side].node;
-        nodes_[node].process->handle(link * 2 + 1 - side,
-                                     [this, link, side, node]
-                                     {
-                                         auto& c = links_.at(link);
-                                         auto& end = c.ends[side];
-                                         end.open = true;
-                                         end.last_sent = events_.now();
-                                         if (side == 1)
-                                         {
-                                             end.last_heard = events_.now();
-                                         }
-                                         nodes_[node].owner.on_opened(
-                                             link, c.ends[1 - side].node);
-                                     });
+        nodes_[node].process->handle(
+            link * 2 + 1 - side,
+            [this, link, side, node]
+            {
+                auto& c = links_.at(link);
+                auto& end = c.ends[side];
+                end.open = true;
+                end.last_heard = end.last_sent = events_.now();
+                transmit(link, side,
+                         [this, link, side] { receive_nonce(link, 1 - side); });
+                nodes_[node].owner.on_opened(link, c.ends[1 - side].node);
+            });
+    }
+
+    // A nonce carries no time.
+    void receive_nonce(simulated_link link, std::size_t side)
+    {
+        auto& end = links_.at(link).ends[side];
+        if (end.open && !close_if_silent(link, side))
+        {
+            end.last_heard = events_.now();
+        }
     }
 
     void receive(simulated_link link, std::size_t side, time_point stamp,
--- a/packages/wire/include/agatebank/wire/endpoint_dialer.hpp
+++ b/packages/wire/include/agatebank/wire/endpoint_dialer.hpp
@@ -66,15 +66,12 @@
 
     // lookup
     const std::vector<endpoint>& endpoints() const noexcept;
-    /// @brief When the last attempt to connect to an endpoint began.
-    time_point dialed_at(std::size_t index) const;
 
   private:
     struct attempt
     {
         std::shared_ptr<void> connecting;
         timer_id timer;
-        time_point began;
         unsigned failures = 0;
     };
 
--- a/packages/wire/include/agatebank/wire/link_hub.hpp
+++ b/packages/wire/include/agatebank/wire/link_hub.hpp
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -42,10 +41,7 @@
 
     // modifiers
     /// @brief Takes ownership of a connection and opens a link over it.
-    /// @param dialed when this process began to dial; empty if it accepted the
-    /// connection
-    link_id add(object_ptr<GSocketConnection> connection,
-                std::optional<time_point> dialed = {});
+    link_id add(object_ptr<GSocketConnection> connection);
     /// @brief Sends over a link; does nothing if the link has closed.
     void send(link_id id, const message& m);
     /// @brief Sets what is at the other end of a link, for its traffic.
--- a/packages/wire/include/agatebank/wire/peer_clock.hpp
+++ b/packages/wire/include/agatebank/wire/peer_clock.hpp
@@ -15,8 +15,7 @@
 {
   public:
     // construction
-    /// @param since counts as heard until the first message
-    explicit peer_clock(time_point since);
+    explicit peer_clock(time_point opened);
 
     // modifiers
     /// @brief Records a message. @return how long it was under way
--- a/packages/wire/include/agatebank/wire/tcp_link.hpp
+++ b/packages/wire/include/agatebank/wire/tcp_link.hpp
@@ -68,11 +68,8 @@
 {
   public:
     // construction
-    /// @param dialed when this process began to dial; empty if it accepted the
-    /// connection
     tcp_link(const link_context& context,
-             object_ptr<GSocketConnection> connection, link_handlers handlers,
-             std::optional<time_point> dialed = {});
+             object_ptr<GSocketConnection> connection, link_handlers handlers);
     ~tcp_link();
     tcp_link(const tcp_link&) = delete;
     tcp_link& operator=(const tcp_link&) = delete;
@@ -93,8 +90,7 @@
     /// one: on the network, and until each process had time for it. It counts
     /// from the beginning of the sender's iteration of its event loop.
     duration delay() const noexcept;
-    /// @brief When the peer sent what was received last, by the own clock;
-    /// before the first message, when the link was dialed or accepted.
+    /// @brief When the peer sent what was received last, by the own clock.
     time_point last_heard() const noexcept;
     /// @brief Smallest round trip measured; zero before the first measurement.
     duration round_trip() const noexcept;
--- a/packages/wire/src/endpoint_dialer.cpp
+++ b/packages/wire/src/endpoint_dialer.cpp
@@ -73,7 +73,6 @@
     }
     auto& a = attempts_[index];
     timers_.cancel(a.timer);
-    a.began = timers_.now();
     a.timer = timers_.schedule(connect_time_limit(a.failures),
                                [this, index] { on_timeout(index); });
     a.connecting = connector_.connect(
@@ -155,9 +154,4 @@
     return endpoints_;
 }
 
-time_point endpoint_dialer::dialed_at(std::size_t index) const
-{
-    return attempts_[index].began;
-}
-
 } // namespace agatebank
--- a/packages/wire/src/link_hub.cpp
+++ b/packages/wire/src/link_hub.cpp
@@ -15,8 +15,7 @@
                                  [this] { on_heartbeat_timer(); });
 }
 
-link_id link_hub::add(object_ptr<GSocketConnection> connection,
-                      std::optional<time_point> dialed)
+link_id link_hub::add(object_ptr<GSocketConnection> connection)
 {
     const link_id id(++last_id_);
     link_handlers handlers;
@@ -38,7 +37,7 @@
         handlers_.on_closed(id, why);
     };
     links_[id].link = std::make_unique<tcp_link>(
-        context_, std::move(connection), std::move(handlers), dialed);
+        context_, std::move(connection), std::move(handlers));
     return id;
 }
 
--- a/packages/wire/src/peer_clock.cpp
+++ b/packages/wire/src/peer_clock.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-peer_clock::peer_clock(time_point since) : last_heard_(since) {}
+peer_clock::peer_clock(time_point opened) : last_heard_(opened) {}
 
 duration peer_clock::on_frame(int64_t sent_us, time_point now)
 {
--- a/packages/wire/src/tcp_link.cpp
+++ b/packages/wire/src/tcp_link.cpp
@@ -79,12 +79,12 @@
     watch timer;
 
     state(const link_context& c, object_ptr<GSocketConnection> conn,
-          link_handlers h, std::optional<time_point> dialed)
+          link_handlers h)
         : context(c)
         , connection(std::move(conn))
         , handlers(std::move(h))
         , frames(context.auth)
-        , remote_clock(dialed.value_or(context.loop.now()))
+        , remote_clock(context.loop.now())
     {
     }
 
@@ -344,6 +344,7 @@
             }
             frames.set_remote_nonce(receive_buffer.substr(0, nonce_bytes));
             at = nonce_bytes;
+            remote_clock.set_heard(context.loop.now());
             for (const auto& payload : std::exchange(untagged_payloads, {}))
             {
                 append_frame(payload);
@@ -500,9 +501,9 @@
 
 tcp_link::tcp_link(const link_context& context,
                    object_ptr<GSocketConnection> connection,
-                   link_handlers handlers, std::optional<time_point> dialed)
+                   link_handlers handlers)
     : state_(std::make_shared<state>(context, std::move(connection),
-                                     std::move(handlers), dialed))
+                                     std::move(handlers)))
 {
     state_->begin();
 }
--- a/packages/wire/tests/raw_peer.hpp
+++ b/packages/wire/tests/raw_peer.hpp
@@ -26,8 +26,7 @@
   public:
     static constexpr duration silence_timeout = std::chrono::milliseconds(800);
 
-    /// @param dialed see tcp_link
-    explicit raw_peer(std::optional<time_point> dialed = {})
+    raw_peer()
     {
         std::array<int, 2> fds{};
         REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, fds.data()) == 0);
@@ -55,7 +54,7 @@
                          }},
             object_ptr<GSocketConnection>(
                 g_socket_connection_factory_create_connection(socket.get())),
-            std::move(handlers), dialed);
+            std::move(handlers));
     }
 
     ~raw_peer()
--- a/packages/wire/tests/unit-endpoint_dialer.cpp
+++ b/packages/wire/tests/unit-endpoint_dialer.cpp
@@ -111,16 +111,11 @@
         timers, {{"127.0.0.1", listener.port()}}, [] { return 0U; },
         [&failures](const log_record& r) { failures += r.step == "link.dial"; },
         [](std::size_t, object_ptr<GSocketConnection>) {});
-    const auto began = loop.now();
     dialer.dial(0);
-    CHECK(dialer.dialed_at(0) >= began);
-    CHECK(dialer.dialed_at(0) <= loop.now());
     const auto stop =
         loop.after(std::chrono::milliseconds(950), [&loop] { loop.quit(); });
     loop.run();
     CHECK(failures >= 2);
-    // The last attempt counts.
-    CHECK(dialer.dialed_at(0) > began + connect_time_limit(0));
 }
 
 // Guards against links that open 400 ms after their peer has started, as each
--- a/packages/wire/tests/unit-tcp_link_delays.cpp
+++ b/packages/wire/tests/unit-tcp_link_delays.cpp
@@ -83,27 +83,3 @@
     CHECK(peer.link->last_heard() == heard);
     CHECK_FALSE(peer.closed);
 }
-
-// Guards against an entry that counts as heard when its nonce arrives, which
-// may have been under way for any time.
-TEST_CASE("tcp_link: a nonce doesn't count as heard; before the first message "
-          "the begin of the dial counts")
-{
-    for (const auto dial_age : {duration(0), duration(300ms)})
-    {
-        event_loop loop;
-        const auto dialed = loop.now() - dial_age;
-        raw_peer peer(dialed);
-        CHECK(peer.link->last_heard() == dialed);
-        peer.run(50ms);
-        peer.write_nonce();
-        peer.run(50ms);
-        CHECK(peer.link->last_heard() == dialed);
-    }
-    raw_peer accepted;
-    const auto opened = accepted.link->last_heard();
-    accepted.run(50ms);
-    accepted.write_nonce();
-    accepted.run(50ms);
-    CHECK(accepted.link->last_heard() == opened);
-}
