--- a/review/standins.py
+++ b/review/standins.py
@@ -564,6 +564,7 @@
                 Worker(self, i + 1, ip, self.app_port, self.control_port, fields["zone"])
             )
         self.first_entries = entries
+        self.first_prefixes = (PREFIX,)
 
     def free_ports(self, count):
         held = []
@@ -632,7 +633,7 @@
         if not os.access(os.path.join(ROOT, PROGRAM), os.X_OK):
             raise CannotRun(PROGRAM + " is missing: run the deploy file's build")
         await self.store.http.listen("%s.250" % self.net, self.store_port)
-        self.configure(1, timeout_ms)
+        self.configure(1, timeout_ms, self.first_prefixes)
         for it in self.networks:
             await it.open()
         for it in self.entries[: self.first_entries] + self.agents:
