Soak: cut targets off from their agents

Targets are cut off at times drawn from a sequence of their own, so that the seeds recorded before keep their schedules.

--- a/tests/platform/fault_soak.cpp
+++ b/tests/platform/fault_soak.cpp
@@ -54,8 +54,10 @@
 
 } // namespace
 
-fault_soak::fault_soak(uint64_t seed)
+fault_soak::fault_soak(uint64_t seed, bool cuts_targets)
     : random_(seed)
+    , cuts_targets_(cuts_targets)
+    , cut_random_(seed + 2)
     , cluster_(soak_plan())
     , callers_(cluster_, trace_, entry_count, seed + 1)
 {
@@ -132,6 +134,10 @@
                inject_target_fault(i - 2 * entry_count);
            });
     }
+    if (cuts_targets_)
+    {
+        plan_cuts();
+    }
     if (!run_until(cluster_.loop, round_timeout,
                    [this] { return pending_ == 0; }))
     {
@@ -365,6 +371,36 @@
     }
 }
 
+// Most cuts are about as long as a lease.
+void fault_soak::plan_cuts()
+{
+    const auto pick = [this](uint64_t min, uint64_t max)
+    {
+        return min + cut_random_() % (max - min + 1);
+    };
+    for (auto n = pick(1, 4); n != 0; --n)
+    {
+        ++faults_;
+        const auto i = static_cast<std::size_t>(pick(0, agent_count - 1));
+        const auto begin = std::chrono::milliseconds(pick(0, 2000));
+        const auto time = std::chrono::milliseconds(
+            pick(0, 3) == 0 ? pick(1500, 5500) : pick(50, 1500));
+        at(begin, [this, i, time] { cut_target(i, time); });
+    }
+}
+
+void fault_soak::cut_target(std::size_t i, duration time)
+{
+    auto& target = *cluster_.targets[i];
+    if (target.is_away())
+    {
+        return;
+    }
+    run_fault(
+        "cut of target " + std::to_string(i), time,
+        [&target] { target.cut_off(); }, [&target] { target.reconnect(); });
+}
+
 // results
 
 void fault_soak::finish()
--- a/tests/platform/fault_soak.hpp
+++ b/tests/platform/fault_soak.hpp
@@ -16,7 +16,9 @@
 {
   public:
     // construction
-    explicit fault_soak(uint64_t seed);
+    /// @param cuts_targets whether targets are cut off from their agents, too,
+    /// at times drawn apart from those of the other faults
+    explicit fault_soak(uint64_t seed, bool cuts_targets = false);
 
     // modifiers
     /// @brief Waits until the entries are ready, then starts the callers.
@@ -52,9 +54,13 @@
     void inject_network_fault(bool of_callers, std::size_t entry);
     void change_delay(const std::string& name, tcp_relay& relay, int direction);
     void inject_target_fault(std::size_t i);
+    void cut_target(std::size_t i, duration time);
+    void plan_cuts();
     child_process& process(bool is_entry, std::size_t i);
 
     std::mt19937_64 random_;
+    bool cuts_targets_;
+    std::mt19937_64 cut_random_;
     node_cluster cluster_;
     soak_trace trace_{cluster_.loop};
     soak_callers callers_;
--- a/tests/platform/unit-fault_soak.cpp
+++ b/tests/platform/unit-fault_soak.cpp
@@ -3,7 +3,8 @@
 // of a task, a start beyond a target's capacity, a refusal of a job that has
 // run, and a caller without an answer.
 // AGATEBANK_SOAK_SEED and AGATEBANK_SOAK_ROUNDS set the schedule of the hidden
-// case. AGATEBANK_KEEP_LOGS keeps the logs of the processes.
+// case; with AGATEBANK_SOAK_CUTS=1 targets are cut off, too.
+// AGATEBANK_KEEP_LOGS keeps the logs of the processes.
 #include "fault_soak.hpp"
 
 #include <catch2/catch.hpp>
@@ -25,9 +26,9 @@
     return value == nullptr ? default_value : std::strtoull(value, nullptr, 10);
 }
 
-void run_soak(uint64_t seed, uint64_t rounds)
+void run_soak(uint64_t seed, uint64_t rounds, bool cuts_targets = false)
 {
-    fault_soak soak(seed);
+    fault_soak soak(seed, cuts_targets);
     REQUIRE(soak.start());
     uint64_t n = 0;
     while (n < rounds && !soak.failed())
@@ -50,6 +51,13 @@
     run_soak(20261205, short_rounds);
 }
 
+// Guards against tasks that start elsewhere while their target is cut off,
+// refuses connections and runs on.
+TEST_CASE("fault soak: the rules hold while targets are cut off as well")
+{
+    run_soak(20261206, short_rounds, true);
+}
+
 // Each row is a seed with which a rule was broken, and the cause. The processes
 // run in real time, so a seed needn't show its failure each time. Hidden, as a
 // row takes two minutes.
@@ -78,5 +86,6 @@
 TEST_CASE("fault soak: a seed and a number of rounds", "[.][soak]")
 {
     run_soak(read_variable("AGATEBANK_SOAK_SEED", 1),
-             read_variable("AGATEBANK_SOAK_ROUNDS", default_rounds));
+             read_variable("AGATEBANK_SOAK_ROUNDS", default_rounds),
+             read_variable("AGATEBANK_SOAK_CUTS", 0) != 0);
 }
