Confirm a crash when another incarnation answers

Callers of a job that crashes its targets got 504 for ever and sent it again and again: since a refused connection no longer counts as a certain crash, almost no loss was certain, as an agent meets the refused connection before the next incarnation.

Now the agent remembers the runs that it lost by a refused connection. If another incarnation answers first, it reports them again as confirmed, under the number of the same loss; if the same one answers, the target was only cut off. crash_history takes the confirmation over and passes it on.

--- a/packages/core/include/agatebank/core/crash_history.hpp
+++ b/packages/core/include/agatebank/core/crash_history.hpp
@@ -47,8 +47,8 @@
 {
   public:
     // modifiers
-    /// @brief Adds reports.
-    /// @return the reports that were not known
+    /// @brief Adds reports. A loss that was known may be confirmed later.
+    /// @return the reports that were not known, or not confirmed
     std::vector<crash_report> merge(const std::vector<crash_report>& reports,
                                     time_point now);
     /// @brief Forgets what is older than the retention.
--- a/packages/core/src/crash_history.cpp
+++ b/packages/core/src/crash_history.cpp
@@ -43,10 +43,17 @@
 crash_history::merge(const std::vector<crash_report>& reports, time_point now)
 {
     std::vector<crash_report> added;
+    std::vector<crash_report> confirmed;
     for (const auto& it : reports)
     {
         auto& task = tasks_[it.task];
-        if (task.losses.emplace(it.loss, it).second)
+        const auto [known, is_new] = task.losses.emplace(it.loss, it);
+        if (!is_new && it.confirmed && !known->second.confirmed)
+        {
+            known->second.confirmed = true;
+            confirmed.push_back(it);
+        }
+        if (is_new)
         {
             task.route = it.route;
             task.latest = now;
@@ -88,6 +95,7 @@
     {
         expire(now);
     }
+    added.insert(added.end(), confirmed.begin(), confirmed.end());
     return added;
 }
 
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -32,6 +32,7 @@
 {
     task_position task;
     route_name route;
+    loss_number loss; ///< counted from 1; the same for all runs lost at once
     bool isolated = false;  ///< it was the only run
     bool confirmed = false; ///< it had started, and the target crashed
     bool started_last = false;
@@ -43,7 +44,8 @@
     std::function<void(const run_id&, const std::string& payload)> start;
     std::function<void(const run_id&)> stop;
     std::function<void(order_source, const order_result&)> report;
-    /// called before the reports of runs that ended with the target
+    /// called before the reports of runs that ended with the target, and again
+    /// when the loss is confirmed
     std::function<void(const std::vector<lost_run>&)> report_loss;
     log_sink log;
     /// whether orders of an entry may start now; the others wait in the queue.
@@ -326,6 +328,9 @@
     /// @param kept runs that go on
     void finish_runs_except(const std::set<run_id>& kept,
                             const target_loss& loss, time_point now);
+    /// @brief Reports that the target has crashed which refused connections
+    /// before.
+    void confirm_losses();
     void process_ended_runs(const std::vector<ended_run>& ended,
                             time_point now);
     /// @brief Updates health and speed with a run that has ended as done.
@@ -353,6 +358,9 @@
     std::set<run_id> unknown_runs_;
     uint64_t listing_count_ = 0; ///< listings processed so far
     time_point last_asked_at_;   ///< when the newest of them was requested
+    /// runs that had started when the target refused connections, until it is
+    /// known whether it has crashed
+    std::vector<lost_run> unconfirmed_losses_;
     std::unordered_map<std::string, uint32_t> last_run_numbers_;
     target_health_estimator health_;
     target_speed_estimator speed_;
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -334,6 +334,7 @@
 {
     ++listing_count_;
     last_asked_at_ = asked_at;
+    unconfirmed_losses_.clear(); // it was only cut off
     process_ended_runs(listing.ended, now);
     unknown_runs_.clear();
     process_active_runs(listing, asked_at, now);
--- a/packages/fleet/src/run_scheduler_ends.cpp
+++ b/packages/fleet/src/run_scheduler_ends.cpp
@@ -54,6 +54,7 @@
 {
     std::set<run_id> listed;
     unknown_runs_.clear();
+    confirm_losses();
     for (const auto& [id, key] : started_runs_)
     {
         orders_.at(key).copies_fenced = true;
@@ -118,9 +119,14 @@
         const auto& r = orders_.at(it);
         lost.push_back({{r.job, r.order.step, r.order.index},
                         route_name(r.route),
+                        loss_number(counts_.target_losses),
                         r.order.isolated,
                         loss.crashed && r.known_to_run,
                         latest_start - r.started <= start_resolution});
+        if (loss.may_run.count() > 0 && r.known_to_run)
+        {
+            unconfirmed_losses_.push_back(lost.back());
+        }
     }
     hooks_.report_loss(lost);
     for (const auto& it : unlisted)
@@ -138,6 +144,20 @@
     }
 }
 
+void run_scheduler::confirm_losses()
+{
+    auto lost = std::exchange(unconfirmed_losses_, {});
+    if (lost.empty())
+    {
+        return;
+    }
+    for (auto& it : lost)
+    {
+        it.confirmed = true;
+    }
+    hooks_.report_loss(lost);
+}
+
 // ends listed by the target
 
 void run_scheduler::process_ended_runs(const std::vector<ended_run>& ended,
--- a/packages/node/src/agent_node_links.cpp
+++ b/packages/node/src/agent_node_links.cpp
@@ -291,8 +291,7 @@
             {it.task,
              it.route,
              target_->profile.service,
-             {agent_incarnation(context_.self.incarnation),
-              loss_number(scheduler_.counts().target_losses)},
+             {agent_incarnation(context_.self.incarnation), it.loss},
              it.isolated,
              it.confirmed && !target_->draining && !previous_target_drained_,
              it.started_last});
