--- a/packages/http/tests/unit-http_server.cpp
+++ b/packages/http/tests/unit-http_server.cpp
@@ -3,12 +3,18 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace agatebank;
 
@@ -513,3 +519,105 @@
         CHECK(f.handled == (asks ? 1 : 2));
     }
 }
+
+namespace
+{
+
+// Connects clients without waiting for their server.
+class silent_clients
+{
+  public:
+    silent_clients(uint16_t port, std::size_t n)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        for (std::size_t i = 0; i < n; ++i)
+        {
+            sockets_.push_back(
+                {::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), POLLOUT,
+                 0});
+            ::connect(sockets_.back().fd,
+                      reinterpret_cast<const sockaddr*>(&address),
+                      sizeof address);
+        }
+    }
+    ~silent_clients()
+    {
+        for (const auto& it : sockets_)
+        {
+            ::close(it.fd);
+        }
+    }
+    silent_clients(const silent_clients&) = delete;
+    silent_clients& operator=(const silent_clients&) = delete;
+
+    // Number of clients whose connection the server's kernel has taken.
+    std::size_t connected()
+    {
+        constexpr int no_wait = 0;
+        const int n = ::poll(sockets_.data(), sockets_.size(), no_wait);
+        return n < 0 ? 0 : static_cast<std::size_t>(n);
+    }
+
+  private:
+    std::vector<pollfd> sockets_;
+};
+
+// Number of descriptors that a wake-up of the main context visits.
+int polled_descriptors()
+{
+    auto* context = g_main_context_default();
+    REQUIRE(g_main_context_acquire(context) == TRUE);
+    gint priority = 0;
+    gint timeout_ms = 0;
+    std::array<GPollFD, 1000> descriptors;
+    g_main_context_prepare(context, &priority);
+    const int n =
+        g_main_context_query(context, priority, &timeout_ms, descriptors.data(),
+                             static_cast<gint>(descriptors.size()));
+    g_main_context_release(context);
+    return n;
+}
+
+} // namespace
+
+// Guards against an entry whose processor time goes to the connections of
+// callers that ask for nothing: each wake-up visited all of them.
+TEST_CASE("http_server: a wake-up visits no connection without a request")
+{
+    for (const std::string& first_request : {std::string(), post("/echo", 3)})
+    {
+        INFO("served before: " << !first_request.empty());
+        constexpr std::size_t clients = 50;
+        server_fixture f;
+        const int before = polled_descriptors();
+        std::vector<std::unique_ptr<raw_connection>> idle;
+        for (std::size_t i = 0; i < clients; ++i)
+        {
+            idle.push_back(raw_connect(f.port, nullptr));
+            REQUIRE(idle.back());
+            idle.back()->send(first_request);
+            f.run(std::chrono::milliseconds(2));
+        }
+        f.run(std::chrono::milliseconds(200));
+        CHECK(f.handled == (first_request.empty() ? 0 : clients));
+        // Each client of the test is itself a source.
+        CHECK(polled_descriptors() == before + static_cast<int>(clients));
+    }
+}
+
+// Guards against callers that get no connection while the process is out of its
+// processor share: the queue for ten of them was full.
+TEST_CASE("http_server: clients that connect while the process is paused are "
+          "accepted")
+{
+    constexpr std::size_t clients = 100;
+    server_fixture f;
+    silent_clients waiting(f.port, clients);
+    // Without turns of the server's loop, and in less than the kernel's time to
+    // send a dropped packet again.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    CHECK(waiting.connected() == clients);
+}
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -76,6 +76,8 @@
         "shortest time between two waits of the entry for its sockets")(
         "idle-entries", po::value(&load.idle_entries),
         "entries without jobs in the node scenario, unless it relays")(
+        "idle-callers", po::value(&load.idle_callers),
+        "open connections of callers without requests in the node scenario")(
         "processor-share", po::value(&load.processor_share),
         "cores that the entry's settings state in the node scenario; nothing "
         "limits it to them")("log-level", po::value(&load.log_level),
--- a/tools/bench/node_scenario.cpp
+++ b/tools/bench/node_scenario.cpp
@@ -3,6 +3,7 @@
 #include "process_usage.hpp"
 #include <agatebank/harness/run_until.hpp>
 
+#include <idle_callers.hpp>
 #include <node_cluster.hpp>
 #include <stdexcept>
 
@@ -51,6 +52,7 @@
     {
         run_for(c.loop, 1s); // until the load of both entries is known
     }
+    const idle_callers idle(c.callers(0), load.idle_callers);
     const auto entry = read_usage(c.entry(0).pid()).processor_ms;
     const bool has_second = load.relay || load.idle_entries != 0;
     const auto second =
--- a/tools/bench/node_scenario.hpp
+++ b/tools/bench/node_scenario.hpp
@@ -19,6 +19,7 @@
     bool relay = false;
     /// entries without jobs of their own, which only receive load reports
     unsigned idle_entries = 0;
+    unsigned idle_callers = 0; ///< open connections without requests
 };
 
 /// @brief Measures the processor time of one entry and its agents under a
