Serve callers' connections from the epoll set

Cause: libsoup keeps a GLib source for each connection, and each wake-up visits all of them, about 14 times a job. An entry with 600 callers spent most of its processor share on those that asked for nothing, and was throttled. GLib's listeners queue ten connections, so callers that came meanwhile found none. The class: work that grows with what is open, not with what is done.

Ruled out: full targets, refusals, restarts.

Change: http_server serves its connections itself, each in the loop's epoll set from its acceptance to its end; Boost.Beast reads and writes the bytes.

--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -179,6 +179,14 @@
         [&ingress] { return static_cast<double>(ingress.jobs_read_late()); });
     http_server callers(rt.loop, to_server_options(settings.callers));
     ingress.add_caller_routes(callers);
+    rt.metrics.add_gauge(
+        {"agatebank_caller_connections", "Open connections of callers.", {}},
+        [&callers] { return static_cast<double>(callers.connections()); });
+    rt.metrics.add_gauge({"agatebank_caller_connections_accepted",
+                          "Connections of callers that were accepted.",
+                          {}},
+                         [&callers]
+                         { return static_cast<double>(callers.accepted()); });
     http_server readiness(rt.loop, to_server_options(settings.readiness));
     ingress.add_readiness_route(readiness);
     platform::job_explainer explainer(
--- a/packages/http/include/agatebank/http/http_server.hpp
+++ b/packages/http/include/agatebank/http/http_server.hpp
@@ -3,16 +3,11 @@
 #include <agatebank/core/result.hpp>
 #include <agatebank/http/http_message.hpp>
 #include <agatebank/loop/event_loop.hpp>
-#include <agatebank/loop/timer_queue.hpp>
-
-#include <libsoup/soup.h>
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace agatebank
 {
@@ -25,7 +20,9 @@
     std::string tls_certificate;       ///< PEM file, empty: no TLS
     std::string tls_key;               ///< PEM file
     std::size_t max_body_bytes = 4U << 20U;
-    /// maximum time for receiving a request's head and body
+    /// maximum time for receiving a request's head and body, from the
+    /// connection's acceptance or the response before, and for sending a
+    /// response
     duration read_timeout = std::chrono::seconds(30);
 };
 
@@ -36,10 +33,9 @@
 /// @brief Handles one request.
 using http_handler = std::function<void(const http_request&, http_responder)>;
 
-class http_exchange;
-
 /// @brief HTTP server with routes on the process's event loop. Refuses chunked
-/// request bodies (411) and bodies over the limit (413).
+/// request bodies (411) and bodies over the limit (413). A connection without a
+/// request costs no processor time.
 ///
 /// @code
 /// http_server server(loop, options);
@@ -66,8 +62,7 @@
     void set_fallback_handler(http_handler handler);
     /// @brief Sets the callback that receives the id of a request whose
     /// client closed its connection before the response. It is called at most
-    /// once per request. A request whose connection can't be watched is
-    /// answered with 503 and is not handled.
+    /// once per request. To be set before listen().
     void on_abandoned(std::function<void(uint64_t)> handler);
 
     // lifetime
@@ -79,42 +74,17 @@
     // lookup
     /// @brief Number of requests that have been read and not yet answered.
     std::size_t in_flight() const noexcept;
+    /// @brief Number of open connections.
+    std::size_t connections() const noexcept;
+    /// @brief Number of connections accepted since the start.
+    uint64_t accepted() const noexcept;
     const http_server_options& options() const noexcept;
 
   private:
-    struct route_entry
-    {
-        std::string method;
-        std::vector<std::string> segments;
-        http_handler handler;
-    };
-
-    static void on_headers_read(SoupServer* server, SoupServerMessage* message,
-                                const char* path, GHashTable* query,
-                                gpointer self);
-    static void on_request(SoupServer* server, SoupServerMessage* message,
-                           const char* path, GHashTable* query, gpointer self);
-    static void on_started(SoupServer* server, SoupServerMessage* message,
-                           gpointer self);
-    static void on_message_destroyed(gpointer self, GObject* message);
-    void cancel_read_timer(SoupServerMessage* message);
-    static void on_read_ended(SoupServer* server, SoupServerMessage* message,
-                              gpointer self);
-
-    void dispatch(const std::shared_ptr<http_exchange>& ex,
-                  http_request request);
-    http_responder make_responder(const std::shared_ptr<http_exchange>& ex);
+    struct state;
 
-    event_loop& loop_;
-    http_server_options options_;
-    object_ptr<SoupServer> server_;
-    std::vector<route_entry> routes_;
-    http_handler fallback_;
-    std::function<void(uint64_t)> abandoned_;
-    uint64_t last_request_id_ = 0;
-    timer_queue timers_;
-    std::map<SoupServerMessage*, timer_id> read_timers_;
-    std::shared_ptr<std::size_t> in_flight_;
+    /// Responders outlive the server.
+    std::shared_ptr<state> state_;
 };
 
 } // namespace agatebank
--- a/packages/loop/include/agatebank/loop/socket_poller.hpp
+++ b/packages/loop/include/agatebank/loop/socket_poller.hpp
@@ -18,11 +18,26 @@
 using socket_watch_id = strong_id<struct socket_watch_id_tag, uint64_t>;
 
 /// @brief Callbacks for one socket. Each may add and remove sockets, including
-/// its own. Errors and the end of the connection count as readable.
+/// its own. Without on_end, errors and the end of the connection count as
+/// readable.
 struct socket_handlers
 {
     std::function<void()> on_readable;
-    std::function<void()> on_writable; ///< may be empty
+    std::function<void()> on_writable = {}; ///< may be empty
+    /// The peer has closed its sending direction, or the connection failed;
+    /// called after on_readable. May be empty.
+    std::function<void()> on_end = {};
+};
+
+/// @brief What a socket is waited for. Failures of the connection are reported
+/// in any case.
+struct socket_interest
+{
+    bool readable = false;
+    bool writable = false;
+    bool end = false; ///< the peer has closed its sending direction
+
+    auto operator<=>(const socket_interest&) const = default;
 };
 
 /// @brief Waits for many sockets with one epoll set behind one GLib source.
@@ -43,7 +58,7 @@
 
     // modifiers
     /// @brief Waits until the socket is readable, again after each call of its
-    /// handler.
+    /// handler, and for the end of the connection if there is a handler for it.
     /// @param fd to be removed before it is closed
     /// @return an id, or the errno of step "loop.epoll_create" or
     /// "loop.epoll_add"
@@ -55,6 +70,9 @@
     /// @param fd to be removed before it is closed
     /// @return as add()
     result<socket_watch_id> add_end_watch(int fd, std::function<void()> on_end);
+    /// @brief Sets what the socket is waited for.
+    /// @return the errno of step "loop.epoll_modify"; success for an unknown id
+    result<void> set_interest(socket_watch_id id, socket_interest interest);
     /// @brief Begins or ends waiting until the socket is writable.
     /// @return the errno of step "loop.epoll_modify"; success for an unknown id
     result<void> wait_writable(socket_watch_id id, bool wait);
@@ -73,12 +91,11 @@
     {
         int fd;
         socket_handlers handlers;
-        uint32_t read_events; ///< on which on_readable is called
-        bool wants_writable = false;
+        socket_interest interest;
     };
 
     result<socket_watch_id> add_entry(int fd, socket_handlers handlers,
-                                      uint32_t read_events);
+                                      socket_interest interest);
     void dispatch_ready();
     void call_handlers(socket_watch_id id, uint32_t events);
 
--- a/packages/loop/src/socket_poller.cpp
+++ b/packages/loop/src/socket_poller.cpp
@@ -30,11 +30,12 @@
                 "errno " + std::to_string(ec.value()));
 }
 
-epoll_event make_event(socket_watch_id id, uint32_t read_events,
-                       bool wants_writable)
+epoll_event make_event(socket_watch_id id, const socket_interest& interest)
 {
     epoll_event out{};
-    out.events = read_events | (wants_writable ? EPOLLOUT : 0U);
+    out.events = (interest.readable ? EPOLLIN : 0U) |
+                 (interest.writable ? EPOLLOUT : 0U) |
+                 (interest.end ? EPOLLRDHUP : 0U);
     out.data.u64 = id.value();
     return out;
 }
@@ -60,30 +61,32 @@
 
 result<socket_watch_id> socket_poller::add(int fd, socket_handlers handlers)
 {
-    return add_entry(fd, std::move(handlers), EPOLLIN);
+    const bool end = handlers.on_end != nullptr;
+    return add_entry(fd, std::move(handlers), {true, false, end});
 }
 
 result<socket_watch_id>
 socket_poller::add_end_watch(int fd, std::function<void()> on_end)
 {
-    return add_entry(fd, {std::move(on_end), {}}, EPOLLRDHUP);
+    return add_entry(fd, {{}, {}, std::move(on_end)}, {false, false, true});
 }
 
-result<socket_watch_id>
-socket_poller::add_entry(int fd, socket_handlers handlers, uint32_t read_events)
+result<socket_watch_id> socket_poller::add_entry(int fd,
+                                                 socket_handlers handlers,
+                                                 socket_interest interest)
 {
     if (!status_)
     {
         return tl::unexpected(status_.error());
     }
     const socket_watch_id id(++last_id_);
-    auto event = make_event(id, read_events, false);
+    auto event = make_event(id, interest);
     if (::epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, fd, &event) != 0)
     {
         return fail_errno(step_add, fd);
     }
-    entries_.emplace(id, std::make_shared<entry>(
-                             entry{fd, std::move(handlers), read_events}));
+    entries_.emplace(
+        id, std::make_shared<entry>(entry{fd, std::move(handlers), interest}));
     by_fd_[fd] = id;
     // Attached behind the timers of the owners of sockets, so that these run
     // first after the process was suspended.
@@ -99,22 +102,35 @@
     return id;
 }
 
-result<void> socket_poller::wait_writable(socket_watch_id id, bool wait)
+result<void> socket_poller::set_interest(socket_watch_id id,
+                                         socket_interest interest)
 {
     const auto it = entries_.find(id);
-    if (it == entries_.end() || it->second->wants_writable == wait)
+    if (it == entries_.end() || it->second->interest == interest)
     {
         return {};
     }
-    auto event = make_event(id, it->second->read_events, wait);
+    auto event = make_event(id, interest);
     if (::epoll_ctl(epoll_fd_, EPOLL_CTL_MOD, it->second->fd, &event) != 0)
     {
         return fail_errno(step_modify, it->second->fd);
     }
-    it->second->wants_writable = wait;
+    it->second->interest = interest;
     return {};
 }
 
+result<void> socket_poller::wait_writable(socket_watch_id id, bool wait)
+{
+    const auto it = entries_.find(id);
+    if (it == entries_.end())
+    {
+        return {};
+    }
+    auto interest = it->second->interest;
+    interest.writable = wait;
+    return set_interest(id, interest);
+}
+
 void socket_poller::remove(socket_watch_id id)
 {
     const auto it = entries_.find(id);
@@ -171,14 +187,22 @@
         return;
     }
     const auto keep = it->second;
-    if ((events & (keep->read_events | EPOLLERR | EPOLLHUP)) != 0)
+    const auto& handlers = keep->handlers;
+    constexpr uint32_t failed = EPOLLERR | EPOLLHUP;
+    const uint32_t readable = handlers.on_end ? EPOLLIN : EPOLLIN | failed;
+    if ((events & readable) != 0 && handlers.on_readable)
+    {
+        handlers.on_readable();
+    }
+    if ((events & EPOLLOUT) != 0 && keep->interest.writable &&
+        entries_.contains(id))
     {
-        keep->handlers.on_readable();
+        handlers.on_writable();
     }
-    if ((events & EPOLLOUT) != 0 && keep->wants_writable &&
+    if ((events & (EPOLLRDHUP | failed)) != 0 && handlers.on_end &&
         entries_.contains(id))
     {
-        keep->handlers.on_writable();
+        handlers.on_end();
     }
 }
 
