Let as many links wait to be accepted as the kernel allows

When many processes start or find an entry again at once while it is paused or throttled, the others are sent again after a second. The same queue length as for callers now.

--- a/cmake/agatebank.cmake
+++ b/cmake/agatebank.cmake
@@ -44,6 +44,8 @@
     add_executable(${name} ${ARG_SOURCES})
     target_link_libraries(
         ${name} PRIVATE agatebank_options agatebank_test_main ${ARG_DEPENDS})
+    target_include_directories(${name}
+                               PRIVATE ${CMAKE_SOURCE_DIR}/tests/support)
     catch_discover_tests(
         ${name} TEST_PREFIX "${name}: "
         PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204")
--- a/packages/http/src/connection_listener.cpp
+++ b/packages/http/src/connection_listener.cpp
@@ -1,5 +1,7 @@
 #include "connection_listener.hpp"
 
+#include <agatebank/loop/accept_queue.hpp>
+
 #include <array>
 #include <cerrno>
 #include <limits>
@@ -18,8 +20,6 @@
 {
 
 constexpr const char* step_listen = "http.listen";
-/// The kernel lowers it to its own limit (net.core.somaxconn).
-constexpr int accept_queue_length = 4096;
 /// Other sockets have their turn after this many connections.
 constexpr int max_accepted_at_once = 64;
 /// Pause after the process or the machine is out of descriptors or memory.
--- a/packages/http/tests/unit-http_server.cpp
+++ b/packages/http/tests/unit-http_server.cpp
@@ -7,15 +7,11 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <silent_clients.hpp>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 using namespace agatebank;
 
 namespace
@@ -467,48 +463,6 @@
 namespace
 {
 
-// Connects clients without waiting for their server.
-class silent_clients
-{
-  public:
-    silent_clients(uint16_t port, std::size_t n)
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        for (std::size_t i = 0; i < n; ++i)
-        {
-            sockets_.push_back(
-                {::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), POLLOUT,
-                 0});
-            ::connect(sockets_.back().fd,
-                      reinterpret_cast<const sockaddr*>(&address),
-                      sizeof address);
-        }
-    }
-    ~silent_clients()
-    {
-        for (const auto& it : sockets_)
-        {
-            ::close(it.fd);
-        }
-    }
-    silent_clients(const silent_clients&) = delete;
-    silent_clients& operator=(const silent_clients&) = delete;
-
-    // Number of clients whose connection the server's kernel has taken.
-    std::size_t connected()
-    {
-        constexpr int no_wait = 0;
-        const int n = ::poll(sockets_.data(), sockets_.size(), no_wait);
-        return n < 0 ? 0 : static_cast<std::size_t>(n);
-    }
-
-  private:
-    std::vector<pollfd> sockets_;
-};
-
 // Number of descriptors that a wake-up of the main context visits.
 int polled_descriptors()
 {
@@ -559,7 +513,7 @@
 {
     constexpr std::size_t clients = 100;
     server_fixture f;
-    silent_clients waiting(f.port, clients);
+    const silent_clients waiting("127.0.0.1", f.port, clients);
     // Without turns of the server's loop, and in less than the kernel's time to
     // send a dropped packet again.
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
--- a/packages/wire/src/tcp_connector.cpp
+++ b/packages/wire/src/tcp_connector.cpp
@@ -1,3 +1,4 @@
+#include <agatebank/loop/accept_queue.hpp>
 #include <agatebank/wire/tcp_connector.hpp>
 
 #include <algorithm>
@@ -60,6 +61,8 @@
 tcp_listener::tcp_listener(on_connection handler)
     : handler_(std::move(handler)), service_(g_socket_service_new())
 {
+    g_socket_listener_set_backlog(G_SOCKET_LISTENER(service_.get()),
+                                  accept_queue_length);
     g_signal_connect(service_.get(), "incoming", G_CALLBACK(on_incoming), this);
 }
 
--- a/tests/platform/unit-caller_connections.cpp
+++ b/tests/platform/unit-caller_connections.cpp
@@ -1,9 +1,9 @@
-#include "idle_callers.hpp"
 #include "node_cluster.hpp"
 #include <agatebank/harness/run_until.hpp>
 
 #include <catch2/catch.hpp>
 
+#include <silent_clients.hpp>
 #include <string>
 
 using namespace agatebank;
@@ -14,6 +14,7 @@
 
 constexpr const char* processor_seconds = "agatebank_process_cpu_seconds";
 constexpr unsigned jobs = 200;
+constexpr std::size_t idle_callers = 600;
 constexpr duration job_spacing = 10ms;
 
 // Processor time of entry 0 for a series of jobs, in seconds.
@@ -53,7 +54,10 @@
     REQUIRE(c.wait_ready());
     serve_jobs(c, "warm-");
     const auto alone = serve_jobs(c, "alone-");
-    const idle_callers idle(c.callers(0), 600);
+    const auto server = c.callers(0);
+    const silent_clients idle(server.address, server.port, idle_callers);
+    REQUIRE(run_until(c.loop, 5s,
+                      [&] { return idle.connected() == idle_callers; }));
     const auto beside = serve_jobs(c, "beside-");
     INFO("seconds alone " << alone << ", beside idle callers " << beside);
     // A fifth for the noise of the machine.
--- a/tools/bench/node_scenario.cpp
+++ b/tools/bench/node_scenario.cpp
@@ -3,8 +3,8 @@
 #include "process_usage.hpp"
 #include <agatebank/harness/run_until.hpp>
 
-#include <idle_callers.hpp>
 #include <node_cluster.hpp>
+#include <silent_clients.hpp>
 #include <stdexcept>
 
 namespace agatebank
@@ -52,7 +52,13 @@
     {
         run_for(c.loop, 1s); // until the load of both entries is known
     }
-    const idle_callers idle(c.callers(0), load.idle_callers);
+    const auto callers = c.callers(0);
+    const silent_clients idle(callers.address, callers.port, load.idle_callers);
+    if (!run_until(c.loop, 5s,
+                   [&] { return idle.connected() == load.idle_callers; }))
+    {
+        throw std::runtime_error("the idle callers found no connection");
+    }
     const auto entry = read_usage(c.entry(0).pid()).processor_ms;
     const bool has_second = load.relay || load.idle_entries != 0;
     const auto second =
