--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,97 +1,143 @@
-"""A share of the clients leave before their answer. An entry that has served
-them for a while must still answer the clients that wait.
+"""An entry's machine is suspended for two seconds. A job that a client sent to
+it on an open connection is lost meanwhile and sent again by TCP a second after
+the machine woke up, with the end of the connection one round trip behind it. By
+then the client has submitted the job to another entry.
 """
 
 import asyncio
-import os
 import pathlib
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 import lab3  # noqa: E402
 
-MAX_FDS = 4100  # of a front machine of kst-pall and of swn-muehle
-RATE = 140.7  # requests a second of the whole site swn-muehle
-SHARE = 0.4  # of the clients that leave: the largest there
-LEAVE_S = 0.1
-WINDOW_S = 6  # as long as they leave there
-PAUSE_S = 0.25
-WINDOWS = 12.5
-STEPS = [{"count": 1, "cpu": 500, "memMb": 64, "estimateMs": 200}]
+SUSPENDED_S = 2.0
+# When TCP sends unacknowledged bytes again: after 200 ms, doubled each time.
+SENT_AGAIN_S = [0.0, 0.2, 0.6, 1.4, 3.0, 6.2]
+ROUND_TRIP_S = 0.006  # "3 ms to clients", one way
+DEADLINE_S = 1.5
+RETRY_S = 1.3  # retryMs
+LENGTH_MS = 900
+STEPS = [{"count": 1, "cpu": 3100, "memMb": 64, "estimateMs": LENGTH_MS}]
+
+
+class Path:
+    """The way of one client's connection to an entry, whose machine receives
+    nothing while it is suspended."""
+
+    def __init__(self, address, target):
+        self.address = address
+        self.target = target
+        self.suspended_until = 0.0
+
+    async def open(self):
+        self.listener = await asyncio.start_server(self.serve, *self.address)
+
+    async def arrive(self):
+        """Waits until a segment that is sent now arrives. Returns whether it
+        was lost at first."""
+        sent = asyncio.get_running_loop().time()
+        for delay in SENT_AGAIN_S:
+            if sent + delay >= self.suspended_until:
+                await asyncio.sleep(delay)
+                return delay > 0
+        raise lab3.CannotRun("suspended for too long")
+
+    async def serve(self, reader, writer):
+        there_reader, there_writer = await asyncio.open_connection(*self.target)
+        forward = asyncio.create_task(self.forward(reader, there_writer))
+        try:
+            while data := await there_reader.read(65536):
+                writer.write(data)
+        except OSError:
+            pass
+        writer.close()
+        await forward
+
+    async def forward(self, reader, there_writer):
+        while data := await reader.read(65536):
+            lost = await self.arrive()
+            there_writer.write(data)
+            await there_writer.drain()
+            if lost:
+                # What is behind a segment that was sent again follows when
+                # that has been acknowledged.
+                await asyncio.sleep(ROUND_TRIP_S)
+        there_writer.close()
+
+
+class Client:
+    """A client that keeps its connection open between its jobs."""
+
+    def __init__(self, lab, address):
+        self.lab = lab
+        self.address = address
+
+    async def connect(self):
+        self.reader, self.writer = await asyncio.open_connection(*self.address)
+
+    async def post(self, job):
+        self.lab.lengths[job] = LENGTH_MS
+        body = lab3.json.dumps(
+            {"spec": "x" * 40, "bestEffort": True, "steps": STEPS}
+        ).encode()
+        head = (
+            f"POST /q/{job} HTTP/1.1\r\nHost: {lab3.HOST}\r\n"
+            f"Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode()
+        self.lab.note(f"POST /q/{job} to entry-0 on the open connection")
+        self.writer.write(head + body)
+        try:
+            async with asyncio.timeout(DEADLINE_S):
+                got = await lab3.read_message(self.reader)
+        except TimeoutError:
+            got = None
+        if got is None:
+            self.lab.note(f"  POST /q/{job}: no answer, the client leaves")
+            self.writer.close()
+            return None
+        status = int(got[0].split()[1])
+        self.lab.note(f"  POST /q/{job}: {status}")
+        return status
 
 
 async def case(lab):
-    c = lab3.Cluster(lab, entries=3, agents=6, max_fds=MAX_FDS)
+    c = lab3.Cluster(lab, entries=3, agents=4)
     await c.begin()
-    # Two of the three front machines are lost for good; the platform sends
-    # the clients of their zones to the third.
-    for i in (1, 2):
-        lab.signal(f"entry-{i}", lab3.signal.SIGKILL)
-    await asyncio.sleep(1)
-    sent = 0
-
-    async def traffic(seconds, share):
-        """Returns the jobs of the clients that waited, and counts the rest."""
-        nonlocal sent
-        jobs = []
-        left = 0
-        loop = asyncio.get_running_loop()
-        begin = loop.time()
-        count = int(seconds * RATE)
-        for n in range(count):
-            await asyncio.sleep(max(0, begin + n / RATE - loop.time()))
-            leaves = int((n + 1) * share) > int(n * share)
-            left += leaves
-            sent += 1
-            jobs.append(
-                asyncio.create_task(
-                    c.submit(
-                        0,
-                        f"{sent:016x}",
-                        STEPS,
-                        length_ms=200,
-                        limit_s=LEAVE_S if leaves else 1.5,
-                    )
-                )
-            )
-            jobs[-1].leaves = leaves
-        await asyncio.gather(*jobs)
-        waited = [j.result()[0] for j in jobs if not j.leaves]
-        return waited, left
-
-    def report(what, waited, left):
-        answered = sum(s is not None for s in waited)
-        served = sum(s == 200 for s in waited)
-        pid = lab.processes["entry-0"].pid
-        open_fds = len(os.listdir(f"/proc/{pid}/fd"))
+    path = Path(("127.0.34.1", c.front), (c.entry_ip(0), c.front))
+    await path.open()
+    for n in range(3):
+        await attempt(lab, c, path, n)
+        await asyncio.sleep(3)
+    for task, worker, run, others in lab.overlaps:
         lab.note(
-            f"{what}: {len(waited)} clients waited, {answered} were answered, "
-            f"{served} with 200; {left} left; descriptors {open_fds}"
+            f"TWICE: {task} began as run {run} on {worker} while it ran on "
+            + ", ".join(f"{w} as run {r}" for w, r in others)
         )
-        return answered
-
-    waited, left = await traffic(3, 0)
-    if report("before", waited, left) < 0.9 * len(waited):
-        raise lab3.CannotRun("the entry doesn't serve before")
-    windows = WINDOWS
-    while windows > 0:
-        part = min(1, windows)
-        windows -= part
-        waited, left = await traffic(
-            part * WINDOW_S, SHARE if lab.trouble else 0
+    return bool(lab.overlaps)
+
+
+async def attempt(lab, c, path, n):
+    loop = asyncio.get_running_loop()
+    client = Client(lab, path.address)
+    await client.connect()
+    if await client.post(f"{0xA0 + n:016x}") != 200:
+        raise lab3.CannotRun("a job isn't served before")
+    job = f"{0xC000 + n:016x}"
+    if lab.trouble:
+        lab.signal("entry-0", signal.SIGSTOP)
+        path.suspended_until = loop.time() + SUSPENDED_S
+        loop.call_later(
+            SUSPENDED_S, lab.signal, "entry-0", signal.SIGCONT
         )
-        report("clients leave" if lab.trouble else "none leave", waited, left)
-        await asyncio.sleep(PAUSE_S if windows > 0 else 2)
-    lab.note("from here on, no client leaves before its deadline")
-    waited, left = await traffic(4, 0)
-    answered = report("after", waited, left)
-    status, _ = await lab3.call(
-        (c.entry_ip(0), c.readiness), "GET", "/v1/readiness", limit_s=1.0
-    )
-    alive = lab.processes["entry-0"].poll() is None
-    lab.note(f"GET /v1/readiness: {status}; the process runs: {alive}")
-    return answered < 0.1 * len(waited)
+    await asyncio.sleep(0.02)
+    if await client.post(job) is None:
+        await asyncio.sleep(RETRY_S)
+        await c.submit(1, job, STEPS, length_ms=LENGTH_MS)
 
 
 lab3.run(HERE, case)
--- a/review/lab3.py
+++ b/review/lab3.py
@@ -39,10 +39,10 @@
 def free_ports(addresses, count):
     """Ports that are free on all of these addresses."""
     found = []
-    probe = 20000 + os.getpid() % 8000
+    probe = 18000 + os.getpid() * 97 % 12000
     while len(found) < count:
         probe += 1
-        if probe > 60000:
+        if probe > 32000:
             raise CannotRun("no free ports")
         for address in addresses:
             with socket.socket() as s:
