Entry: requests on connections that were open during a pause are not taken for new

An entry's VM was suspended for 2 s. A request that was sent on an open connection meanwhile was lost, and sent again by TCP 3.0 s after the first time, when its caller had left and submitted the job at another entry. It was admitted, and stopped 26 ms later.

Cause: the age of a request was known only by the time since its connection was accepted, and only for the first one. A later one counted as new at any age.

Evidence: the second run begins 200 ms after the first one, while the entry is awake; with a process that is only stopped nothing overlaps, as the kernel keeps the request and the end of its connection. Ruled out: an overlooked end of the connection, a stop that came too late.

After a pause of over 300 ms, an entry accepts the connections that wait, handles the requests that have arrived whole, with the pause as their possible age, and ends all callers' connections, behind a response that is owed. A late request meets a closed connection, which callers answer by submitting again.

--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -179,6 +179,8 @@
         [&ingress] { return static_cast<double>(ingress.jobs_read_late()); });
     http_server callers(rt.loop, to_server_options(settings.callers));
     ingress.add_caller_routes(callers);
+    node.on_pause([&callers](time_point began)
+                  { return callers.on_pause(began); });
     rt.metrics.add_gauge(
         {"agatebank_caller_connections", "Open connections of callers.", {}},
         [&callers] { return static_cast<double>(callers.connections()); });
--- a/packages/http/include/agatebank/http/http_message.hpp
+++ b/packages/http/include/agatebank/http/http_message.hpp
@@ -39,6 +39,10 @@
     /// zero for later requests. More than a round trip and the client's own
     /// delay: the path is slow.
     duration since_accepted{};
+    /// Longest time that the request may have been under way or unread: since
+    /// the first request's connection was accepted, or since the process was
+    /// paused; zero if nothing delayed it as far as the server knows.
+    duration possible_delay{};
 
     /// @brief A header's value, empty when absent. @param name lower case
     const std::string& header(const std::string& name) const;
--- a/packages/http/include/agatebank/http/http_server.hpp
+++ b/packages/http/include/agatebank/http/http_server.hpp
@@ -68,6 +68,14 @@
     // lifetime
     /// @brief Starts listening. @return the port that is bound
     result<uint16_t> listen();
+    /// @brief To be called when the process has noticed that it was paused for
+    /// so long that requests may arrive late. Handles the requests that have
+    /// arrived whole, tells their possible delay, and ends each connection
+    /// behind its response; those without a request at once. A late request
+    /// then meets a closed connection.
+    /// @param began of the pause
+    /// @return number of connections that end
+    std::size_t on_pause(time_point began);
     /// @brief Stops accepting connections; requests in flight continue.
     void stop_accepting();
 
--- a/packages/http/src/connection_listener.cpp
+++ b/packages/http/src/connection_listener.cpp
@@ -110,7 +110,14 @@
     socket_.reset();
 }
 
-void connection_listener::accept_waiting()
+void connection_listener::accept_all()
+{
+    while (socket_ && accept_waiting())
+    {
+    }
+}
+
+bool connection_listener::accept_waiting()
 {
     for (int i = 0; i < max_accepted_at_once && socket_; ++i)
     {
@@ -132,9 +139,10 @@
         }
         if (error != EINTR && error != ECONNABORTED)
         {
-            return;
+            return false;
         }
     }
+    return true;
 }
 
 void connection_listener::pause(int error)
--- a/packages/http/src/connection_listener.hpp
+++ b/packages/http/src/connection_listener.hpp
@@ -37,11 +37,14 @@
     /// @return the port that is bound, or errc::settings_invalid or
     /// errc::address_in_use of step "http.listen"
     result<uint16_t> listen(const std::string& address, uint16_t port);
+    /// @brief Accepts all connections that wait, without a turn for others.
+    void accept_all();
     /// @brief Stops accepting; connections that wait are reset.
     void close();
 
   private:
-    void accept_waiting();
+    /// @return whether further connections may wait
+    bool accept_waiting();
     void pause(int error);
 
     event_loop& loop_;
--- a/packages/http/src/http_server.cpp
+++ b/packages/http/src/http_server.cpp
@@ -258,6 +258,23 @@
     return state_->listener.listen(o.address, o.port);
 }
 
+std::size_t http_server::on_pause(time_point began)
+{
+    state_->listener.accept_all();
+    // Connections that end are removed from the map.
+    std::vector<std::shared_ptr<server_connection>> open;
+    open.reserve(state_->connections.size());
+    for (const auto& [id, it] : state_->connections)
+    {
+        open.push_back(it);
+    }
+    for (const auto& it : open)
+    {
+        it->on_pause(began);
+    }
+    return open.size();
+}
+
 void http_server::stop_accepting()
 {
     state_->listener.close();
--- a/packages/http/src/server_connection.cpp
+++ b/packages/http/src/server_connection.cpp
@@ -3,6 +3,7 @@
 #include "peer_state.hpp"
 #include "response_writer.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <string_view>
@@ -50,6 +51,31 @@
     close();
 }
 
+void server_connection::on_pause(time_point began)
+{
+    const auto keep = shared_from_this();
+    switch (phase_)
+    {
+    case phase::reading:
+        paused_ = paused_.value_or(began);
+        while (phase_ == phase::reading && receive())
+        {
+        }
+        if (phase_ == phase::reading)
+        {
+            fail();
+        }
+        return;
+    case phase::handling:
+    case phase::writing:
+        keep_alive_ = false;
+        return;
+    case phase::draining:
+    case phase::closed:
+        return;
+    }
+}
+
 // Each callback keeps the connection alive, as a hook may destroy it.
 result<void> server_connection::open()
 {
@@ -161,21 +187,22 @@
     }
 }
 
-void server_connection::receive()
+bool server_connection::receive()
 {
     std::array<char, read_chunk_bytes> buf;
     const auto n = ::recv(socket_.get(), buf.data(), buf.size(), 0);
     if (n < 0 && would_block())
     {
-        return;
+        return false;
     }
     if (n <= 0)
     {
         fail();
-        return;
+        return false;
     }
     reader_.append({buf.data(), static_cast<std::size_t>(n)});
     read_next();
+    return static_cast<std::size_t>(n) == buf.size();
 }
 
 void server_connection::discard_input()
@@ -213,14 +240,17 @@
 void server_connection::handle(whole_request whole)
 {
     phase_ = phase::handling;
-    keep_alive_ = whole.keep_alive;
+    keep_alive_ = whole.keep_alive && !paused_;
     auto& rq = whole.request;
     without_body_ = rq.method == "HEAD";
     rq.peer = peer_;
+    const auto now = context_.loop.now();
     if (std::exchange(is_first_request_, false))
     {
-        rq.since_accepted = context_.loop.now() - accepted_;
+        rq.since_accepted = now - accepted_;
     }
+    rq.possible_delay =
+        std::max(rq.since_accepted, now - paused_.value_or(now));
     rq.client_left = context_.watches_peer &&
                      look_at_peer(socket_.get()) == peer_state::closed;
     hooks_.on_request(std::move(rq));
--- a/packages/http/src/server_connection.hpp
+++ b/packages/http/src/server_connection.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace agatebank
@@ -63,6 +64,12 @@
     /// @brief Sends the response to the request that was reported last. Does
     /// nothing if there is none, or if the connection has ended.
     void answer(const http_response& response);
+    /// @brief The process was paused, and the client's TCP sends again later
+    /// what was lost meanwhile, which can't be told from a new request. Handles
+    /// a request that has arrived whole, and ends the connection after its
+    /// response; at once if there is none.
+    /// @param began of the pause
+    void on_pause(time_point began);
     /// @brief Ends the connection without a report.
     void close();
 
@@ -81,7 +88,8 @@
     void on_end();
     void on_timer();
 
-    void receive();
+    /// @return whether further bytes may be unread
+    bool receive();
     void discard_input();
     void read_next();
     void handle(whole_request whole);
@@ -101,7 +109,8 @@
     request_reader reader_;
     std::string unsent_;
     time_point accepted_;
-    time_point deadline_; ///< of the present phase
+    std::optional<time_point> paused_; ///< begin of the first pause
+    time_point deadline_;              ///< of the present phase
     socket_watch_id watch_;
     timer_id timer_;
     bool is_first_request_ = true;
--- a/packages/http/tests/unit-http_server.cpp
+++ b/packages/http/tests/unit-http_server.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 using namespace agatebank;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -519,3 +520,100 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
     CHECK(waiting.connected() == clients);
 }
+
+// Guards against a job that is started although its client has left and
+// submitted it elsewhere: after a pause of the process, TCP delivers its
+// request on an open connection as if it were new.
+TEST_CASE(
+    "http_server: after a pause, only requests that have arrived whole are "
+    "handled")
+{
+    const std::string whole = post("/echo", 3);
+    struct row
+    {
+        const char* name;
+        std::string at_pause; ///< unread when the pause is noticed
+        std::string late;     ///< arrives after that
+        std::size_t handled;  ///< of these requests
+        bool is_under_way;    ///< the first one has no response yet
+    };
+    const row rows[] = {
+        {"idle", "", whole, 0, false},
+        {"half a request", whole.substr(0, 40), whole.substr(40), 0, false},
+        {"half a body", whole.substr(0, whole.size() - 1),
+         whole.substr(whole.size() - 1), 0, false},
+        {"a request", whole, whole, 1, false},
+        {"a request under way", get("/held"), whole, 0, true}};
+    for (const bool served_before : {false, true})
+    {
+        for (const auto& it : rows)
+        {
+            INFO(it.name << ", served before: " << served_before);
+            server_fixture f;
+            const auto c = raw_connect(f.port, nullptr);
+            std::size_t before = 0;
+            if (served_before)
+            {
+                c->send(whole);
+                f.run(50ms);
+                before = f.handled;
+                REQUIRE(before == 1);
+            }
+            c->send(it.at_pause);
+            if (it.is_under_way)
+            {
+                f.run();
+            }
+            // Without a turn of the loop the connection isn't even accepted,
+            // unless it was served before.
+            CHECK(f.server->on_pause(f.loop.now() - 900ms) == 1);
+            c->send(it.late);
+            f.run(50ms);
+            if (it.is_under_way)
+            {
+                REQUIRE(f.held.size() == 1);
+                f.held.front()(json_response(200, {}));
+                f.run(50ms);
+                CHECK(contains(c->received(), "HTTP/1.1 200"));
+            }
+            CHECK(f.handled - before == it.handled);
+            CHECK(c->ended());
+            f.run(1100ms);
+            CHECK(f.server->connections() == 0);
+        }
+    }
+}
+
+// Guards against a request that waited for a whole pause and is taken for a new
+// one.
+TEST_CASE("http_server: a request that is read after a pause tells how long it "
+          "may have waited")
+{
+    for (const bool served_before : {false, true})
+    {
+        INFO("served before: " << served_before);
+        server_fixture f;
+        std::vector<duration> delays;
+        f.server->route("POST", "/job",
+                        [&](const http_request& rq, const auto& respond)
+                        {
+                            delays.push_back(rq.possible_delay);
+                            respond(json_response(200, {}));
+                        });
+        const auto c = raw_connect(f.port, nullptr);
+        if (served_before)
+        {
+            c->send(post("/job", 3));
+            f.run(50ms);
+            REQUIRE(delays.size() == 1);
+            CHECK(delays.back() < 300ms);
+        }
+        c->send(post("/job", 3));
+        f.server->on_pause(f.loop.now() - 900ms);
+        REQUIRE(delays.size() == (served_before ? 2 : 1));
+        CHECK(delays.back() >= 900ms);
+        CHECK(delays.back() < 1200ms);
+        f.run(50ms);
+        CHECK(contains(c->received(), "Connection: close"));
+    }
+}
--- a/packages/node/include/agatebank/node/entry_node.hpp
+++ b/packages/node/include/agatebank/node/entry_node.hpp
@@ -80,6 +80,10 @@
     void update_configuration(const std::string& text, const char* source);
     /// @brief Sets a callback for each configuration that is put in force.
     void on_configuration(std::function<void()> handler);
+    /// @brief Sets a callback for each pause of the process after which
+    /// requests may arrive late. It receives the begin of the pause, and
+    /// returns how many connections of callers it ends.
+    void on_pause(std::function<std::size_t(time_point)> handler);
     /// @brief The routes in force; version 0 when there are none yet.
     const route_table& routes() const noexcept;
     /// @brief For how long a job that arrives now waits for the first
@@ -108,6 +112,9 @@
     /// @brief Whether a task of a job may have run here in the last seconds or
     /// may still run, so that a request for it can't be refused as not run.
     bool may_have_run(const std::string& job_id) const;
+    /// @brief Time since the last check whether this process was paused. What
+    /// is read now may have been unread for as long.
+    duration since_pause_check() const;
 
     // lookup
     /// @brief Whether the load balancer should route callers to this entry.
@@ -151,6 +158,8 @@
     job_relay_hooks relay_hooks();
     void on_finish(job_key key, const job_outcome& outcome);
     void on_timer();
+    /// @brief Ends what a pause of this process has made unreliable.
+    void handle_pause(duration pause);
     void finish_stop();
     /// @brief Reports the phase of the start once this entry is ready.
     void report_readiness();
@@ -162,6 +171,7 @@
     route_table routes_;
     std::string configuration_text_;
     std::function<void()> configuration_handler_;
+    std::function<std::size_t(time_point)> pause_handler_;
     job_scheduler scheduler_;
     link_hub hub_;
     tcp_listener listener_;
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -1,5 +1,7 @@
+#include <agatebank/core/duration_math.hpp>
 #include <agatebank/fleet/arrival_hold.hpp>
 #include <agatebank/node/entry_node.hpp>
+#include <agatebank/node/request_age.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -175,17 +177,7 @@
     const auto lag = std::max(duration(0), pause - timer_period);
     context_.observer.on_loop_lag(lag);
     scheduler_.on_loop_lag(lag, now);
-    if (pause > max_pause)
-    {
-        context_.log(to_line(
-            log_level::warning,
-            "process was paused for " + std::to_string(pause.count() / 1000) +
-                " ms; giving up " + std::to_string(scheduler_.running_jobs()) +
-                " jobs, as agents have stopped their runs",
-            step_process));
-        scheduler_.abandon_all("given up (entry process was paused)", now);
-        relay_.abandon_all("entry process was paused");
-    }
+    handle_pause(pause);
     entry_links_.tick();
     close_unneeded_peers(now);
     scheduler_.tick(now);
@@ -199,6 +191,37 @@
     }
 }
 
+void entry_node::handle_pause(duration pause)
+{
+    const auto now = context_.loop.now();
+    if (pause > max_pause)
+    {
+        context_.log(to_line(log_level::warning,
+                             "process was paused for " + to_ms_text(pause) +
+                                 "; giving up " +
+                                 std::to_string(scheduler_.running_jobs()) +
+                                 " jobs, as agents have stopped their runs",
+                             step_process));
+        scheduler_.abandon_all("given up (entry process was paused)", now);
+        relay_.abandon_all("entry process was paused");
+    }
+    if (pause > max_unnoticed_pause && pause_handler_)
+    {
+        const auto ended = pause_handler_(now - pause);
+        context_.log(to_line(
+            log_level::warning,
+            "process was paused for " + to_ms_text(pause) + "; ended " +
+                std::to_string(ended) +
+                " connections of callers, on which requests may arrive late",
+            step_process));
+    }
+}
+
+void entry_node::on_pause(std::function<std::size_t(time_point)> handler)
+{
+    pause_handler_ = std::move(handler);
+}
+
 void entry_node::finish_stop()
 {
     const auto age = context_.loop.now() - stop_began_;
@@ -301,6 +324,11 @@
            scheduler_.may_have_run(job_id, context_.loop.now());
 }
 
+duration entry_node::since_pause_check() const
+{
+    return context_.loop.now() - last_timer_;
+}
+
 // lookup
 
 bool entry_node::ready() const
--- a/tests/platform/unit-late_input.cpp
+++ b/tests/platform/unit-late_input.cpp
@@ -333,3 +333,47 @@
         CHECK(c.entry_metric(0, "agatebank_jobs_read_late") == 1);
     }
 }
+
+// Guards against two runs of one task: an entry's VM is suspended, TCP delivers
+// a request on an open connection up to twice as long after it was sent, and
+// its caller has left and submitted the job elsewhere.
+TEST_CASE("late input: a request that was lost while its entry was suspended "
+          "starts no run")
+{
+    constexpr auto time_until_leaving = 50ms;
+    for (const duration pause : {350ms, 700ms, 1300ms, 2000ms})
+    {
+        INFO("suspended for " << pause.count() / 1000 << " ms");
+        cluster_plan plan{2, 4, 3s};
+        plan.estimate = plan.run_time;
+        plan.keep_connections = true;
+        node_cluster c(plan);
+        REQUIRE(c.wait_ready());
+        tcp_relay network({"127.0.3.1", 0}, c.callers(0));
+        const endpoint callers{"127.0.3.1", network.port()};
+        const auto served = c.submit_to(callers, "00000000000000aa", 9s);
+        REQUIRE(c.wait_ended(served));
+        REQUIRE(c.job(served).status == 200);
+        c.entry(0).signal(SIGSTOP);
+        network.lose_to_upstream(pause);
+        const auto woken = c.loop.now() + pause;
+        const auto wake =
+            c.loop.after(pause, [&c] { c.entry(0).signal(SIGCONT); });
+        const auto late = c.submit_to(callers, "000000000000000b", 9s);
+        run_for(c.loop, time_until_leaving);
+        REQUIRE(network.connections() == 1);
+        c.disconnect(late);
+        run_for(c.loop, caller_retry_delay);
+        const auto again = c.submit(1, "000000000000000b", 1, 9s);
+        // A request that is sent last arrives by then.
+        run_for(c.loop, woken + pause + 400ms - c.loop.now());
+        REQUIRE(c.wait_ended(again));
+        CHECK(c.job(again).status == 200);
+        CHECK(c.ledger.overlaps == 0);
+        CHECK(c.ledger.starts["000000000000000b.0.0.0"] == 1);
+        // The entry serves new callers.
+        const auto next = c.submit(0, "000000000000000c", 1, 9s);
+        REQUIRE(c.wait_ended(next));
+        CHECK(c.job(next).status == 200);
+    }
+}
--- a/tools/harness/include/agatebank/harness/tcp_relay.hpp
+++ b/tools/harness/include/agatebank/harness/tcp_relay.hpp
@@ -53,6 +53,10 @@
     void delay_to_client(duration delay);
     /// @brief The same for the bytes from the client to the upstream.
     void delay_to_upstream(duration delay);
+    /// @brief From now on for this time, what is sent to the upstream is lost,
+    /// as if its VM were suspended, and sent again after 200 ms, doubled each
+    /// time. What is behind it follows a round trip later.
+    void lose_to_upstream(duration length);
     /// @brief While blocked, new connections are accepted but not forwarded.
     void block(bool blocked);
 
@@ -66,6 +70,7 @@
     {
         bool held = false;
         duration delay{};
+        gint64 lost_until_us = 0; ///< monotonic
     };
     struct relayed_connection;
 
--- a/tools/harness/src/tcp_relay.cpp
+++ b/tools/harness/src/tcp_relay.cpp
@@ -16,6 +16,10 @@
 /// Bytes that wait in one direction of a connection before it reads no more.
 constexpr gsize max_queue_bytes = 1U << 20U;
 constexpr const char* loopback = "127.0.0.1";
+/// TCP's time until it sends a lost segment again, at first.
+constexpr gint64 first_retransmission_us = 200'000;
+/// A lost segment is acknowledged this long after it arrived.
+constexpr gint64 round_trip_us = 10'000;
 
 } // namespace
 
@@ -133,8 +137,9 @@
         if (n == 0)
         {
             // The end of the connection stays behind the bytes before it.
-            f.queue.push_back({f.last_due_us, nullptr});
-            if (f.queue.size() == 1 && !f.writing)
+            f.queue.push_back({arrival(f, 0), nullptr});
+            if (f.queue.size() == 1 && !f.writing &&
+                f.queue.front().due_us <= g_get_monotonic_time())
             {
                 p->close();
                 return;
@@ -142,15 +147,34 @@
         }
         else
         {
-            f.last_due_us = std::max(f.last_due_us, g_get_monotonic_time() +
-                                                        f.state.delay.count());
             f.queued_bytes += n;
-            f.queue.push_back({f.last_due_us, std::move(chunk)});
+            f.queue.push_back(
+                {arrival(f, f.state.delay.count()), std::move(chunk)});
             read(p, f);
         }
         pump(p, f);
     }
 
+    // Returns when what was received now arrives at the other side.
+    static gint64 arrival(flow& f, gint64 delay_us)
+    {
+        const auto now = g_get_monotonic_time();
+        if (now >= f.state.lost_until_us)
+        {
+            f.last_due_us = std::max(f.last_due_us, now + delay_us);
+            return f.last_due_us;
+        }
+        auto sent = now;
+        for (auto wait = first_retransmission_us; sent < f.state.lost_until_us;
+             wait *= 2)
+        {
+            sent += wait;
+        }
+        const auto due = std::max(f.last_due_us, sent + delay_us);
+        f.last_due_us = due + round_trip_us;
+        return due;
+    }
+
     // Writes the first chunk if it is due, else waits until it is.
     static void pump(const std::shared_ptr<relayed_connection>& p, flow& f)
     {
@@ -351,6 +375,12 @@
     apply_states();
 }
 
+void tcp_relay::lose_to_upstream(duration length)
+{
+    to_upstream_.lost_until_us = g_get_monotonic_time() + length.count();
+    apply_states();
+}
+
 void tcp_relay::erase_closed()
 {
     std::erase_if(connections_,
