Agent: a drain that is acknowledged is followed, whatever the announcement's number

Targets that number by the Unix millisecond were answered 400 and never used.

Cause: a sequence number more than 1,000 above the last one was taken for another writer's and held back for up to 3 s, though the interface sets no step; it was answered 200 all the same.

Evidence: the starts end with the third announcement as draining, 3 s after the last that was followed; with steps of one there are none. Ruled out: entries that go on to order, orders that were queued before.

A number now only decides which of two announcements is newer. That a target drains or has deregistered holds for the rest of its incarnation, without regard to the number; only announcements as ready over 3 s, with none that drains, take it back, as then another writer had sent it.

--- a/packages/node/include/agatebank/node/announcement_filter.hpp
+++ b/packages/node/include/agatebank/node/announcement_filter.hpp
@@ -15,12 +15,17 @@
     update,     ///< of the followed incarnation
     adopt,      ///< of another incarnation, to be followed from now on
     delayed,    ///< older than what is known
-    implausible ///< contradicts what the target itself answers or announced
+    implausible ///< contradicts what the target itself answers
 };
 
 /// @brief Decides which announcements come from the agent's target. An
 /// announcement may have been delayed, or written by another process. The
 /// target's answers to calls are believed more than announcements.
+///
+/// Sequence numbers only increase, from any start and in any steps, so they
+/// decide which of two announcements is newer and nothing else. That a target
+/// drains holds for the rest of its incarnation, and is believed whatever the
+/// number.
 class announcement_filter
 {
   public:
@@ -41,6 +46,14 @@
     std::optional<target_announcement> on_wrong_target(time_point now);
     /// @brief The target accepts no connections.
     void on_unreachable();
+    /// @brief The followed target has deregistered: it is about to end.
+    void on_deregistration();
+
+    // lookup
+    /// @brief Whether the followed incarnation drains or has deregistered. It
+    /// no longer does after it has announced itself as ready, and nothing else,
+    /// for some periods: then another process had written that it drains.
+    bool draining() const noexcept;
 
   private:
     /// Which announcement of an incarnation that isn't followed is adopted.
@@ -51,8 +64,10 @@
         other_incarnation ///< one of the incarnation that the target named
     };
 
+    /// @brief Judges an announcement of the followed incarnation by its number.
     announcement_verdict judge_update(const target_announcement& announcement,
-                                      time_point now) const;
+                                      time_point now);
+    void note_drain(bool announced, bool is_newer, time_point now);
     bool is_followed(const target_announcement& announcement) const;
     bool may_adopt(const target_announcement& announcement) const;
     void follow(const target_announcement& announcement, time_point now);
@@ -60,6 +75,11 @@
 
     std::optional<target_announcement> followed_; ///< latest announcement
     time_point updated_;                          ///< when it arrived
+    /// number that was given up for lower ones
+    std::optional<uint64_t> given_up_;
+    bool draining_ = false;
+    /// first announcement as ready since the last one as draining
+    std::optional<time_point> ready_since_;
     /// until then, no other incarnation is adopted
     std::optional<time_point> trusted_until_;
     belief belief_ = belief::unknown;
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -148,7 +148,12 @@
         begin_incarnation(announcement);
         break;
     case announcement_verdict::delayed:
-        break;
+        if (is_followed(announcement))
+        {
+            update_drain();
+            break;
+        }
+        [[fallthrough]];
     case announcement_verdict::implausible:
         return fail(
             errc::message_malformed, step_target, announcement.profile.target,
@@ -163,13 +168,20 @@
     return {};
 }
 
+bool agent_node::is_followed(const target_announcement& announcement) const
+{
+    return target_ && target_->profile.target == announcement.profile.target &&
+           target_->profile.incarnation == announcement.profile.incarnation;
+}
+
 void agent_node::update_target(const target_announcement& announcement)
 {
-    const bool changed = target_->draining != announcement.draining;
+    const bool drained = target_->draining;
     set_cold(announcement);
     const auto& capacity = announcement.profile.capacity;
     const auto previous = target_->profile.capacity;
     target_ = announcement;
+    target_->draining = drained;
     if (capacity != previous)
     {
         context_.log(to_line(log_level::info,
@@ -184,13 +196,18 @@
         scheduler_.set_capacity(capacity, context_.loop.now());
         schedule_flush();
     }
-    if (changed)
+    update_drain();
+}
+
+void agent_node::update_drain()
+{
+    const bool draining = announcements_.draining();
+    if (std::exchange(target_->draining, draining) != draining)
     {
         context_.log(to_line(log_level::info,
-                             announcement.draining
-                                 ? "target announced that it is draining"
-                                 : "target announced that it is ready",
-                             step_target, announcement.profile.target));
+                             draining ? "target announced that it is draining"
+                                      : "target announced that it is ready",
+                             step_target, target_->profile.target));
         update_acceptance();
     }
 }
@@ -201,6 +218,7 @@
     {
         context_.log(to_line(log_level::info, "target deregistered",
                              step_target, target));
+        announcements_.on_deregistration();
         target_->draining = true;
         update_acceptance();
     }
--- a/packages/node/src/announcement_filter.cpp
+++ b/packages/node/src/announcement_filter.cpp
@@ -16,8 +16,9 @@
 /// Without a newer announcement for this long, which is two usual periods, an
 /// announcement with a lower sequence number is not held for delayed.
 constexpr duration sequence_timeout = 3s;
-/// Announcements of one incarnation that may be lost within that time.
-constexpr uint64_t max_sequence_step = 1000;
+/// A target that has announced nothing but that it is ready for this long does
+/// not drain.
+constexpr duration drain_timeout = sequence_timeout;
 
 } // namespace
 
@@ -30,11 +31,13 @@
     if (is_followed(announcement))
     {
         const auto verdict = judge_update(announcement, now);
-        if (verdict == announcement_verdict::update)
+        const bool is_newer = verdict == announcement_verdict::update;
+        if (is_newer)
         {
             followed_ = announcement;
             updated_ = now;
         }
+        note_drain(announcement.draining, is_newer, now);
         return verdict;
     }
     if (!followed_ ||
@@ -78,22 +81,54 @@
     trusted_until_.reset();
 }
 
+void announcement_filter::on_deregistration()
+{
+    draining_ = true;
+    ready_since_.reset();
+}
+
+// lookup
+
+bool announcement_filter::draining() const noexcept
+{
+    return draining_;
+}
+
 announcement_verdict
 announcement_filter::judge_update(const target_announcement& announcement,
-                                  time_point now) const
+                                  time_point now)
 {
-    if (announcement.sequence != followed_->sequence &&
-        now - updated_ >= sequence_timeout)
+    const auto number = announcement.sequence;
+    // A repeated call: the numbers of a target increase.
+    if (number == followed_->sequence || number == given_up_)
+    {
+        return announcement_verdict::delayed;
+    }
+    if (number > followed_->sequence)
     {
         return announcement_verdict::update;
     }
-    if (announcement.sequence <= followed_->sequence)
+    if (now - updated_ < sequence_timeout)
     {
         return announcement_verdict::delayed;
     }
-    return announcement.sequence - followed_->sequence > max_sequence_step
-               ? announcement_verdict::implausible
-               : announcement_verdict::update;
+    given_up_ = followed_->sequence;
+    return announcement_verdict::update;
+}
+
+void announcement_filter::note_drain(bool announced, bool is_newer,
+                                     time_point now)
+{
+    if (announced)
+    {
+        draining_ = true;
+        ready_since_.reset();
+    }
+    else if (draining_ && is_newer)
+    {
+        ready_since_ = ready_since_.value_or(now);
+        draining_ = now - *ready_since_ < drain_timeout;
+    }
 }
 
 bool announcement_filter::is_followed(
@@ -125,6 +160,9 @@
 {
     followed_ = announcement;
     updated_ = now;
+    given_up_.reset();
+    draining_ = announcement.draining;
+    ready_since_.reset();
     trusted_until_ = now + trust_duration;
     belief_ = belief::unknown;
     held_back_.reset();
--- a/tests/platform/unit-node_path.cpp
+++ b/tests/platform/unit-node_path.cpp
@@ -221,6 +221,53 @@
     check_ledger(c);
 }
 
+// Guards against starts on a target that drains, by an agent that has
+// acknowledged it and doesn't follow it since the sequence number is far higher
+// than the last one. Targets may number by their clocks.
+TEST_CASE("node path: a draining target is sent no new starts, however it "
+          "numbers its announcements")
+{
+    struct row
+    {
+        const char* name;
+        uint64_t first;
+        uint64_t step;
+    };
+    const row rows[] = {
+        {"by clock, in ms", 1'796'659'200'000, 1480},
+        {"by clock, in us", 1'796'659'200'000'000, 1'480'000},
+        {"by clock, in ns", 1'796'659'200'000'000'000, 1'480'000'000},
+        {"from 1, in steps", 1, 1'001},
+        {"from one, in large steps", 1, 1'000'000'000'000}};
+    for (const auto& row : rows)
+    {
+        INFO(row.name);
+        node_cluster c({1, 2, 30ms});
+        for (const auto& it : c.targets)
+        {
+            it->set_numbering(row.first, row.step);
+        }
+        REQUIRE(c.wait_ready());
+        REQUIRE(run_until(
+            c.loop, 3s,
+            [&c]
+            { return c.agent_logged(0, "target announced incarnation"); }));
+        run_for(c.loop, 300ms);
+        c.targets[0]->set_draining();
+        run_for(c.loop, 300ms);
+        const int before = c.targets[0]->starts();
+        for (int i = 0; i < 5; ++i)
+        {
+            const auto j =
+                c.submit(0, "000000000000000" + std::to_string(i), 8);
+            REQUIRE(c.wait_ended(j));
+            CHECK(c.job(j).status == 200);
+        }
+        CHECK(c.targets[0]->starts() == before);
+        check_ledger(c);
+    }
+}
+
 TEST_CASE("node path: an entry that stops gracefully answers all accepted jobs")
 {
     node_cluster c({2, 2, 1s});
