Configuration: a change after a silence of the table service is known in time

Cause: an entry gave up a call after 2,500 ms of waiting and 700 ms of margin, and sent the next one 150 to 450 ms later: 3.65 s and its answer, where 3 s are allowed. Nothing added the times up.

Ruled out: a configuration that was received and not put in force, and one that entries passed on late; all wait alike, as the change before the silence reaches all at once.

The limit is a setting, 3 s unless set.

--- a/packages/core/include/agatebank/core/random_jitter.hpp
+++ b/packages/core/include/agatebank/core/random_jitter.hpp
@@ -8,6 +8,12 @@
 namespace agatebank
 {
 
+/// @brief Longest pause that @ref random_jitter::spread returns.
+constexpr duration longest_spread(duration pause)
+{
+    return pause + pause / 2;
+}
+
 /// @brief Multiplies pauses by a seeded random factor, so that processes that
 /// pause at the same time do not retry at the same time.
 class random_jitter
--- a/packages/daemon/src/node_roles.cpp
+++ b/packages/daemon/src/node_roles.cpp
@@ -208,7 +208,8 @@
     platform::configuration_feed feed(
         rt.loop,
         {settings.table_service, process_runtime::random_number(),
-         settings.announcement_period.count() != 0},
+         settings.announcement_period.count() != 0,
+         settings.table_silence_limit},
         {[&node](const std::string& text)
          { node.update_configuration(text, "the table service"); },
          [&node](const evacuation_state& state)
--- a/packages/node/include/agatebank/node/node_settings.hpp
+++ b/packages/node/include/agatebank/node/node_settings.hpp
@@ -33,8 +33,11 @@
     endpoint callers;          ///< entry: serves callers
     endpoint readiness;        ///< entry: serves readiness checks
     std::string table_service; ///< entry: address of the table service
-    endpoint announcements;    ///< agent: receives the target's announcements
-    std::string target;        ///< agent: address of the target
+    /// entry: from the time when the table service answers again, after it was
+    /// silent, until its changes have to be in force
+    duration table_silence_limit = std::chrono::milliseconds(3000);
+    endpoint announcements; ///< agent: receives the target's announcements
+    std::string target;     ///< agent: address of the target
     duration max_lease = std::chrono::milliseconds(1000);
     /// agent: whether queued orders that would end late, or while their answer
     /// is useless, are returned to the entry
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -17,6 +17,7 @@
 constexpr double max_processor_share = 1024; // cores
 constexpr number_range lease_range{100, 60'000};
 constexpr number_range announcement_range{0, 60'000};
+constexpr number_range table_silence_range{1, 60'000};
 constexpr number_range poll_spacing_range_us{0, 20'000};
 
 endpoint to_endpoint(const std::string& text, const std::string& path,
@@ -91,6 +92,9 @@
         read_endpoint(fields, "callers", out.callers);
         read_endpoint(fields, "readiness", out.readiness);
         fields.text("table_service", out.table_service);
+        fields.optional_milliseconds("table_silence_limit_ms",
+                                     out.table_silence_limit,
+                                     table_silence_range);
         fields.optional_double("remote_data_factor", out.remote_data_factor, 1,
                                100);
         fields.optional_milliseconds("announcement_period_ms",
--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -64,6 +64,10 @@
 
 void store_stand_in::set_mode(store_mode mode)
 {
+    if (mode == store_mode::mute)
+    {
+        waiting_.clear();
+    }
     mode_ = mode;
 }
 
@@ -115,6 +119,10 @@
 void store_stand_in::get(const http_request& request,
                          const http_responder& respond)
 {
+    if (mode_ == store_mode::mute)
+    {
+        return;
+    }
     if (mode_ == store_mode::silent)
     {
         waiting_.push_back({version_, respond});
@@ -152,6 +160,10 @@
                             const http_responder& respond)
 {
     const auto after = std::stoll(request.parameter("after"));
+    if (mode_ == store_mode::mute)
+    {
+        return;
+    }
     if (mode_ == store_mode::refusing)
     {
         respond(json_response(503, nlohmann::json::object()));
--- a/tests/platform/store_stand_in.hpp
+++ b/tests/platform/store_stand_in.hpp
@@ -17,7 +17,8 @@
 {
     serving,
     refusing, ///< answers all calls with 503
-    silent    ///< accepts calls and does not answer
+    silent,   ///< accepts calls and does not answer
+    mute      ///< never answers calls that are under way or arrive meanwhile
 };
 
 /// @brief Stand-in of the platform's table service. Serves the published calls
