Fault soak: VMs of entries are suspended

What is sent to a suspended entry is lost and sent again by TCP, for its callers, who keep their connections here, and on its links. The faults are drawn apart from the others, so the schedules of listed seeds don't change.

--- a/tests/platform/fault_soak.cpp
+++ b/tests/platform/fault_soak.cpp
@@ -22,9 +22,10 @@
 constexpr duration recovery_time = 3s; ///< from the last fault to service
 constexpr duration drain_timeout = 40s;
 
-cluster_plan soak_plan()
+cluster_plan soak_plan(const soak_options& options)
 {
     cluster_plan p;
+    p.keep_connections = options.suspends_entries;
     p.entries = entry_count;
     p.agents = agent_count;
     p.domains = 3;
@@ -54,11 +55,11 @@
 
 } // namespace
 
-fault_soak::fault_soak(uint64_t seed, bool cuts_targets)
+fault_soak::fault_soak(uint64_t seed, const soak_options& options)
     : random_(seed)
-    , cuts_targets_(cuts_targets)
-    , cut_random_(seed + 2)
-    , cluster_(soak_plan())
+    , options_(options)
+    , option_random_(seed + 2)
+    , cluster_(soak_plan(options))
     , callers_(cluster_, trace_, entry_count, seed + 1)
 {
 }
@@ -134,10 +135,14 @@
                inject_target_fault(i - 2 * entry_count);
            });
     }
-    if (cuts_targets_)
+    if (options_.cuts_targets)
     {
         plan_cuts();
     }
+    if (options_.suspends_entries)
+    {
+        plan_suspensions();
+    }
     if (!run_until(cluster_.loop, round_timeout,
                    [this] { return pending_ == 0; }))
     {
@@ -371,13 +376,14 @@
     }
 }
 
+uint64_t fault_soak::pick(uint64_t min, uint64_t max)
+{
+    return min + option_random_() % (max - min + 1);
+}
+
 // Most cuts are about as long as a lease.
 void fault_soak::plan_cuts()
 {
-    const auto pick = [this](uint64_t min, uint64_t max)
-    {
-        return min + cut_random_() % (max - min + 1);
-    };
     for (auto n = pick(1, 4); n != 0; --n)
     {
         ++faults_;
@@ -401,6 +407,41 @@
         [&target] { target.cut_off(); }, [&target] { target.reconnect(); });
 }
 
+// suspensions
+
+void fault_soak::plan_suspensions()
+{
+    for (auto n = pick(1, 3); n != 0; --n)
+    {
+        ++faults_;
+        const auto i = static_cast<std::size_t>(pick(0, entry_count - 1));
+        const auto begin = std::chrono::milliseconds(pick(0, 2000));
+        const auto time = std::chrono::milliseconds(
+            pick(0, 2) == 0 ? pick(1000, 4000) : pick(200, 1000));
+        at(begin, [this, i, time] { suspend_entry(i, time); });
+    }
+}
+
+void fault_soak::suspend_entry(std::size_t i, duration time)
+{
+    // TCP may deliver what was lost as late as that after the end.
+    const auto lasting = time + 400ms;
+    run_fault(
+        "suspension of entry " + std::to_string(i), time,
+        [=, this]
+        {
+            process(true, i).signal(SIGSTOP);
+            cluster_.caller_relay(i).lose_to_upstream(time);
+            cluster_.link_relay(i).lose_to_upstream(time);
+            callers_.set_blocked(i, true);
+        },
+        [=, this]
+        {
+            process(true, i).signal(SIGCONT);
+            callers_.set_blocked(i, false, lasting);
+        });
+}
+
 // results
 
 void fault_soak::finish()
--- a/tests/platform/fault_soak.hpp
+++ b/tests/platform/fault_soak.hpp
@@ -10,15 +10,23 @@
 namespace agatebank
 {
 
+/// @brief Faults that are drawn apart from the others, so that the schedule of
+/// a seed doesn't change with them.
+struct soak_options
+{
+    bool cuts_targets = false; ///< targets are cut off from their agents
+    /// VMs of entries are suspended: what is sent to them is lost, and sent
+    /// again by TCP. Callers keep their connections.
+    bool suspends_entries = false;
+};
+
 /// @brief A cluster with callers, and faults of random kinds and times in
 /// series and at the same time, all drawn from a seed.
 class fault_soak
 {
   public:
     // construction
-    /// @param cuts_targets whether targets are cut off from their agents, too,
-    /// at times drawn apart from those of the other faults
-    explicit fault_soak(uint64_t seed, bool cuts_targets = false);
+    explicit fault_soak(uint64_t seed, const soak_options& options = {});
 
     // modifiers
     /// @brief Waits until the entries are ready, then starts the callers.
@@ -56,11 +64,15 @@
     void inject_target_fault(std::size_t i);
     void cut_target(std::size_t i, duration time);
     void plan_cuts();
+    void plan_suspensions();
+    void suspend_entry(std::size_t i, duration time);
+    /// @brief Draws from the numbers of the faults of soak_options.
+    uint64_t pick(uint64_t min, uint64_t max);
     child_process& process(bool is_entry, std::size_t i);
 
     std::mt19937_64 random_;
-    bool cuts_targets_;
-    std::mt19937_64 cut_random_;
+    soak_options options_;
+    std::mt19937_64 option_random_;
     node_cluster cluster_;
     soak_trace trace_{cluster_.loop};
     soak_callers callers_;
--- a/tests/platform/unit-fault_soak.cpp
+++ b/tests/platform/unit-fault_soak.cpp
@@ -3,7 +3,8 @@
 // of a task, a start beyond a target's capacity, a refusal of a job that has
 // run, and a caller without an answer.
 // AGATEBANK_SOAK_SEED and AGATEBANK_SOAK_ROUNDS set the schedule of the hidden
-// case; with AGATEBANK_SOAK_CUTS=1 targets are cut off, too.
+// case; with AGATEBANK_SOAK_CUTS=1 targets are cut off, too, and with
+// AGATEBANK_SOAK_SUSPENSIONS=1 entries are suspended.
 // AGATEBANK_KEEP_LOGS keeps the logs of the processes.
 #include "fault_soak.hpp"
 
@@ -26,9 +27,9 @@
     return value == nullptr ? default_value : std::strtoull(value, nullptr, 10);
 }
 
-void run_soak(uint64_t seed, uint64_t rounds, bool cuts_targets = false)
+void run_soak(uint64_t seed, uint64_t rounds, const soak_options& options = {})
 {
-    fault_soak soak(seed, cuts_targets);
+    fault_soak soak(seed, options);
     REQUIRE(soak.start());
     uint64_t n = 0;
     while (n < rounds && !soak.failed())
@@ -55,7 +56,13 @@
 // refuses connections and runs on.
 TEST_CASE("fault soak: the rules hold while targets are cut off as well")
 {
-    run_soak(20261206, short_rounds, true);
+    run_soak(20261206, short_rounds, {true, false});
+}
+
+// Guards against requests that are older than their connection tells.
+TEST_CASE("fault soak: the rules hold while entries are suspended as well")
+{
+    run_soak(20261207, short_rounds, {false, true});
 }
 
 // Each row is a seed with which a rule was broken, and the cause. The processes
@@ -87,5 +94,6 @@
 {
     run_soak(read_variable("AGATEBANK_SOAK_SEED", 1),
              read_variable("AGATEBANK_SOAK_ROUNDS", default_rounds),
-             read_variable("AGATEBANK_SOAK_CUTS", 0) != 0);
+             {read_variable("AGATEBANK_SOAK_CUTS", 0) != 0,
+              read_variable("AGATEBANK_SOAK_SUSPENSIONS", 0) != 0});
 }
