Late input: a caller that leaves while its entry is suspended

A related path of the requests that TCP delivers late: the end of the connection arrives after the next submission while the job runs.

--- a/tests/platform/unit-late_input.cpp
+++ b/tests/platform/unit-late_input.cpp
@@ -377,3 +377,35 @@
         CHECK(c.job(next).status == 200);
     }
 }
+
+// Guards against two runs of one task: a caller leaves while its entry's VM is
+// suspended, and the end of its connection arrives after it has submitted its
+// job elsewhere.
+TEST_CASE(
+    "late input: runs of a caller that left while its entry was suspended "
+    "end in time")
+{
+    for (const duration pause : {610ms, 700ms, 790ms})
+    {
+        INFO("suspended for " << pause.count() / 1000 << " ms");
+        cluster_plan plan{2, 4, 4s};
+        plan.estimate = plan.run_time;
+        plan.network = true;
+        node_cluster c(plan);
+        REQUIRE(c.wait_ready());
+        const auto first = c.submit(0, "000000000000000a", 1, 9s);
+        REQUIRE(run_until(c.loop, 3s, [&c] { return running(c) == 1; }));
+        c.entry(0).signal(SIGSTOP);
+        c.caller_relay(0).lose_to_upstream(pause);
+        c.link_relay(0).lose_to_upstream(pause);
+        const auto wake =
+            c.loop.after(pause, [&c] { c.entry(0).signal(SIGCONT); });
+        run_for(c.loop, 10ms);
+        c.disconnect(first);
+        run_for(c.loop, caller_retry_delay);
+        const auto again = c.submit(1, "000000000000000a", 1, 9s);
+        REQUIRE(c.wait_ended(again));
+        CHECK(c.job(again).status == 200);
+        CHECK(c.ledger.overlaps == 0);
+    }
+}
