--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -110,7 +110,6 @@
     void update_target(const target_announcement& announcement);
     /// @brief Follows whether the target drains, as the announcements tell.
     void update_drain();
-    bool is_followed(const target_announcement& announcement) const;
     /// @brief Takes over for how long the target is cold.
     void set_cold(const target_announcement& announcement);
     void extend_lease();
--- a/packages/node/include/agatebank/node/announcement_filter.hpp
+++ b/packages/node/include/agatebank/node/announcement_filter.hpp
@@ -50,6 +50,8 @@
     void on_deregistration();
 
     // lookup
+    /// @brief Whether an announcement is of the followed incarnation.
+    bool is_followed(const target_announcement& announcement) const;
     /// @brief Whether the followed incarnation drains or has deregistered. It
     /// no longer does after it has announced itself as ready, and nothing else,
     /// for some periods: then another process had written that it drains.
@@ -68,7 +70,6 @@
     announcement_verdict judge_update(const target_announcement& announcement,
                                       time_point now);
     void note_drain(bool announced, bool is_newer, time_point now);
-    bool is_followed(const target_announcement& announcement) const;
     bool may_adopt(const target_announcement& announcement) const;
     void follow(const target_announcement& announcement, time_point now);
     std::optional<target_announcement> take_held_back(time_point now);
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -148,7 +148,7 @@
         begin_incarnation(announcement);
         break;
     case announcement_verdict::delayed:
-        if (is_followed(announcement))
+        if (announcements_.is_followed(announcement))
         {
             update_drain();
             break;
@@ -168,12 +168,6 @@
     return {};
 }
 
-bool agent_node::is_followed(const target_announcement& announcement) const
-{
-    return target_ && target_->profile.target == announcement.profile.target &&
-           target_->profile.incarnation == announcement.profile.incarnation;
-}
-
 void agent_node::update_target(const target_announcement& announcement)
 {
     const bool drained = target_->draining;
--- a/packages/node/src/announcement_filter.cpp
+++ b/packages/node/src/announcement_filter.cpp
@@ -89,6 +89,14 @@
 
 // lookup
 
+bool announcement_filter::is_followed(
+    const target_announcement& announcement) const
+{
+    return followed_ &&
+           followed_->profile.target == announcement.profile.target &&
+           followed_->profile.incarnation == announcement.profile.incarnation;
+}
+
 bool announcement_filter::draining() const noexcept
 {
     return draining_;
@@ -131,14 +139,6 @@
     }
 }
 
-bool announcement_filter::is_followed(
-    const target_announcement& announcement) const
-{
-    return followed_ &&
-           followed_->profile.target == announcement.profile.target &&
-           followed_->profile.incarnation == announcement.profile.incarnation;
-}
-
 bool announcement_filter::may_adopt(
     const target_announcement& announcement) const
 {
