Stand-in of a target: kinds, restarts under its id, acknowledged drains

A target announces a kind, may crash and come back under the id that it had, and judges starts by the kind that a payload requires and by the time since its drain was acknowledged. A job with such a payload states the requirement.

--- a/tests/platform/node_cluster.cpp
+++ b/tests/platform/node_cluster.cpp
@@ -392,13 +392,16 @@
 std::string node_cluster::job_body(unsigned tasks, const std::string& payload,
                                    duration estimate)
 {
-    return json{{"spec", payload},
-                {"bestEffort", true},
-                {"steps",
-                 {{{"count", tasks},
-                   {"cpu", 1000},
-                   {"memMb", 8},
-                   {"estimateMs", to_ms(estimate)}}}}}
+    json step{{"count", tasks},
+              {"cpu", 1000},
+              {"memMb", 8},
+              {"estimateMs", to_ms(estimate)}};
+    if (payload.starts_with(kind_payload))
+    {
+        step["requirements"] = payload.substr(kind_payload.size());
+    }
+    return json{
+        {"spec", payload}, {"bestEffort", true}, {"steps", json::array({step})}}
         .dump();
 }
 
--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -21,6 +21,10 @@
 /// is back.
 constexpr duration crash_delay = 10ms;
 constexpr duration crash_duration = 3s;
+/// Longest time from the acknowledgement of a drain to the last start, for an
+/// agent that has run undisturbed for the other one.
+constexpr duration drain_limit = 2s;
+constexpr duration contact_time = 3s;
 /// Tasks of one core that fit at once.
 constexpr std::size_t capacity_in_tasks = 16;
 
@@ -125,6 +129,11 @@
     failure_domain_ = std::move(name);
 }
 
+void target_stand_in::set_kind(std::string kind)
+{
+    kind_ = std::move(kind);
+}
+
 void target_stand_in::set_draining()
 {
     draining_ = true;
@@ -159,10 +168,11 @@
 void target_stand_in::restart(bool announced)
 {
     end_all("lapsed");
+    ++lives_;
     begin_incarnation(announced);
 }
 
-void target_stand_in::crash(duration away)
+void target_stand_in::crash(duration away, bool keeps_id)
 {
     if (!server_)
     {
@@ -173,9 +183,13 @@
     end_all("lost");
     timers_.cancel(lease_timer_);
     timers_.schedule(away,
-                     [this]
+                     [this, keeps_id]
                      {
-                         id_ = name_ + "-" + std::to_string(++lives_);
+                         ++lives_;
+                         if (!keeps_id)
+                         {
+                             id_ = name_ + "-" + std::to_string(lives_);
+                         }
                          open_server();
                          begin_incarnation();
                      });
@@ -207,6 +221,8 @@
     lease_until_ = {};
     last_end_ = 0;
     fencing_token_ = 0;
+    draining_ = false;
+    drain_acknowledged_.reset();
     next_sequence_ = first_sequence_;
     born_ms_ += 5000;
     incarnation_began_ = loop_.now();
@@ -252,10 +268,14 @@
 
 void target_stand_in::announce()
 {
-    if (!server_)
+    if (server_)
     {
-        return;
+        send_announcement(id_, next_announcement());
     }
+}
+
+json target_stand_in::next_announcement()
+{
     const json body{
         {"service", "desk"},
         {"address", address()},
@@ -266,14 +286,40 @@
         {"coldRemainingMs", 0},
         {"capacity",
          {{"cpu", 1000 * capacity_}, {"memMb", 65536}, {"gpus", 0}}},
-        {"labels", {"a", "r1"}},
+        {"labels", {kind_, "r1"}},
         {"born", born_ms_},
         {"sequence", next_sequence_}};
     next_sequence_ += sequence_step_;
+    return body;
+}
+
+void target_stand_in::send_announcement(const std::string& id, const json& body)
+{
+    const bool drains = id == id_ && body.at("born") == born_ms_ &&
+                        body.at("state") == "draining";
+    send_to_agent("/v1/instances/" + id + "/heartbeat", body,
+                  [this, drains, life = lives_](const auto& r)
+                  {
+                      if (r && r->status == 200 && drains && life == lives_ &&
+                          !drain_acknowledged_)
+                      {
+                          drain_acknowledged_ = loop_.now();
+                      }
+                  });
+}
+
+void target_stand_in::send_deregistration(const std::string& id)
+{
+    send_to_agent("/v1/instances/" + id + "/deregister", json::object(),
+                  [](const auto&) {});
+}
+
+void target_stand_in::send_to_agent(const std::string& path, const json& body,
+                                    http_completion done)
+{
     http_call call;
     call.method = "POST";
-    call.url =
-        "http://" + agent_address_ + "/v1/instances/" + id_ + "/heartbeat";
+    call.url = "http://" + agent_address_ + path;
     call.body = body.dump();
     call.may_resend = true;
     call.timeout = 1s;
@@ -281,7 +327,22 @@
     {
         calls_.erase(calls_.begin(), calls_.begin() + 10);
     }
-    calls_.push_back(client_.send(call, [](const auto&) {}));
+    calls_.push_back(client_.send(call, std::move(done)));
+}
+
+void target_stand_in::on_agent_restarted()
+{
+    judged_from_ = loop_.now() + contact_time;
+}
+
+const std::string& target_stand_in::id() const noexcept
+{
+    return id_;
+}
+
+bool target_stand_in::is_draining() const noexcept
+{
+    return draining_;
 }
 
 // requests
@@ -393,6 +454,11 @@
         }
     }
     record_start(task, run);
+    const auto payload = body.at("spec").get<std::string>();
+    ledger_.wrong_kind += payload.starts_with(kind_payload) &&
+                                  payload != kind_payload + kind_
+                              ? 1
+                              : 0;
     constexpr int crashes_that_show_the_cause = 3;
     if (ledger_.crashes[task] >= crashes_that_show_the_cause)
     {
@@ -436,6 +502,14 @@
 void target_stand_in::record_start(const std::string& task, uint32_t run)
 {
     const target_run started{id_, run, loop_.now()};
+    if (drain_acknowledged_ && started.started >= judged_from_ &&
+        started.started > *drain_acknowledged_ + drain_limit)
+    {
+        ledger_.starts_while_draining.push_back(
+            task + " at " + id_ + ", " +
+            std::to_string(to_ms(started.started - *drain_acknowledged_)) +
+            " ms after the acknowledgement");
+    }
     if (ledger_.running[task] > 0)
     {
         ++ledger_.overlaps;
--- a/tests/platform/target_stand_in.hpp
+++ b/tests/platform/target_stand_in.hpp
@@ -50,6 +50,9 @@
     /// it with 503.
     std::optional<duration> broken_start;
     int overlaps = 0;      ///< starts of a task that was running on some target
+    int wrong_kind = 0;    ///< starts on a target of another kind, see below
+    /// starts later than the limit after a target's drain was acknowledged
+    std::vector<std::string> starts_while_draining;
     int over_capacity = 0; ///< starts beyond a target's capacity
     std::map<std::string, int> crashes; ///< targets that crashed, by task
     /// starts of a task after it had crashed three targets, by task
@@ -63,6 +66,10 @@
 /// milliseconds that follows.
 inline const std::string timed_payload = "run-ms:";
 
+/// @brief Start of the payload of a job whose tasks need a target of the kind
+/// that follows. Such jobs state it as a requirement, too.
+inline const std::string kind_payload = "kind:";
+
 /// @brief How a target handles starts.
 enum class target_mode
 {
@@ -100,6 +107,9 @@
     /// long after it was read, and later ones are refused at once.
     /// @param status 409 for lack of room, or 503
     void set_refuses_repeated_starts(duration first_delay, unsigned status);
+    /// @brief Notes that the agent was killed and started again: it isn't judged
+    /// by what it starts until it has been in touch for a while.
+    void on_agent_restarted();
     /// @brief Announces itself with another period, first after an offset.
     void set_announcement_period(duration period, duration offset);
     /// @brief From now on, in later incarnations too, each announcement has a
@@ -107,6 +117,8 @@
     void set_numbering(uint64_t first, uint64_t step);
     /// @brief Sets the failure domain that is announced, "z1" unless set.
     void set_failure_domain(std::string name);
+    /// @brief Sets the kind that is announced, "a" unless set.
+    void set_kind(std::string kind);
     /// @brief Changes the capacity, in tasks, of a target that starts all that
     /// it is asked to. Runs go on.
     void set_unguarded_capacity(std::size_t tasks);
@@ -114,8 +126,9 @@
     /// @param announced at once; else with the next regular announcement
     void restart(bool announced = true);
     /// @brief Ends without a word: no run is reported, connections break and
-    /// are refused. A new incarnation with another id starts @p away later.
-    void crash(duration away);
+    /// are refused. A new incarnation starts @p away later.
+    /// @param keeps_id the new incarnation has the same id
+    void crash(duration away, bool keeps_id = false);
     /// @brief Cuts the target off: calls under way get no answer, connections
     /// are refused, no announcement gets through, and runs go on until the
     /// lease ends.
@@ -123,8 +136,17 @@
     /// @brief Lets the same incarnation be reached again.
     void reconnect();
 
+    // announcements, beside the regular ones
+    /// @brief The target's next announcement.
+    nlohmann::json next_announcement();
+    /// @brief Sends an announcement to the agent, under any id.
+    void send_announcement(const std::string& id, const nlohmann::json& body);
+    void send_deregistration(const std::string& id);
+
     // lookup
     std::string address() const;
+    const std::string& id() const noexcept;
+    bool is_draining() const noexcept;
     std::size_t running() const noexcept;
     int starts() const noexcept;
     /// @brief Highest fencing token that the incarnation has seen.
@@ -174,6 +196,8 @@
     /// @brief Refuses connections, without an answer to any call.
     void close_server();
     void announce();
+    void send_to_agent(const std::string& path, const nlohmann::json& body,
+                       http_completion done);
     /// @brief Carries out a start call, or what replaces it, see
     /// set_refuses_repeated_starts.
     void start_or_refuse(const nlohmann::json& body,
@@ -215,7 +239,11 @@
     bool checks_fences_ = true;
     bool loses_stops_ = false;
     bool draining_ = false;
+    /// when the agent first acknowledged that this incarnation drains
+    std::optional<time_point> drain_acknowledged_;
+    time_point judged_from_;
     std::string failure_domain_ = "z1";
+    std::string kind_ = "a";
     std::size_t capacity_; ///< in tasks of one core
     bool guards_capacity_ = true;
     int lives_ = 1; ///< incarnations so far
