Agent: calls reach the incarnation they are meant for, or none

Callers' jobs that require one kind of target were started on another kind, and some of their answers were lost: a target crashed, came back as another kind under the id that it had, and its agent went on for up to 0.2 s.

Cause: the agent took the target that answered last for the one that is there. Calls name the target's id only, and the HTTP library replaces broken connections without a word, so starts of the former incarnation's orders reached the next one until some answer named it. The position of the last end went with the lease calls and deleted ends of the new incarnation.

Change: a TCP connection ends with the process that it leads to. Starts, stops and leases are sent on connections that have named the followed incarnation. Where the library would open another connection for such a call, it is cancelled before a byte is written. A refusal by another incarnation ends the repetition of a call, like a refused connection.

--- a/packages/core/include/agatebank/core/target_interface.hpp
+++ b/packages/core/include/agatebank/core/target_interface.hpp
@@ -155,9 +155,12 @@
         const lease_request&,
         std::function<void(tl::expected<lease_answer, lease_failure>)>)>
         extend_lease;
-    /// sets the id of the target that later calls are meant for, and the
-    /// fencing token that they carry
-    std::function<void(const std::string& target, uint64_t fencing_token)>
+    /// sets the id and the incarnation of the target that later calls are meant
+    /// for, and the fencing token that they carry. Another incarnation receives
+    /// no start, stop or lease; its lists are returned when a lease is
+    /// requested.
+    std::function<void(const std::string& target,
+                       target_incarnation incarnation, uint64_t fencing_token)>
         set_target;
 };
 
--- a/packages/http/include/agatebank/http/hedged_caller.hpp
+++ b/packages/http/include/agatebank/http/hedged_caller.hpp
@@ -36,21 +36,24 @@
 class hedged_caller
 {
   public:
+    /// Sends one copy of a call, as http_client::send does.
+    using sender = std::function<http_call_handle(http_completion)>;
+
     // construction
-    hedged_caller(timer_queue& timers, http_client& client);
+    explicit hedged_caller(timer_queue& timers);
     ~hedged_caller();
     hedged_caller(const hedged_caller&) = delete;
     hedged_caller& operator=(const hedged_caller&) = delete;
 
     // calls
-    /// @brief Sends a call. @p done is called once: with the first answer, or
-    /// with a failure when the peer refuses the connection or no copy was
-    /// answered. The call may have been received if any of its copies may have
+    /// @brief Sends a call that may be repeated. @p done is called once: with
+    /// the first answer, or with a failure when the peer refuses the
+    /// connection, is another process than the expected one, or answered no
+    /// copy. The call may have been received if any of its copies may have
     /// been.
     /// @param settled called once, when no copy is under way any more, before
     /// @p done if that is called then too
-    /// @pre call.may_resend
-    void send(const http_call& call, const hedge_options& options,
+    void send(sender copy_sender, const hedge_options& options,
               http_completion done,
               std::function<void(const hedge_outcome&)> settled = {});
 
@@ -62,7 +65,6 @@
                     const tl::expected<http_response, http_failure>& outcome);
 
     timer_queue& timers_;
-    http_client& client_;
     std::map<uint64_t, pending> pending_;
     uint64_t last_number_ = 0;
 };
--- a/packages/http/include/agatebank/http/http_client.hpp
+++ b/packages/http/include/agatebank/http/http_client.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace agatebank
@@ -26,6 +27,10 @@
     /// GET or PUT, but no POST, again when that connection breaks. Must
     /// be false for requests that may take effect only once.
     bool may_resend = false;
+    /// If set, the request is only sent on this connection of the client. The
+    /// call fails if that connection has ended, see
+    /// http_failure::connection_ended.
+    std::optional<http_connection_id> connection;
 };
 
 /// @brief A failed call and whether the request may have reached the peer. The
@@ -37,6 +42,8 @@
 {
     failure reason;
     bool may_have_been_received = true;
+    /// nothing was sent, as the requested connection had ended
+    bool connection_ended = false;
 };
 
 /// @brief Receives the outcome of a call; called once, unless the call is
--- a/packages/http/include/agatebank/http/http_message.hpp
+++ b/packages/http/include/agatebank/http/http_message.hpp
@@ -2,6 +2,7 @@
 
 #include <agatebank/core/execution_status.hpp>
 #include <agatebank/core/result.hpp>
+#include <agatebank/core/strong_id.hpp>
 #include <agatebank/core/units.hpp>
 
 #include <nlohmann/json.hpp>
@@ -14,6 +15,9 @@
 namespace agatebank
 {
 
+/// @brief Identifies a connection among all that one client has opened.
+using http_connection_id = strong_id<struct http_connection_id_tag, uint64_t>;
+
 /// @brief One header field.
 struct http_header
 {
@@ -57,6 +61,8 @@
     std::string content_type;
     std::string body;
     std::vector<http_header> headers;
+    /// The connection that it was received on, among those of its client.
+    http_connection_id connection{};
 };
 
 /// @brief Makes a JSON response. @complexity linear in the document
--- a/packages/http/src/hedged_caller.cpp
+++ b/packages/http/src/hedged_caller.cpp
@@ -5,9 +5,22 @@
 namespace agatebank
 {
 
+namespace
+{
+
+// Whether no other copy of a call would be received either, as nothing or
+// another process listens at the peer's address.
+bool is_final(const std::error_code& code)
+{
+    return code == make_error_code(errc::peer_unreachable) ||
+           code == make_error_code(errc::start_wrong_incarnation);
+}
+
+} // namespace
+
 struct hedged_caller::pending
 {
-    http_call call;
+    sender copy_sender;
     hedge_options options;
     http_completion done; ///< empty after it has been called
     std::function<void(const hedge_outcome&)> settled;
@@ -18,10 +31,7 @@
     std::map<uint64_t, http_call_handle> copies; ///< not yet completed
 };
 
-hedged_caller::hedged_caller(timer_queue& timers, http_client& client)
-    : timers_(timers), client_(client)
-{
-}
+hedged_caller::hedged_caller(timer_queue& timers) : timers_(timers) {}
 
 hedged_caller::~hedged_caller()
 {
@@ -31,13 +41,13 @@
     }
 }
 
-void hedged_caller::send(const http_call& call, const hedge_options& options,
+void hedged_caller::send(sender copy_sender, const hedge_options& options,
                          http_completion done,
                          std::function<void(const hedge_outcome&)> settled)
 {
     const auto number = ++last_number_;
     auto& p = pending_[number];
-    p.call = call;
+    p.copy_sender = std::move(copy_sender);
     p.options = options;
     p.done = std::move(done);
     p.settled = std::move(settled);
@@ -54,9 +64,9 @@
         p.timer = timers_.schedule(p.options.delay,
                                    [this, number] { send_copy(number); });
     }
-    p.copies[copy] = client_.send(
-        p.call, [this, number,
-                 copy](const tl::expected<http_response, http_failure>& outcome)
+    p.copies[copy] = p.copy_sender(
+        [this, number,
+         copy](const tl::expected<http_response, http_failure>& outcome)
         { on_outcome(number, copy, outcome); });
 }
 
@@ -73,11 +83,8 @@
     p.may_have_been_received |=
         outcome || outcome.error().may_have_been_received || !p.copies.empty();
     p.all_answered &= outcome || !outcome.error().may_have_been_received;
-    // A peer that refuses connections would not receive another copy either.
     const bool final_failure =
-        !outcome &&
-        (!has_other_copy || outcome.error().reason.code ==
-                                make_error_code(errc::peer_unreachable));
+        !outcome && (!has_other_copy || is_final(outcome.error().reason.code));
     if (outcome || final_failure)
     {
         timers_.cancel(std::exchange(p.timer, timer_id()));
--- a/packages/http/src/http_client.cpp
+++ b/packages/http/src/http_client.cpp
@@ -26,6 +26,8 @@
     bool timed_out = false;
     /// written to some connection, also one that broke and was replaced
     bool written = false;
+    std::optional<http_connection_id> connection; ///< the only one to be used
+    bool connection_ended = false;
 
     pending_call() = default;
     pending_call(const pending_call&) = delete;
@@ -58,6 +60,24 @@
     }
 }
 
+http_connection_id connection_of(SoupMessage* message)
+{
+    return http_connection_id(soup_message_get_connection_id(message));
+}
+
+// Called when the connection is chosen and nothing has been written to it. The
+// library replaces a connection that has ended; a cancelled call writes nothing
+// to the new one.
+void on_starting(SoupMessage* message, gpointer data)
+{
+    auto* p = static_cast<pending_call*>(data);
+    if (connection_of(message) != *p->connection)
+    {
+        p->connection_ended = true;
+        g_cancellable_cancel(p->cancellable.get());
+    }
+}
+
 void on_headers_written(SoupMessage*, gpointer data)
 {
     static_cast<pending_call*>(data)->written = true;
@@ -88,7 +108,8 @@
     }
     return {{make_error_code(code), step_call, p.peer,
              error == nullptr ? "" : error->message},
-            !never_connected || p.written};
+            p.written || (!never_connected && !p.connection_ended),
+            p.connection_ended && !p.written};
 }
 
 bool is_open(GSocket* socket)
@@ -135,6 +156,7 @@
     {
         r.body.assign(data, n);
     }
+    r.connection = connection_of(message);
     return r;
 }
 
@@ -214,6 +236,7 @@
     p->done = std::move(done);
     p->peer = call.url;
     p->may_resend = call.may_resend;
+    p->connection = call.connection;
     p->message.reset(soup_message_new(call.method.c_str(), call.url.c_str()));
     if (!p->message)
     {
@@ -248,6 +271,11 @@
                      G_CALLBACK(on_network_event), p.get());
     g_signal_connect(p->message.get(), "wrote-headers",
                      G_CALLBACK(on_headers_written), p.get());
+    if (call.connection)
+    {
+        g_signal_connect(p->message.get(), "starting", G_CALLBACK(on_starting),
+                         p.get());
+    }
     p->timer = loop_.after(call.timeout,
                            [raw = p.get()]
                            {
--- a/packages/http/tests/raw_peer.hpp
+++ b/packages/http/tests/raw_peer.hpp
@@ -155,6 +155,10 @@
     {
         return connections_;
     }
+    std::list<raw_connection>& connections()
+    {
+        return connections_;
+    }
 
     // hooks
     raw_connection::callback on_accept;
--- a/packages/http/tests/unit-hedged_caller.cpp
+++ b/packages/http/tests/unit-hedged_caller.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 #include <vector>
 
 using namespace agatebank;
@@ -20,7 +21,7 @@
     event_loop loop;
     timer_queue timers{loop};
     http_client client{loop};
-    hedged_caller caller{timers, client};
+    hedged_caller caller{timers};
     http_server server{loop, {}};
     std::vector<http_responder> received;
     unsigned answers_from; ///< number of the first call that is answered
@@ -46,12 +47,20 @@
         call.timeout = 300ms;
     }
 
+    hedged_caller::sender sender()
+    {
+        return [this](http_completion done)
+        {
+            return client.send(call, std::move(done));
+        };
+    }
+
     // Number of completions, and the last one's status; 0 for a failure.
     std::pair<int, unsigned> run()
     {
         int completions = 0;
         unsigned status = 0;
-        caller.send(call, {30ms, 3},
+        caller.send(sender(), {30ms, 3},
                     [&](const auto& r)
                     {
                         ++completions;
@@ -93,7 +102,7 @@
 {
     silent_server s(9);
     std::optional<http_failure> failed;
-    s.caller.send(s.call, {30ms, 3},
+    s.caller.send(s.sender(), {30ms, 3},
                   [&](const auto& r)
                   {
                       REQUIRE_FALSE(r);
@@ -132,7 +141,7 @@
         std::vector<hedge_outcome> settled;
         std::size_t settled_before_done = 0;
         s.caller.send(
-            s.call, {30ms, 3},
+            s.sender(), {30ms, 3},
             [&](const auto&) { settled_before_done = settled.size(); },
             [&](const hedge_outcome& h) { settled.push_back(h); });
         const auto stop = s.loop.after(700ms, [&s] { s.loop.quit(); });
@@ -151,7 +160,7 @@
     event_loop loop;
     timer_queue timers(loop);
     http_client client(loop);
-    hedged_caller caller(timers, client);
+    hedged_caller caller(timers);
     int requests = 0;
     raw_listener peer(
         [&](raw_connection& c)
@@ -174,14 +183,15 @@
     std::vector<hedge_outcome> settled;
     for (int i = 0; i < 2; ++i)
     {
-        caller.send(
-            call, {30ms, 3},
-            [](const auto& r)
-            {
-                REQUIRE(r);
-                CHECK(r->status == 503);
-            },
-            [&](const hedge_outcome& h) { settled.push_back(h); });
+        caller.send([&](http_completion done)
+                    { return client.send(call, std::move(done)); },
+                    {30ms, 3},
+                    [](const auto& r)
+                    {
+                        REQUIRE(r);
+                        CHECK(r->status == 503);
+                    },
+                    [&](const hedge_outcome& h) { settled.push_back(h); });
         const auto stop = loop.after(200ms, [&loop] { loop.quit(); });
         loop.run();
     }
--- a/packages/http/tests/unit-http_client.cpp
+++ b/packages/http/tests/unit-http_client.cpp
@@ -105,7 +105,9 @@
         }
     }
 
-    std::optional<outcome> call(bool may_resend, duration timeout)
+    std::optional<outcome>
+    call(bool may_resend, duration timeout,
+         std::optional<http_connection_id> connection = std::nullopt)
     {
         http_call rq;
         rq.method = "POST";
@@ -113,6 +115,7 @@
         rq.body = request_body;
         rq.may_resend = may_resend;
         rq.timeout = timeout;
+        rq.connection = connection;
         std::optional<outcome> got;
         watch settled;
         const auto handle = client.send(
@@ -233,6 +236,51 @@
     }
 }
 
+// Guards against calls that were meant for the process at the other end of a
+// connection and are sent again to its successor.
+TEST_CASE("http_client: a call for one connection is not sent on another")
+{
+    struct row
+    {
+        const char* name;
+        bool closes;
+        bool abort;
+    };
+    const row rows[] = {{"open", false, false},
+                        {"closed by the peer", true, false},
+                        {"reset by the peer", true, true}};
+    for (const auto& row : rows)
+    {
+        SECTION(row.name)
+        {
+            client_fixture f({"", close_point::never, ""});
+            f.scripted = false;
+            const auto first = f.call(true, std::chrono::seconds(5));
+            REQUIRE(first);
+            REQUIRE(*first);
+            if (row.closes)
+            {
+                f.peer.connections().front().close(row.abort);
+            }
+            const auto second =
+                f.call(true, std::chrono::seconds(5), (*first)->connection);
+            REQUIRE(second);
+            CHECK(second->has_value() != row.closes);
+            if (row.closes)
+            {
+                CHECK_FALSE(second->error().may_have_been_received);
+                CHECK(second->error().connection_ended);
+            }
+            for (const auto& c : f.peer.connections())
+            {
+                CHECK((&c == &f.peer.connections().front() ||
+                       c.received().empty()));
+            }
+            CHECK(f.requests_received() == (row.closes ? 1 : 2));
+        }
+    }
+}
+
 TEST_CASE("http_client: a chunked answer counts as complete only while the "
           "connection is open")
 {
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -120,6 +120,8 @@
     void update_acceptance();
     /// @brief Takes over a target that another agent's token has fenced.
     void raise_fencing_token();
+    /// @brief Names the followed incarnation and the fencing token to the port.
+    void set_target();
     void start_run(const run_id& id, const std::string& payload);
     void stop_run(const run_id& id);
     void on_timer();
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -255,7 +255,7 @@
     // The higher token makes the target reject delayed calls that were meant
     // for the previous incarnation.
     ++fencing_token_;
-    port_.set_target(announcement.profile.target, fencing_token_);
+    set_target();
     send_hello_to_all();
     // At once, as the target accepts delayed calls until it has seen the token.
     extend_lease();
--- a/packages/node/src/agent_node_lease.cpp
+++ b/packages/node/src/agent_node_lease.cpp
@@ -111,7 +111,8 @@
         {
             // It knows no token yet, and would accept calls from before.
             last_end_seen_ = {};
-            port_.set_target(target_->profile.target, ++fencing_token_);
+            ++fencing_token_;
+            set_target();
             extend_lease();
         }
         else
@@ -186,7 +187,13 @@
                          "target rejected the fencing token, raised to " +
                              std::to_string(fencing_token_),
                          step_lease, target_->profile.target));
-    port_.set_target(target_->profile.target, fencing_token_);
+    set_target();
+}
+
+void agent_node::set_target()
+{
+    const auto& profile = target_->profile;
+    port_.set_target(profile.target, profile.incarnation, fencing_token_);
 }
 
 void agent_node::update_acceptance()
--- a/tests/platform/unit-restarted_target.cpp
+++ b/tests/platform/unit-restarted_target.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
+
 using namespace agatebank;
 using namespace std::chrono_literals;
 
@@ -72,3 +74,59 @@
     CHECK(
         run_until(c.loop, 2s, [&] { return target.fencing_token() > before; }));
 }
+
+// Guards against tasks that start on a target without the label that they
+// require: it crashed, its connections were reset, and another kind of machine
+// came back under its id, while its agent went on with the former one's orders.
+TEST_CASE("restarted target: a target that comes back as another kind under its "
+          "id starts no task that requires its former kind")
+{
+    struct row
+    {
+        duration away;
+        duration job_spacing;
+    };
+    const row rows[] = {{0ms, 50ms},   {20ms, 50ms}, {150ms, 50ms},
+                        {400ms, 50ms}, {0ms, 4ms},   {150ms, 4ms}};
+    for (const auto& row : rows)
+    {
+        DYNAMIC_SECTION("away for " << row.away.count() / 1000
+                                    << " ms, a job each "
+                                    << row.job_spacing.count() / 1000 << " ms")
+        {
+            node_cluster c({2, 2});
+            REQUIRE(c.wait_ready());
+            auto& target = *c.targets[0];
+            c.targets[1]->set_kind("b");
+            c.targets[1]->restart();
+            run_for(c.loop, 300ms);
+            std::size_t next = 0;
+            const auto submit = [&]
+            {
+                const auto number = std::to_string(100000 + next);
+                return c.submit(next++ % 2, "0000000000" + number, 1, 1500ms,
+                                "/q/", kind_payload + "a");
+            };
+            // The agent has several connections to its target.
+            std::size_t last = 0;
+            for (int i = 0; i < 8; ++i)
+            {
+                last = submit();
+            }
+            REQUIRE(c.wait_ended(last));
+            REQUIRE(c.job(last).status == 200);
+            const auto jobs =
+                c.loop.every(row.job_spacing, [&] { submit(); });
+            for (const std::string kind : {"b", "a", "b"})
+            {
+                run_for(c.loop, 700ms);
+                target.set_kind(kind);
+                target.crash(row.away, true);
+            }
+            run_for(c.loop, 700ms);
+            CHECK(c.ledger.wrong_kind == 0);
+            CHECK(c.ledger.overlaps == 0);
+            CHECK(c.targets[0]->starts() > 8);
+        }
+    }
+}
