Orders name the incarnation of the target that they are for

Orders that were placed by the labels of a target's former incarnation, and reached its agent when it followed the next one, were started there.

Cause: an order named its agent only. Between a restart and the entry's receipt of the agent's greeting, orders for the former incarnation are under way.

Change: a batch of orders names the incarnation by whose properties it was placed. An agent that follows another one returns the orders as not run, with a log line that names both. Version 4 of the protocol between processes.

--- a/packages/core/include/agatebank/core/run_order.hpp
+++ b/packages/core/include/agatebank/core/run_order.hpp
@@ -43,6 +43,9 @@
 /// to the moment of sending, because clocks differ between processes.
 struct run_batch
 {
+    /// the incarnation of the target whose properties the placement rests on;
+    /// no other one may run the orders
+    target_incarnation target;
     std::string job;   ///< id given by the caller
     std::string route; ///< name of the job's route
     std::string payload;
@@ -56,7 +59,7 @@
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(job, route, payload, task_resources, priority, objective_us,
+        ar(target, job, route, payload, task_resources, priority, objective_us,
            useful_until_us, deadline_us, orders);
     }
 };
--- a/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
+++ b/packages/fleet/include/agatebank/fleet/run_scheduler.hpp
@@ -142,6 +142,8 @@
 
     // orders
     void on_batch(order_source from, const run_batch& batch, time_point now);
+    /// @brief Returns all orders of a batch as not run.
+    void return_batch(order_source from, const run_batch& batch);
     /// @brief Removes queued orders and stops runs that the entry no longer
     /// needs. Their ends are not reported.
     void on_cancel(order_source from, const std::vector<order_id>& ids,
--- a/packages/fleet/src/job_scheduler.cpp
+++ b/packages/fleet/src/job_scheduler.cpp
@@ -415,6 +415,7 @@
     const auto& plan = job.submission.plan;
     for (auto& [agent, batch] : batches)
     {
+        batch.target = targets_.at(agent).profile().incarnation;
         batch.job = job.submission.id;
         batch.route = job.submission.matched_route.name.value();
         batch.payload = plan.payload;
--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -97,16 +97,15 @@
 void run_scheduler::on_batch(order_source from, const run_batch& batch,
                              time_point now)
 {
+    if (!open_)
+    {
+        return_batch(from, batch);
+        return;
+    }
     for (const auto& o : batch.orders)
     {
         ++counts_.orders;
         const order_key key{from, o.id};
-        if (!open_)
-        {
-            ++counts_.not_run;
-            hooks_.report(from, {o.id, run_outcome::not_run, 0, 0, 0});
-            continue;
-        }
         order_record r;
         r.job = batch.job;
         r.route = batch.route;
@@ -131,6 +130,16 @@
     }
 }
 
+void run_scheduler::return_batch(order_source from, const run_batch& batch)
+{
+    for (const auto& o : batch.orders)
+    {
+        ++counts_.orders;
+        ++counts_.not_run;
+        hooks_.report(from, {o.id, run_outcome::not_run, 0, 0, 0});
+    }
+}
+
 void run_scheduler::on_cancel(order_source from,
                               const std::vector<order_id>& ids, time_point now)
 {
--- a/packages/node/include/agatebank/node/agent_node.hpp
+++ b/packages/node/include/agatebank/node/agent_node.hpp
@@ -87,6 +87,8 @@
     /// @brief Starts the orders that waited for a newer message of their entry.
     void start_waiting();
     void on_evacuation_update(link_id link, const evacuation_update& update);
+    /// @brief Returns orders for another incarnation than the followed one.
+    void return_batch(link_id link, const run_batch& batch);
     /// @brief Logs orders that were under way for long.
     void note_delay(link_id link, const run_batch& batch) const;
     void on_report_request(link_id link, const report_request& request);
--- a/packages/node/src/agent_node_links.cpp
+++ b/packages/node/src/agent_node_links.cpp
@@ -107,7 +107,14 @@
         context_.observer.on_phase(phase_order);
         note_delay(link, *batch);
         load_reporter_.on_orders(link, *batch);
-        scheduler_.on_batch(to_source(link), *batch, now);
+        if (target_ && batch->target == target_->profile.incarnation)
+        {
+            scheduler_.on_batch(to_source(link), *batch, now);
+        }
+        else
+        {
+            return_batch(link, *batch);
+        }
         schedule_flush();
     }
     else if (const auto* cancel = std::get_if<cancel_orders>(&m))
@@ -131,6 +138,22 @@
     start_waiting();
 }
 
+void agent_node::return_batch(link_id link, const run_batch& batch)
+{
+    auto record = to_line(
+        log_level::info,
+        std::to_string(batch.orders.size()) +
+            " orders were placed for incarnation " +
+            std::to_string(batch.target.value()) + " of the target, followed " +
+            (target_
+                 ? "is " + std::to_string(target_->profile.incarnation.value())
+                 : "is none"),
+        step_link, hub_.find(link)->peer());
+    record.submission = batch.job;
+    context_.log(record);
+    scheduler_.return_batch(to_source(link), batch);
+}
+
 void agent_node::note_delay(link_id link, const run_batch& batch) const
 {
     const auto delay = hub_.find(link)->delay();
--- a/packages/wire/include/agatebank/wire/messages.hpp
+++ b/packages/wire/include/agatebank/wire/messages.hpp
@@ -29,7 +29,7 @@
 namespace agatebank
 {
 
-constexpr uint32_t protocol_version = 3;
+constexpr uint32_t protocol_version = 4;
 
 // cereal calls these overloads instead of its generic one for enumerations,
 // which does not check the range.
--- a/tests/platform/unit-late_input.cpp
+++ b/tests/platform/unit-late_input.cpp
@@ -1,8 +1,7 @@
 #include "node_cluster.hpp"
+#include "order_source_stand_in.hpp"
 #include <agatebank/harness/run_until.hpp>
 #include <agatebank/harness/tcp_relay.hpp>
-#include <agatebank/node/node_context.hpp>
-#include <agatebank/wire/link_hub.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -30,96 +29,6 @@
     return n;
 }
 
-// An entry in the test process: accepts the links of agents and sends orders.
-class order_source_stand_in
-{
-  public:
-    explicit order_source_stand_in(event_loop& loop)
-        : loop_(loop)
-        , hub_({loop, clock_, auth_, node_link_options(),
-                []
-                {
-                    return config_version();
-                }},
-               {[this](link_id l, message&& m) { on_message(l, m); },
-                {},
-                [this](link_id, const failure&)
-                {
-                    agent_.reset();
-                }})
-        , listener_([this](object_ptr<GSocketConnection> c)
-                    { hub_.add(std::move(c)); })
-    {
-        port_ = listener_.listen({"127.0.0.1", 0}).value();
-    }
-
-    endpoint address() const
-    {
-        return {"127.0.0.1", port_};
-    }
-
-    bool has_accepting_agent() const
-    {
-        return agent_.has_value() && accepts_work_;
-    }
-
-    // An order to run a task for 60 ms. Does nothing without a link.
-    void send_order(order_id id)
-    {
-        run_batch batch;
-        batch.job = "000000000000000a";
-        batch.route = "r/q/";
-        batch.payload = "x";
-        batch.task_resources = {1000, 8, 0};
-        batch.objective_us = batch.useful_until_us = batch.deadline_us =
-            duration(3s).count();
-        run_order order;
-        order.id = id;
-        order.expected_us = duration(60ms).count();
-        batch.orders = {order};
-        send(batch);
-    }
-
-    void send_cancel(order_id id)
-    {
-        send(cancel_orders{{id}});
-    }
-
-  private:
-    void send(const message& m)
-    {
-        if (agent_)
-        {
-            hub_.send(*agent_, m);
-        }
-    }
-
-    void on_message(link_id link, const message& m)
-    {
-        if (const auto* hello = std::get_if<target_hello>(&m))
-        {
-            agent_ = link;
-            accepts_work_ = hello->load.accepts_work;
-        }
-        else if (const auto* update = std::get_if<target_update>(&m))
-        {
-            accepts_work_ = update->load.accepts_work;
-        }
-    }
-
-    event_loop& loop_;
-    hybrid_clock clock_{[]
-                        {
-                            return uint64_t{1};
-                        }};
-    authenticator auth_{""};
-    link_hub hub_;
-    tcp_listener listener_;
-    uint16_t port_ = 0;
-    std::optional<link_id> agent_;
-    bool accepts_work_ = false;
-};
-
 } // namespace
 
 // Guards against an entry that starts a job whose caller left while the request
--- a/tests/platform/unit-restarted_target.cpp
+++ b/tests/platform/unit-restarted_target.cpp
@@ -1,4 +1,5 @@
 #include "node_cluster.hpp"
+#include "order_source_stand_in.hpp"
 #include <agatebank/harness/run_until.hpp>
 
 #include <catch2/catch.hpp>
@@ -78,8 +79,9 @@
 // Guards against tasks that start on a target without the label that they
 // require: it crashed, its connections were reset, and another kind of machine
 // came back under its id, while its agent went on with the former one's orders.
-TEST_CASE("restarted target: a target that comes back as another kind under its "
-          "id starts no task that requires its former kind")
+TEST_CASE(
+    "restarted target: a target that comes back as another kind under its "
+    "id starts no task that requires its former kind")
 {
     struct row
     {
@@ -115,8 +117,7 @@
             }
             REQUIRE(c.wait_ended(last));
             REQUIRE(c.job(last).status == 200);
-            const auto jobs =
-                c.loop.every(row.job_spacing, [&] { submit(); });
+            const auto jobs = c.loop.every(row.job_spacing, [&] { submit(); });
             for (const std::string kind : {"b", "a", "b"})
             {
                 run_for(c.loop, 700ms);
@@ -130,3 +131,30 @@
         }
     }
 }
+
+// Guards against orders that were placed by the properties of a target's former
+// incarnation and arrive when its agent follows the next one.
+TEST_CASE("restarted target: orders for another incarnation than the present "
+          "one are returned as not run")
+{
+    node_cluster c({0, 1});
+    order_source_stand_in entry(c.loop);
+    tcp_relay network(c.links(0), entry.address());
+    REQUIRE(run_until(c.loop, 10s,
+                      [&entry] { return entry.has_accepting_agent(); }));
+    const auto former = entry.target();
+    c.targets[0]->crash(20ms, true);
+    REQUIRE(run_until(c.loop, 3s,
+                      [&] {
+                          return entry.target() != former &&
+                                 entry.has_accepting_agent();
+                      }));
+    entry.send_order(order_id(1), former);
+    REQUIRE(run_until(c.loop, 1s, [&] { return !entry.results().empty(); }));
+    CHECK(entry.results().front().outcome == run_outcome::not_run);
+    CHECK(c.targets[0]->starts() == 0);
+    entry.send_order(order_id(2));
+    REQUIRE(run_until(c.loop, 1s, [&] { return entry.results().size() == 2; }));
+    CHECK(entry.results().back().outcome == run_outcome::done);
+    CHECK(c.targets[0]->starts() == 1);
+}
