Agent: an order whose start is refused isn't queued at a closed target

An order whose start is answered as superseded was queued again while the target accepts no more work. It could not start, and its caller waited until the order was found to be too late.

Cause: of the two answers after which an order is queued again, only the one for lack of capacity looked whether runs may start.

Change: both do, and the order is returned as not run at once. The new test fails without it (no result after the answer).

--- a/packages/fleet/src/run_scheduler.cpp
+++ b/packages/fleet/src/run_scheduler.cpp
@@ -300,19 +300,21 @@
         stop_run(r, run_outcome::not_run, now);
         return;
     case start_answer::superseded:
-        log(log_level::info, r,
-            "run number superseded at the target; trying the next one");
-        release_resources(r);
-        r.state = run_state::queued;
-        enqueue(key, r, now);
-        return;
     case start_answer::no_capacity:
         if (!open_)
         {
             finish(key, run_outcome::not_run, now);
             return;
         }
-        on_capacity_refusal(r, now);
+        if (answer == start_answer::no_capacity)
+        {
+            on_capacity_refusal(r, now);
+        }
+        else
+        {
+            log(log_level::info, r,
+                "run number superseded at the target; trying the next one");
+        }
         release_resources(r);
         r.state = run_state::queued;
         enqueue(key, r, now);
--- a/packages/fleet/tests/unit-run_scheduler.cpp
+++ b/packages/fleet/tests/unit-run_scheduler.cpp
@@ -169,6 +169,24 @@
     CHECK(f.started[1].run == f.started[0].run + 1);
 }
 
+// Guards against orders that wait at a target which accepts no more work.
+TEST_CASE("run_scheduler: an order whose start is refused is returned at once "
+          "while no runs may start")
+{
+    for (const auto answer :
+         {start_answer::superseded, start_answer::no_capacity})
+    {
+        scheduler_fixture f;
+        f.order(1, "a");
+        f.scheduler.set_accepting_orders(false, f.now);
+        f.scheduler.on_start_answer(f.started[0], answer, f.now);
+        REQUIRE(f.ends.size() == 1);
+        CHECK(f.ends[0].outcome == run_outcome::not_run);
+        f.scheduler.set_accepting_orders(true, f.now);
+        CHECK(f.started.size() == 1);
+    }
+}
+
 TEST_CASE("run_scheduler: does not start an order that cannot finish in time")
 {
     scheduler_fixture f;
