Agent: a drain is remembered while another incarnation is followed

An agent that followed an announcement of another incarnation, and then the former one again, as the target's answers named it, forgot that this one had announced that it drains. The announcement that brings it back may be a delayed one from before the drain.

Cause: whether a target drains was kept with the announcement that is followed.

Change: it is kept by incarnation, for the latest 16 that were left. The new test fails without it.

--- a/packages/node/include/agatebank/node/announcement_filter.hpp
+++ b/packages/node/include/agatebank/node/announcement_filter.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 
 namespace agatebank
 {
@@ -79,6 +80,8 @@
     /// number that was given up for lower ones
     std::optional<uint64_t> given_up_;
     bool draining_ = false;
+    /// incarnations that have drained, while others are followed
+    std::set<target_incarnation> drained_;
     /// first announcement as ready since the last one as draining
     std::optional<time_point> ready_since_;
     /// until then, no other incarnation is adopted
--- a/packages/node/src/agent_node.cpp
+++ b/packages/node/src/agent_node.cpp
@@ -247,6 +247,7 @@
     previous_target_drained_ = target_ && target_->draining;
     set_cold(announcement);
     target_ = announcement;
+    target_->draining = announcements_.draining();
     lease_.reset();
     last_end_seen_ = {};
     scheduler_.set_accepting_orders(false, now);
--- a/packages/node/src/announcement_filter.cpp
+++ b/packages/node/src/announcement_filter.cpp
@@ -19,6 +19,8 @@
 /// A target that has announced nothing but that it is ready for this long does
 /// not drain.
 constexpr duration drain_timeout = sequence_timeout;
+/// Bounds memory; of the incarnations beyond, the earliest are forgotten.
+constexpr std::size_t max_drained = 16;
 
 } // namespace
 
@@ -136,6 +138,10 @@
     {
         ready_since_ = ready_since_.value_or(now);
         draining_ = now - *ready_since_ < drain_timeout;
+        if (!draining_)
+        {
+            drained_.erase(followed_->profile.incarnation);
+        }
     }
 }
 
@@ -158,10 +164,19 @@
 void announcement_filter::follow(const target_announcement& announcement,
                                  time_point now)
 {
+    if (followed_ && draining_)
+    {
+        drained_.insert(followed_->profile.incarnation);
+        if (drained_.size() > max_drained)
+        {
+            drained_.erase(drained_.begin());
+        }
+    }
     followed_ = announcement;
     updated_ = now;
     given_up_.reset();
-    draining_ = announcement.draining;
+    draining_ = announcement.draining ||
+                drained_.count(announcement.profile.incarnation) != 0;
     ready_since_.reset();
     trusted_until_ = now + trust_duration;
     belief_ = belief::unknown;
--- a/packages/node/tests/unit-announcement_filter.cpp
+++ b/packages/node/tests/unit-announcement_filter.cpp
@@ -221,3 +221,21 @@
     CHECK(f.judge(announced("i", 11, 1), start + 2s) == verdict::adopt);
     CHECK_FALSE(f.draining());
 }
+
+// Guards against starts on a target whose drain was acknowledged, as its agent
+// has followed an announcement of another writer in between.
+TEST_CASE("announcement_filter: a target that drained still drains when it is "
+          "followed again")
+{
+    announcement_filter f;
+    REQUIRE(f.judge(announced("i", 10, 1), start) == verdict::adopt);
+    auto drains = announced("i", 10, 2);
+    drains.draining = true;
+    f.judge(drains, start + 1s);
+    f.on_unreachable();
+    REQUIRE(f.judge(announced("i", 11, 1), start + 2s) == verdict::adopt);
+    CHECK_FALSE(f.draining());
+    f.on_answer(target_incarnation(10), start + 2100ms);
+    REQUIRE(f.judge(announced("i", 10, 1), start + 2200ms) == verdict::adopt);
+    CHECK(f.draining());
+}
