--- a/tests/platform/target_stand_in.cpp
+++ b/tests/platform/target_stand_in.cpp
@@ -276,19 +276,18 @@
 
 json target_stand_in::next_announcement()
 {
-    const json body{
-        {"service", "desk"},
-        {"address", address()},
-        {"zone", failure_domain_},
-        {"version", "v1"},
-        {"slots", 8},
-        {"state", draining_ ? "draining" : "ready"},
-        {"coldRemainingMs", 0},
-        {"capacity",
-         {{"cpu", 1000 * capacity_}, {"memMb", 65536}, {"gpus", 0}}},
-        {"labels", {kind_, "r1"}},
-        {"born", born_ms_},
-        {"sequence", next_sequence_}};
+    json body{{"service", "desk"},
+              {"address", address()},
+              {"zone", failure_domain_},
+              {"version", "v1"},
+              {"slots", 8},
+              {"state", draining_ ? "draining" : "ready"},
+              {"coldRemainingMs", 0},
+              {"capacity",
+               {{"cpu", 1000 * capacity_}, {"memMb", 65536}, {"gpus", 0}}},
+              {"labels", {kind_, "r1"}},
+              {"born", born_ms_},
+              {"sequence", next_sequence_}};
     next_sequence_ += sequence_step_;
     return body;
 }
